--- a/packages/base/src/Metrics.cpp
+++ b/packages/base/src/Metrics.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<double, 3> s_quantiles { 0.5, 0.95, 0.99 };
+constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
 
 using DistributionSet = accumulators::accumulator_set<double,
     accumulators::stats<accumulators::tag::count, accumulators::tag::sum, accumulators::tag::extended_p_square>>;
@@ -30,7 +30,7 @@
 } // namespace
 
 struct MetricsRegistry::Distribution {
-    DistributionSet set { accumulators::extended_p_square_probabilities = s_quantiles };
+    DistributionSet set { accumulators::extended_p_square_probabilities = quantiles };
 };
 
 MetricsRegistry::MetricsRegistry() = default;
@@ -74,8 +74,8 @@
         append(text, series(key.name, key.labels, ""), " ", value, "\n");
     for (const auto& [key, distribution] : m_distributions) {
         auto estimates = accumulators::extended_p_square(distribution->set);
-        for (size_t index = 0; index < s_quantiles.size(); ++index)
-            append(text, series(key.name, key.labels, concat("quantile=\"", s_quantiles[index], "\"")), " ", estimates[index], "\n");
+        for (size_t index = 0; index < quantiles.size(); ++index)
+            append(text, series(key.name, key.labels, concat("quantile=\"", quantiles[index], "\"")), " ", estimates[index], "\n");
         append(text, series(key.name + "_sum", key.labels, ""), " ", accumulators::sum(distribution->set), "\n");
         append(text, series(key.name + "_count", key.labels, ""), " ", accumulators::count(distribution->set), "\n");
     }
--- a/packages/base/src/Refusal.cpp
+++ b/packages/base/src/Refusal.cpp
@@ -12,7 +12,7 @@
     int status;
 };
 
-constexpr std::array s_codes {
+constexpr std::array codes {
     CodeRow { RefusalCode::BadRequest, "bad_request", 400 },
     CodeRow { RefusalCode::Unauthorized, "unauthorized", 401 },
     CodeRow { RefusalCode::UnknownModel, "unknown_model", 404 },
@@ -36,15 +36,15 @@
     CodeRow { RefusalCode::Internal, "internal", 500 },
 };
 
-constexpr std::array<std::string_view, 3> s_ranNames { "not_run", "may_have_run", "ran" };
+constexpr std::array<std::string_view, 3> ranNames { "not_run", "may_have_run", "ran" };
 
 const CodeRow& rowOf(RefusalCode code)
 {
-    for (const CodeRow& row : s_codes) {
+    for (const CodeRow& row : codes) {
         if (row.code == code)
             return row;
     }
-    return s_codes.back();
+    return codes.back();
 }
 
 } // namespace
@@ -61,12 +61,12 @@
 
 std::string_view ranStateName(RanState ran)
 {
-    return s_ranNames.at(static_cast<size_t>(ran));
+    return ranNames.at(static_cast<size_t>(ran));
 }
 
 std::optional<RefusalCode> refusalCodeFromName(std::string_view name)
 {
-    for (const CodeRow& row : s_codes) {
+    for (const CodeRow& row : codes) {
         if (row.name == name)
             return row.code;
     }
@@ -75,8 +75,8 @@
 
 std::optional<RanState> ranStateFromName(std::string_view name)
 {
-    for (size_t index = 0; index < s_ranNames.size(); ++index) {
-        if (s_ranNames[index] == name)
+    for (size_t index = 0; index < ranNames.size(); ++index) {
+        if (ranNames[index] == name)
             return static_cast<RanState>(index);
     }
     return std::nullopt;
