--- a/packages/base/include/toucanstep/base/Text.h
+++ b/packages/base/include/toucanstep/base/Text.h
@@ -17,11 +17,14 @@
 
 namespace internal {
 
+// Numbers are returned by value: the value() of a strong number is a temporary, and a reference to it would dangle.
 template <typename Part>
 decltype(auto) forAbseil(const Part& part)
 {
     if constexpr (std::is_same_v<Part, std::string_view>)
         return abslView(part);
+    else if constexpr (std::is_arithmetic_v<Part>)
+        return Part(part);
     else if constexpr (requires { part.value(); })
         return forAbseil(part.value());
     else
