--- a/packages/config/src/Checks.cpp
+++ b/packages/config/src/Checks.cpp
@@ -3,7 +3,6 @@
 #include "Draft.h"
 
 #include "toucanstep/base/Text.h"
-#include "toucanstep/config/Nearest.h"
 #include "toucanstep/config/Units.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -36,7 +35,7 @@
     {
         DraftEntry<Entity>* entry = find(id);
         if (!entry && !id.empty())
-            reader.report(field, missing(id, section), nearestSuggestion(id, m_names));
+            reader.report(field, missing(id, section), reader.suggest(id, m_names));
         return entry;
     }
 
@@ -117,7 +116,8 @@
     std::string with;
     if (model.entity.baseModel) {
         const DraftEntry<Model>* base = indexes.models.find(model.entity.baseModel->value());
-        if (!base || base == &model)
+        // A base model that does not fit alone has a finding of its own.
+        if (!base || base == &model || base->entity.memory > pool.memory)
             return;
         needed += base->entity.memory;
         with = " with its base model";
@@ -152,7 +152,7 @@
         if (element.type != ValueType::Text || index.find(element.text))
             continue;
         std::string path = base::concat(reader.path(), ".", field, "[", position, "]");
-        context.report(element.position, std::move(path), EntryIndex<Entity>::missing(element.text, section), nearestSuggestion(element.text, index.names()));
+        context.report(element.position, std::move(path), EntryIndex<Entity>::missing(element.text, section), context.suggest(element.text, index.names()));
     }
 }
 
@@ -172,7 +172,8 @@
     }
 }
 
-// Finds cycles among services by walking from each one; a service on a finished walk is never walked again.
+// Finds cycles among services by walking from each one; a service on a finished walk is never walked again. The walk keeps
+// its own stack: a chain of some ten thousand services would exhaust the thread's.
 class CycleCheck {
 public:
     explicit CycleCheck(const Indexes& indexes)
@@ -180,23 +181,12 @@
     {
     }
 
-    void walk(const DraftEntry<Service>& service)
+    void walk(const DraftEntry<Service>& start)
     {
-        State& state = m_states[service.entity.id.value()];
-        if (state == State::Finished)
-            return;
-        if (state == State::OnWalk) {
-            reportCycle(service);
-            return;
-        }
-        state = State::OnWalk;
-        m_walk.push_back(&service);
-        for (const base::ServiceId& next : service.entity.dependsOnServices) {
-            if (const DraftEntry<Service>* entry = m_indexes.services.find(next.value()))
-                walk(*entry);
-        }
-        m_walk.pop_back();
-        m_states[service.entity.id.value()] = State::Finished;
+        if (stateOf(start) == State::New)
+            enter(start);
+        while (!m_walk.empty())
+            step();
     }
 
 private:
@@ -206,18 +196,49 @@
         Finished,
     };
 
+    struct Step {
+        const DraftEntry<Service>* service;
+        size_t nextDependency = 0;
+    };
+
+    State& stateOf(const DraftEntry<Service>& service) { return m_states[service.entity.id.value()]; }
+
+    void enter(const DraftEntry<Service>& service)
+    {
+        stateOf(service) = State::OnWalk;
+        m_walk.push_back({ &service });
+    }
+
+    void step()
+    {
+        Step& last = m_walk.back();
+        const std::vector<base::ServiceId>& dependencies = last.service->entity.dependsOnServices;
+        if (last.nextDependency == dependencies.size()) {
+            stateOf(*last.service) = State::Finished;
+            m_walk.pop_back();
+            return;
+        }
+        const DraftEntry<Service>* next = m_indexes.services.find(dependencies[last.nextDependency++].value());
+        if (!next)
+            return;
+        if (stateOf(*next) == State::OnWalk)
+            reportCycle(*next);
+        else if (stateOf(*next) == State::New)
+            enter(*next);
+    }
+
     void reportCycle(const DraftEntry<Service>& service) const
     {
-        auto start = std::find(m_walk.begin(), m_walk.end(), &service);
+        auto start = std::find_if(m_walk.begin(), m_walk.end(), [&](const Step& step) { return step.service == &service; });
         std::string cycle;
         for (auto step = start; step != m_walk.end(); ++step)
-            base::append(cycle, (*step)->entity.id, " -> ");
-        m_walk.back()->reader.report("dependsOnServices", base::concat("services depend on one another in a cycle: ", cycle, service.entity.id), "remove one of these dependencies");
+            base::append(cycle, step->service->entity.id, " -> ");
+        m_walk.back().service->reader.report("dependsOnServices", base::concat("services depend on one another in a cycle: ", cycle, service.entity.id), "remove one of these dependencies");
     }
 
     const Indexes& m_indexes;
     absl::flat_hash_map<std::string, State> m_states;
-    std::vector<const DraftEntry<Service>*> m_walk;
+    std::vector<Step> m_walk;
 };
 
 void checkKeys(const Draft& draft, ReadContext& context)
--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -63,6 +63,14 @@
     return absl::ascii_isalnum(static_cast<unsigned char>(text.front())) && std::all_of(text.begin(), text.end(), isIdentifierCharacter);
 }
 
+std::string ReadContext::suggest(std::string_view name, const std::vector<std::string>& candidates)
+{
+    if (suggestionsLeft == 0)
+        return {};
+    --suggestionsLeft;
+    return nearestSuggestion(name, candidates);
+}
+
 void ReadContext::report(Position position, std::string path, std::string message, std::string suggestion, base::Severity severity)
 {
     findings.add({ .place = { file, position.line, position.column },
@@ -91,7 +99,7 @@
 {
     for (const PlacedMember& member : m_value->members) {
         if (!m_schema->find(member.name))
-            m_context->report(member.position, pathOf(member.name), "unknown field", nearestSuggestion(member.name, m_schema->names()));
+            m_context->report(member.position, pathOf(member.name), "unknown field", suggest(member.name, m_schema->names()));
     }
 }
 
@@ -198,7 +206,7 @@
     auto found = std::find(choices.begin(), choices.end(), value->text);
     if (found != choices.end())
         return static_cast<size_t>(found - choices.begin());
-    report(name, base::concat("\"", value->text, "\" is none of: ", absl::StrJoin(choices, ", ")), nearestSuggestion(value->text, choices));
+    report(name, base::concat("\"", value->text, "\" is none of: ", absl::StrJoin(choices, ", ")), suggest(value->text, choices));
     return 0;
 }
 
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -20,10 +20,17 @@
 
 namespace toucanstep::config::internal {
 
+// Looking for the nearest name takes time that grows with the number of names, so a text with thousands of unknown names
+// would keep `check` busy for seconds; only the first ones get a suggestion.
+inline constexpr int mostSuggestions = 50;
+
 struct ReadContext {
     std::string file;
     base::Findings& findings;
+    int suggestionsLeft = mostSuggestions;
 
+    // What may have been meant by a name that is not known; empty where nothing is near.
+    std::string suggest(std::string_view name, const std::vector<std::string>& candidates);
     void report(Position, std::string path, std::string message, std::string suggestion = {}, base::Severity = base::Severity::Error);
 };
 
@@ -57,6 +64,8 @@
     // Reports a finding at the field's value, or at the object where the field is missing.
     void report(std::string_view field, std::string message, std::string suggestion = {}, base::Severity = base::Severity::Error) const;
 
+    std::string suggest(std::string_view name, const std::vector<std::string>& candidates) const { return m_context->suggest(name, candidates); }
+
     const std::string& path() const { return m_path; }
     Position position() const { return m_value->position; }
     const PlacedValue& value() const { return *m_value; }
