--- a/packages/base/test/BaseTest.cpp
+++ b/packages/base/test/BaseTest.cpp
@@ -1,4 +1,5 @@
 #include "toucanstep/base/Digest.h"
+#include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/Findings.h"
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/base/LogLine.h"
@@ -75,3 +76,12 @@
         RC_ASSERT(remaining(start + Duration(now), start + Duration(deadline)) >= Duration::zero());
     });
 }
+
+TEST(Base, EndpointsAreReadOnlyFromNumbers)
+{
+    CHECK_TRUE(parseEndpoint("127.0.0.1:80") == Endpoint({ "127.0.0.1", 80 }));
+    CHECK_TRUE(parseEndpoint("[::1]:80") == Endpoint({ "::1", 80 }));
+    STRCMP_EQUAL("[::1]:80", parseEndpoint("[::1]:80")->text().c_str());
+    for (const char* wrong : { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "1.2.3:4", "[::1:80" })
+        CHECK_FALSE(parseEndpoint(wrong).has_value());
+}
--- a/packages/config/include/toucanstep/config/Settings.h
+++ b/packages/config/include/toucanstep/config/Settings.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/Findings.h"
 #include "toucanstep/base/StrongTypes.h"
 
@@ -19,16 +20,7 @@
     Sidecar,
 };
 
-// An IP number and a port.
-struct Endpoint {
-    std::string address = "127.0.0.1";
-    uint16_t port = 0;
-
-    auto operator<=>(const Endpoint&) const = default;
-    std::string text() const;
-};
-
-std::optional<Endpoint> parseEndpoint(std::string_view);
+using base::Endpoint;
 
 struct ProcessSettings {
     Role role = Role::Gateway;
