--- a/packages/peers/src/Http2Connection.cpp
+++ b/packages/peers/src/Http2Connection.cpp
@@ -61,7 +61,6 @@
 Http2Connection::Http2Connection(EventLoop& loop, int socket, Side side)
     : m_loop(loop)
     , m_socket(socket)
-    , m_side(side)
     , m_connecting(side == Side::Client)
     , m_lastReceived(loop.now())
 {
--- a/packages/peers/src/Http2Connection.h
+++ b/packages/peers/src/Http2Connection.h
@@ -101,7 +101,6 @@
     static void installCallbacks(nghttp2_session_callbacks*);
 
     int m_socket = -1;
-    Side m_side;
     bool m_connecting = false;
     bool m_broken = false;
     bool m_inSession = false;
--- a/packages/peers/src/PeerClient.cpp
+++ b/packages/peers/src/PeerClient.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 using internal::ConnectionNonces;
-using internal::Field;
 using internal::Http2Connection;
 
 // One call from its start to its end, whether it waits for the handshake or runs on a stream.
--- a/packages/peers/src/PeerServer.cpp
+++ b/packages/peers/src/PeerServer.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 using internal::ConnectionNonces;
-using internal::Field;
 using internal::Http2Connection;
 
 class ServerConnection;
