--- /dev/null
+++ b/packages/assignments/include/toucanstep/assignments/AbsenceTracker.h
@@ -0,0 +1,106 @@
+// Whether the rows of an instance may be taken over.
+//
+// For each instance that holds rows, in this order: the list has dropped it; a majority of the voters has not heard it
+// for Timing::absence; a gone mark is written; a majority promises under that mark; then its rows may be taken, by
+// transactions that compare the mark. Any newer answer of the list that shows the instance starts again.
+
+#pragma once
+
+#include "toucanstep/assignments/Electorate.h"
+#include "toucanstep/assignments/HolderState.h"
+#include "toucanstep/assignments/Row.h"
+#include "toucanstep/assignments/Timing.h"
+#include "toucanstep/assignments/VoterState.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace toucanstep::assignments {
+
+enum class AbsencePhase {
+    Present,
+    // Absent from the list, but not proved to be dropped for long enough.
+    Absent,
+    // Dropped and unheard for long enough: the mark can be written.
+    MarkNeeded,
+    // The mark stands; promises are being gathered.
+    Marked,
+    // Its rows may be taken.
+    Cleared,
+};
+
+// Proof that a holder has stopped, good while its mark stands.
+struct Clearance {
+    base::InstanceId instance;
+    base::Revision mark;
+};
+
+// Whether a row may be taken over. The baseline of leases that expire implements it as well.
+class TakeRule {
+public:
+    virtual ~TakeRule() = default;
+    virtual bool mayTake(const Row&, base::Instant now) const = 0;
+};
+
+class AbsenceTracker : public TakeRule {
+public:
+    explicit AbsenceTracker(Timing);
+
+    // Instances whose rows this node would take if they were gone; the others are not tracked.
+    void watch(const base::InstanceId&, base::Instant now);
+    void forget(const base::InstanceId&);
+
+    // One whole answer of the platform's list. An answer older than one already seen is left aside.
+    void onListAnswer(Exchange, base::Instant now, std::optional<uint64_t> version, const std::set<base::InstanceId>& shown);
+    void onElectorates(const Electorates&);
+    // All marks as read from the service at that revision.
+    void onMarks(base::Revision, const std::vector<GoneMark>&);
+    // A voter's reply to this node's question about `instance`.
+    void onVoterReply(Exchange, base::Instant now, const base::InstanceId& instance, const VoterReply&);
+
+    AbsencePhase phase(const base::InstanceId&, base::Instant now) const;
+    // The mark's revision that voters are to be asked under, or zero before there is one.
+    base::Revision markOf(const base::InstanceId&) const;
+    // Instances about which voters have to be asked now.
+    std::vector<base::InstanceId> toAsk(base::Instant now) const;
+    // Instances whose mark stands although the list shows them again: the mark can be deleted.
+    std::vector<GoneMark> marksToLift() const;
+    std::optional<Clearance> clearance(const base::InstanceId&, base::Instant now) const;
+
+    bool mayTake(const Row&, base::Instant now) const override;
+
+protected:
+    struct Watched {
+        base::Instant watchedAt;
+        bool shown = false;
+        // The list's newest version that showed it.
+        std::optional<uint64_t> shownVersion;
+        // When this node first received an answer without it, of all answers since; and whether it counts as dropped.
+        std::optional<base::Instant> absentSince;
+        bool dropped = false;
+        base::Revision mark;
+        std::map<base::InstanceId, VoterReply> replies;
+        std::map<base::InstanceId, base::Instant> unheardUntil;
+    };
+
+    // Seeded faults of the tests override these.
+    virtual bool isDropped(const Watched&, base::Instant now) const;
+    virtual bool absenceStood(const Watched&, base::Instant now) const;
+    virtual bool unheardByMajority(const Watched&, base::Instant now) const;
+    virtual bool promisedByMajority(const Watched&) const;
+
+    const Timing& timing() const { return m_timing; }
+    const Electorates& electorates() const { return m_electorates; }
+
+private:
+    Timing m_timing;
+    Electorates m_electorates;
+    std::optional<uint64_t> m_newestVersion;
+    std::optional<base::Instant> m_newestSentAt;
+    base::Revision m_marksKnownAt;
+    std::map<base::InstanceId, Watched> m_watched;
+};
+
+} // namespace toucanstep::assignments
--- /dev/null
+++ b/packages/assignments/include/toucanstep/assignments/HolderState.h
@@ -0,0 +1,86 @@
+// May this process use the rows that it holds, right now?
+//
+//     holder.onServiceRead(sentAt, deadline, now, rows, marks);
+//     if (holder.mayUse(row, clock.now())) ...
+//
+// Nothing lapses while the key-value service is down. A row is usable while the platform's list shows this instance, or
+// a majority of the gateways vouches for it, by a request sent less than Timing::holderLimit ago. A read of the service
+// counts for neither: it shows the row up to the instant at which a taker replaces it.
+// Ask with a fresh `now` directly before each use: after a pause the answer differs.
+
+#pragma once
+
+#include "toucanstep/assignments/Electorate.h"
+#include "toucanstep/assignments/Row.h"
+#include "toucanstep/assignments/Timing.h"
+#include "toucanstep/base/Time.h"
+
+#include <map>
+#include <optional>
+
+namespace toucanstep::assignments {
+
+// Whether rows may be used. The baseline of leases that expire implements it as well.
+class UseRule {
+public:
+    virtual ~UseRule() = default;
+    virtual bool mayUse(const Row&, base::Instant now) const = 0;
+};
+
+// When a request was sent and until when its answer is used.
+struct Exchange {
+    base::Instant sentAt;
+    base::Instant deadline;
+};
+
+class HolderState : public UseRule {
+public:
+    HolderState(Holder self, Timing);
+
+    const Holder& self() const { return m_self; }
+
+    // A read of the gone marks and the electorates that was answered at `now`. The first one allows use at all.
+    // `marked`: whether a gone mark for this instance stood at that revision.
+    void onServiceRead(Exchange, base::Instant now, base::Revision, bool marked, const std::optional<Electorates>&);
+    // An answer of the platform's list. `version` is its resource version where it has one. An answer older than one
+    // that was already seen is left aside.
+    void onListAnswer(Exchange, base::Instant now, std::optional<uint64_t> version, bool showsSelf);
+    // A gateway's answer to this process: it heard us, and vouches for us under that generation or refuses to.
+    void onVoterAnswer(Exchange, base::Instant now, const base::InstanceId& voter, Generation, bool vouches);
+    // A newer set of voters, learned from a gateway.
+    void onElectorate(const Electorate&);
+
+    // Gives the row up for good, before its release or handover is sent: a release whose answer was lost may take
+    // effect at any later time. Only a later revision of the row makes it usable again.
+    void relinquish(const Row&);
+
+    bool mayUse(const Row&, base::Instant now) const override;
+    // The instant at which use ends if nothing more is heard; the past where it may not be used now.
+    base::Instant usableUntil() const;
+    // Whether the platform's word that this instance is gone stands against it.
+    bool markedGone() const { return m_marked; }
+    bool hasReadService() const { return m_hasRead; }
+
+protected:
+    // The newest sending time that proves presence; seeded faults of the tests override it.
+    virtual std::optional<base::Instant> newestEvidence() const;
+    std::optional<base::Instant> listEvidence() const { return m_listSentAt; }
+    std::optional<base::Instant> voterEvidence() const;
+    std::optional<base::Instant> serviceEvidence() const { return m_readSentAt; }
+    const Timing& timing() const { return m_timing; }
+
+private:
+    Holder m_self;
+    Timing m_timing;
+    bool m_hasRead = false;
+    bool m_marked = false;
+    base::Revision m_markKnownAt;
+    std::optional<base::Instant> m_readSentAt;
+    std::optional<base::Instant> m_listSentAt;
+    std::optional<uint64_t> m_listVersion;
+    Electorate m_electorate;
+    std::map<base::InstanceId, base::Instant> m_vouchedAt;
+    std::map<RowKey, base::Revision> m_relinquished;
+};
+
+} // namespace toucanstep::assignments
--- /dev/null
+++ b/packages/assignments/include/toucanstep/assignments/Timing.h
@@ -0,0 +1,26 @@
+// The times that holders and takers of rows must agree on.
+//
+// A holder stops `holderLimit` after the sending of its newest proof of being in, by its own clock; a taker waits
+// `absence` by its own. Both clocks may drift, so the first has to be shorter by twice the drift: see isSafe().
+
+#pragma once
+
+#include "toucanstep/base/Time.h"
+
+namespace toucanstep::assignments {
+
+struct Timing {
+    // How long a holder goes on after the newest request whose answer proved that it is still in.
+    base::Duration holderLimit = std::chrono::seconds(5);
+    // How long a holder must have been absent from the list and unheard before its rows move.
+    base::Duration absence = std::chrono::seconds(6);
+    // The oldest state that an answer of the platform's list may show.
+    base::Duration listLag = std::chrono::seconds(10);
+    // The most by which a monotonic clock runs fast or slow, in parts of a million.
+    int64_t driftPartsPerMillion = 1000;
+};
+
+// Whether the holder's limit on the slowest clock ends before the taker's wait on the fastest one.
+bool isSafe(const Timing&);
+
+} // namespace toucanstep::assignments
