--- /dev/null
+++ b/packages/limits/include/toucanstep/limits/TokenBucket.h
@@ -0,0 +1,61 @@
+// A token bucket in integers: exact in tokens times nanoseconds, so no rounding ever gives or takes a token.
+//
+//     TokenBucket bucket({ Tokens(100), Tokens(500) }, TokenNanos(0), now);
+//     if (bucket.take(Tokens(20), now)) ...
+
+#pragma once
+
+#include "toucanstep/base/StrongTypes.h"
+#include "toucanstep/base/Time.h"
+
+#include <optional>
+
+namespace toucanstep::limits {
+
+// Tokens times 10^9: the stock after one nanosecond at one token a second is 1.
+using TokenNanos = base::StrongNumber<struct TokenNanosTag>;
+
+constexpr int64_t nanosPerToken = 1'000'000'000;
+// Above these a stock would not fit into 64 bits; larger limits are cut to them.
+constexpr int64_t maximumRate = 4'000'000'000;
+constexpr int64_t maximumBurst = 4'000'000'000;
+
+constexpr TokenNanos toNanos(base::Tokens tokens) { return TokenNanos(tokens.value() * nanosPerToken); }
+constexpr base::Tokens wholeTokens(TokenNanos stock) { return base::Tokens(stock.value() / nanosPerToken); }
+
+// A rate in tokens a second and the most that may be in stock. Negative values count as zero.
+struct BucketLimits {
+    base::Tokens tokensPerSecond;
+    base::Tokens burst;
+
+    friend bool operator==(const BucketLimits&, const BucketLimits&) = default;
+};
+
+class TokenBucket {
+public:
+    // `stock` is cut to the burst.
+    TokenBucket(BucketLimits, TokenNanos stock, base::Instant now);
+
+    const BucketLimits& limits() const { return m_limits; }
+    // A time before the latest one seen gives the latest stock: a bucket never runs backwards.
+    TokenNanos stockAt(base::Instant now) const;
+    // Takes all of `amount`, or nothing and returns false.
+    bool take(base::Tokens amount, base::Instant now);
+    // Adds as much as fits below the burst, and returns what was added.
+    TokenNanos add(TokenNanos amount, base::Instant now);
+    // Empties the bucket and returns what was in it.
+    TokenNanos drain(base::Instant now);
+    // Time up to `now` accrues at the old rate; a lower burst cuts the stock at once.
+    void setLimits(BucketLimits, base::Instant now);
+    // The first instant at which `amount` is in stock if nothing else is taken; nothing where that never comes.
+    std::optional<base::Instant> availableAt(base::Tokens amount, base::Instant now) const;
+
+private:
+    void advance(base::Instant now);
+
+    BucketLimits m_limits;
+    TokenNanos m_stock;
+    base::Instant m_updatedAt;
+};
+
+} // namespace toucanstep::limits
