--- /dev/null
+++ b/packages/routing/include/toucanstep/routing/ExpectedWait.h
@@ -0,0 +1,40 @@
+// How long a new request would wait for a slot of an upstream.
+//
+// Gateways and sidecars use the same calculation, so that a gateway does not send what the sidecar would refuse.
+
+#pragma once
+
+#include "toucanstep/base/StrongTypes.h"
+#include "toucanstep/base/Time.h"
+
+#include <vector>
+
+namespace toucanstep::routing {
+
+// What one client account has queued at an upstream.
+struct AccountBacklog {
+    base::ClientAccountId account;
+    int64_t weight = 1;
+    base::Tokens queued;
+};
+
+// Exact figures of a sidecar about its own upstream.
+struct UpstreamLoad {
+    int64_t slots = 1;
+    // Expected speed of one stream, in tokens a second.
+    int64_t tokensPerSecond = 50;
+    int64_t inFlight = 0;
+    // Tokens that the requests in flight are still expected to take.
+    base::Tokens inFlightTokens;
+    // Only accounts that have something queued.
+    std::vector<AccountBacklog> backlog;
+};
+
+// Tokens of the backlog that a fair queue serves before a new request of that account: its own queued tokens, and of
+// every other account at most the same, scaled by the weights. So another account's long queue is not waited for.
+base::Tokens tokensAhead(const std::vector<AccountBacklog>&, const base::ClientAccountId&, int64_t weight);
+
+// Zero while a slot is free and nothing is ahead.
+base::Duration expectedWait(const UpstreamLoad&, const base::ClientAccountId&, int64_t weight);
+
+} // namespace toucanstep::routing
