--- a/packages/config/include/toucanstep/config/Parser.h
+++ b/packages/config/include/toucanstep/config/Parser.h
@@ -9,12 +9,16 @@
 #include "toucanstep/base/Findings.h"
 #include "toucanstep/config/Configuration.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
 
 namespace toucanstep::config {
 
+// The most bytes that a text may have: the platform's key-value service holds values up to a megabyte.
+inline constexpr size_t longestConfigurationText = 1'000'000;
+
 struct ParsedConfiguration {
     // Present only when no finding is an error.
     std::shared_ptr<const Configuration> configuration;
--- a/packages/config/src/Nearest.cpp
+++ b/packages/config/src/Nearest.cpp
@@ -12,9 +12,11 @@
 // Names longer than this are not compared: the work grows with the product of the lengths, and an input may be hostile.
 constexpr size_t longestCompared = 128;
 
+// Two neighbouring characters that are exchanged are a distance of two. A name of which nothing is left is no slip.
 size_t acceptedDistance(std::string_view name)
 {
-    return std::max<size_t>(1, name.size() / 3);
+    size_t kept = name.empty() ? 0 : name.size() - 1;
+    return std::min(kept, std::max<size_t>(2, name.size() / 3));
 }
 
 } // namespace
--- a/packages/config/src/Parser.cpp
+++ b/packages/config/src/Parser.cpp
@@ -2,6 +2,7 @@
 
 #include "Draft.h"
 #include "JsonReader.h"
+#include "toucanstep/base/Text.h"
 
 namespace toucanstep::config {
 
@@ -36,6 +37,11 @@
 ParsedConfiguration parseConfiguration(std::string_view file, std::string_view text, base::Revision version)
 {
     ParsedConfiguration parsed;
+    if (text.size() > longestConfigurationText) {
+        parsed.findings.add({ .place = { std::string(file), 1, 1 },
+            .message = base::concat("the text has ", text.size(), " bytes, and the key-value service holds values up to ", longestConfigurationText) });
+        return parsed;
+    }
     auto root = internal::readJson(file, text, parsed.findings);
     if (!root)
         return parsed;
