--- a/packages/base/src/Endpoint.cpp
+++ b/packages/base/src/Endpoint.cpp
@@ -2,8 +2,8 @@
 
 #include "toucanstep/base/Text.h"
 
-#include <absl/strings/numbers.h>
 #include <arpa/inet.h>
+#include <charconv>
 
 namespace toucanstep::base {
 
@@ -15,6 +15,13 @@
     return inet_pton(family, text.c_str(), &buffer) == 1;
 }
 
+std::optional<uint16_t> parsePort(std::string_view text)
+{
+    uint16_t port = 0;
+    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+    return error == std::errc {} && end == text.data() + text.size() ? std::optional(port) : std::nullopt;
+}
+
 } // namespace
 
 std::string Endpoint::text() const
@@ -26,10 +33,10 @@
 std::optional<Endpoint> parseEndpoint(std::string_view text)
 {
     size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon + 1 == text.size())
+    if (colon == std::string_view::npos)
         return std::nullopt;
-    uint32_t port = 0;
-    if (!absl::SimpleAtoi(abslView(text.substr(colon + 1)), &port) || port > UINT16_MAX)
+    auto port = parsePort(text.substr(colon + 1));
+    if (!port)
         return std::nullopt;
     std::string address(text.substr(0, colon));
     bool bracketed = address.size() > 2 && address.front() == '[' && address.back() == ']';
@@ -37,7 +44,7 @@
         address = address.substr(1, address.size() - 2);
     if (!isAddress(address, bracketed ? AF_INET6 : AF_INET))
         return std::nullopt;
-    return Endpoint { address, static_cast<uint16_t>(port) };
+    return Endpoint { std::move(address), *port };
 }
 
 } // namespace toucanstep::base
--- a/packages/base/test/BaseTest.cpp
+++ b/packages/base/test/BaseTest.cpp
@@ -82,6 +82,6 @@
     CHECK_TRUE(parseEndpoint("127.0.0.1:80") == Endpoint({ "127.0.0.1", 80 }));
     CHECK_TRUE(parseEndpoint("[::1]:80") == Endpoint({ "::1", 80 }));
     STRCMP_EQUAL("[::1]:80", parseEndpoint("[::1]:80")->text().c_str());
-    for (const char* wrong : { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "1.2.3:4", "[::1:80" })
+    for (const char* wrong : { "", "localhost:80", "127.0.0.1", "127.0.0.1:", "127.0.0.1:70000", "1.2.3:4", "[::1:80", "127.0.0.1: 80", "127.0.0.1:+80" })
         CHECK_FALSE(parseEndpoint(wrong).has_value());
 }
--- a/packages/config/include/toucanstep/config/Settings.h
+++ b/packages/config/include/toucanstep/config/Settings.h
@@ -21,6 +21,7 @@
 };
 
 using base::Endpoint;
+using base::parseEndpoint;
 
 struct ProcessSettings {
     Role role = Role::Gateway;
--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -24,13 +24,6 @@
     return inet_pton(AF_INET, text.c_str(), parsed.data()) == 1 || inet_pton(AF_INET6, text.c_str(), parsed.data()) == 1;
 }
 
-std::optional<uint16_t> parsePort(std::string_view text)
-{
-    uint16_t port = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
-    return error == std::errc {} && end == text.data() + text.size() ? std::optional(port) : std::nullopt;
-}
-
 bool isIpUrl(std::string_view url)
 {
     for (std::string_view scheme : { "http://", "https://" }) {
@@ -175,29 +168,6 @@
 
 } // namespace
 
-std::string Endpoint::text() const
-{
-    return address.find(':') == std::string::npos ? base::concat(address, ":", port) : base::concat("[", address, "]:", port);
-}
-
-std::optional<Endpoint> parseEndpoint(std::string_view text)
-{
-    size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos)
-        return std::nullopt;
-    std::string_view address = text.substr(0, colon);
-    bool bracketed = address.starts_with('[') && address.ends_with(']');
-    if (bracketed)
-        address = address.substr(1, address.size() - 2);
-    // Without brackets it would be unclear which colon of an IPv6 number starts the port.
-    if (bracketed != (address.find(':') != std::string_view::npos))
-        return std::nullopt;
-    auto port = parsePort(text.substr(colon + 1));
-    if (!port || !isIpNumber(std::string(address)))
-        return std::nullopt;
-    return Endpoint { std::string(address), *port };
-}
-
 std::string internal::resolvePath(std::string_view settingsFile, const std::string& path)
 {
     return (std::filesystem::path(settingsFile).parent_path() / path).string();
