--- a/packages/node/include/toucanstep/node/Snapshot.h
+++ b/packages/node/include/toucanstep/node/Snapshot.h
@@ -11,7 +11,7 @@
 
 namespace toucanstep::node {
 
-template<typename T>
+template <typename T>
 class Snapshot {
 public:
     explicit Snapshot(std::shared_ptr<const T> value = std::make_shared<const T>())
--- a/packages/peers/include/toucanstep/peers/Messages.h
+++ b/packages/peers/include/toucanstep/peers/Messages.h
@@ -11,14 +11,17 @@
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace toucanstep::peers {
 
 inline constexpr std::string_view runMethod = "run";
 inline constexpr std::string_view attachMethod = "attach";
+inline constexpr std::string_view reportMethod = "report";
 
 enum class TargetKind {
     Model,
@@ -48,22 +51,51 @@
     bool stream = false;
     // Fingerprint of account and body, by which requests that crash upstreams are recognized.
     std::string fingerprint;
+    // Numbers this gateway's dispatches to this sidecar, so that its reports can say which they count.
+    int64_t dispatchNumber = 0;
+    // Set for calls that may run only once: the attempt as node/CallCodec.h writes it.
+    std::string callDispatch;
     std::string body;
 };
 
 struct AttachRequest {
     base::RequestId request;
+    int64_t attempt = 0;
     // The first chunk that the gateway has not got.
     int64_t nextChunk = 0;
 };
 
-// What the sidecar knows about itself exactly; it travels on every event.
-struct SidecarLoad {
-    int64_t running = 0;
-    int64_t queued = 0;
-    base::Tokens queuedTokens;
+// What one client account has queued at a sidecar.
+struct AccountQueue {
+    base::ClientAccountId account;
+    int64_t weight = 1;
+    base::Tokens queued;
+};
+
+enum class ModelPhase {
+    Cold,
+    Loading,
+    Loaded,
+};
+
+// What the sidecar knows about itself exactly. It travels with the first and the last event of an answer.
+struct SidecarReport {
+    // Grows with each start of the process, and with each report of one process.
+    int64_t incarnation = 0;
+    int64_t sequence = 0;
+    int64_t slots = 1;
+    int64_t tokensPerSecond = 1;
+    int64_t inFlight = 0;
+    base::Tokens inFlightTokens;
+    // The highest dispatch number of the receiving gateway that these figures count.
+    int64_t lastDispatchSeen = 0;
     bool leaving = false;
+    bool quarantining = false;
     base::Revision configuration;
+    // The state of the request's model; the end of its load as remaining time, negative where it is not known.
+    ModelPhase phase = ModelPhase::Cold;
+    base::Duration loadRemaining { -1 };
+    std::vector<AccountQueue> queues;
 };
 
 // The upstream has begun to answer.
@@ -94,11 +126,19 @@
     base::Duration retryAfter { -1 };
 };
 
-using RunEventBody = std::variant<AnswerStart, AnswerChunk, AnswerEnd, AnswerRefused>;
+// The reply to a call that may run only once, as node/CallCodec.h writes it.
+struct AnswerCall {
+    std::string reply;
+};
+
+// The answer to Method("report"): nothing but the report.
+struct AnswerReport { };
+
+using RunEventBody = std::variant<AnswerStart, AnswerChunk, AnswerEnd, AnswerRefused, AnswerCall, AnswerReport>;
 
 struct RunEvent {
     base::RequestId request;
-    SidecarLoad load;
+    std::optional<SidecarReport> report;
     RunEventBody body;
 };
 
--- a/packages/peers/src/Messages.cpp
+++ b/packages/peers/src/Messages.cpp
@@ -3,6 +3,8 @@
 #include "toucanstep/base/Text.h"
 #include "toucanstep/peers/Codec.h"
 
+#include <algorithm>
+
 namespace toucanstep::peers {
 
 namespace {
@@ -12,8 +14,13 @@
     Chunk = 2,
     End = 3,
     Refused = 4,
+    Call = 5,
+    Report = 6,
 };
 
+// More queues than this in one report are not from a sidecar of ours.
+constexpr int64_t maximumQueues = 4096;
+
 base::leaf::error_id malformed(std::string_view what)
 {
     return base::fail(base::ErrorKind::Malformed, base::concat("not a ", what));
@@ -40,6 +47,65 @@
     writer.add(std::string(ranStateName(refused.ran))).add(refused.message).addDuration(refused.retryAfter);
 }
 
+void writeBody(FieldWriter& writer, const AnswerCall& call)
+{
+    writer.add(static_cast<int64_t>(EventTag::Call)).addBytes(call.reply);
+}
+
+void writeBody(FieldWriter& writer, const AnswerReport&)
+{
+    writer.add(static_cast<int64_t>(EventTag::Report));
+}
+
+void writeReport(FieldWriter& writer, const SidecarReport& report)
+{
+    writer.add(report.incarnation).add(report.sequence).add(report.slots).add(report.tokensPerSecond);
+    writer.add(report.inFlight).add(report.inFlightTokens.value()).add(report.lastDispatchSeen);
+    writer.addFlag(report.leaving).addFlag(report.quarantining).add(report.configuration.value());
+    writer.add(static_cast<int64_t>(report.phase)).addDuration(report.loadRemaining);
+    writer.add(static_cast<int64_t>(report.queues.size()));
+    for (const AccountQueue& queue : report.queues)
+        writer.add(queue.account.value()).add(queue.weight).add(queue.queued.value());
+}
+
+ModelPhase readPhase(FieldReader& reader)
+{
+    switch (reader.number()) {
+    case static_cast<int64_t>(ModelPhase::Loading):
+        return ModelPhase::Loading;
+    case static_cast<int64_t>(ModelPhase::Loaded):
+        return ModelPhase::Loaded;
+    default:
+        return ModelPhase::Cold;
+    }
+}
+
+SidecarReport readReport(FieldReader& reader)
+{
+    SidecarReport report;
+    report.incarnation = reader.number();
+    report.sequence = reader.number();
+    report.slots = reader.number();
+    report.tokensPerSecond = reader.number();
+    report.inFlight = reader.number();
+    report.inFlightTokens = base::Tokens(reader.number());
+    report.lastDispatchSeen = reader.number();
+    report.leaving = reader.flag();
+    report.quarantining = reader.flag();
+    report.configuration = base::Revision(reader.number());
+    report.phase = readPhase(reader);
+    report.loadRemaining = reader.duration();
+    int64_t queues = std::min(reader.number(), maximumQueues);
+    for (int64_t index = 0; index < queues && !reader.failed(); ++index) {
+        AccountQueue queue;
+        queue.account = base::ClientAccountId(reader.text());
+        queue.weight = reader.number();
+        queue.queued = base::Tokens(reader.number());
+        report.queues.push_back(std::move(queue));
+    }
+    return report;
+}
+
 AnswerStart readStart(FieldReader& reader)
 {
     AnswerStart start;
@@ -85,7 +151,7 @@
     writer.add(request.configuration.value()).addDuration(request.remaining).add(request.kind);
     writer.add(static_cast<int64_t>(request.target)).add(request.targetId).add(request.httpMethod).add(request.path);
     writer.add(request.idempotencyKey).add(request.contentType).add(request.promptTokens.value()).add(request.maximumTokens.value());
-    writer.addFlag(request.stream).add(request.fingerprint).addBytes(request.body);
+    writer.addFlag(request.stream).add(request.fingerprint).add(request.dispatchNumber).addBytes(request.callDispatch).addBytes(request.body);
     return writer.finish();
 }
 
@@ -111,6 +177,8 @@
     request.maximumTokens = base::Tokens(reader.number());
     request.stream = reader.flag();
     request.fingerprint = reader.text();
+    request.dispatchNumber = reader.number();
+    request.callDispatch = reader.bytes();
     request.body = reader.bytes();
     if (!reader.complete())
         return malformed("run request");
@@ -119,7 +187,7 @@
 
 std::string encode(const AttachRequest& request)
 {
-    return FieldWriter().add(request.request.value()).add(request.nextChunk).finish();
+    return FieldWriter().add(request.request.value()).add(request.attempt).add(request.nextChunk).finish();
 }
 
 base::Result<AttachRequest> decodeAttachRequest(std::string_view bytes)
@@ -127,6 +195,7 @@
     FieldReader reader(bytes);
     AttachRequest request;
     request.request = base::RequestId(reader.text());
+    request.attempt = reader.number();
     request.nextChunk = reader.number();
     if (!reader.complete() || request.nextChunk < 0)
         return malformed("attach request");
@@ -136,8 +205,9 @@
 std::string encode(const RunEvent& event)
 {
     FieldWriter writer;
-    writer.add(event.request.value()).add(event.load.running).add(event.load.queued).add(event.load.queuedTokens.value());
-    writer.addFlag(event.load.leaving).add(event.load.configuration.value());
+    writer.add(event.request.value()).addFlag(event.report.has_value());
+    if (event.report)
+        writeReport(writer, *event.report);
     std::visit([&](const auto& body) { writeBody(writer, body); }, event.body);
     return writer.finish();
 }
@@ -147,11 +217,8 @@
     FieldReader reader(bytes);
     RunEvent event;
     event.request = base::RequestId(reader.text());
-    event.load.running = reader.number();
-    event.load.queued = reader.number();
-    event.load.queuedTokens = base::Tokens(reader.number());
-    event.load.leaving = reader.flag();
-    event.load.configuration = base::Revision(reader.number());
+    if (reader.flag())
+        event.report = readReport(reader);
     switch (static_cast<EventTag>(reader.number())) {
     case EventTag::Start:
         event.body = readStart(reader);
@@ -165,6 +232,12 @@
     case EventTag::Refused:
         event.body = readRefused(reader);
         break;
+    case EventTag::Call:
+        event.body = AnswerCall { reader.bytes() };
+        break;
+    case EventTag::Report:
+        event.body = AnswerReport {};
+        break;
     default:
         return malformed("run event");
     }
--- a/packages/peers/test/MessagesTest.cpp
+++ b/packages/peers/test/MessagesTest.cpp
@@ -31,15 +31,17 @@
 
 TEST(Messages, EveryEventReadsBackAsItsKind)
 {
-    std::vector<RunEventBody> bodies { AnswerStart { 200, "text/event-stream" }, AnswerChunk { 3, "abc" }, AnswerEnd { 4, base::Tokens(9), true }, AnswerRefused { base::RefusalCode::Leaving, base::RanState::NotRun, "why", std::chrono::seconds(2) } };
+    std::vector<RunEventBody> bodies { AnswerStart { 200, "text/event-stream" }, AnswerChunk { 3, "abc" }, AnswerEnd { 4, base::Tokens(9), true }, AnswerRefused { base::RefusalCode::Leaving, base::RanState::NotRun, "why", std::chrono::seconds(2) }, AnswerCall { "reply" }, AnswerReport {} };
     for (const RunEventBody& body : bodies) {
-        RunEvent event { base::RequestId("r"), { 1, 2, base::Tokens(3), true, base::Revision(7) }, body };
+        RunEvent event { base::RequestId("r"), SidecarReport { .sequence = 5, .leaving = true, .configuration = base::Revision(7), .phase = ModelPhase::Loaded, .queues = { { base::ClientAccountId("a"), 2, base::Tokens(9) } } }, body };
         base::Error error;
         auto read = base::valueOr(error, [&] { return decodeRunEvent(encode(event)); });
         CHECK_TRUE(read.has_value());
         CHECK_EQUAL(body.index(), read->body.index());
-        CHECK_TRUE(read->load.leaving);
-        CHECK_EQUAL(7, read->load.configuration.value());
+        CHECK_TRUE(read->report->leaving);
+        CHECK_EQUAL(7, read->report->configuration.value());
+        CHECK_EQUAL(9, read->report->queues.at(0).queued.value());
+        CHECK_TRUE(read->report->phase == ModelPhase::Loaded);
     }
 }
 
