--- /dev/null
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -0,0 +1,119 @@
+// What gateways and sidecars have in common: two threads, connections to peers and platform, the configuration in force,
+// the platform's list of instances, metrics, the operators' port.
+//
+// Control state belongs to the control loop's thread, where the registered systems run each tick; requests belong to the
+// traffic loop's thread. What traffic needs of control state is published as snapshots.
+//
+//     Node node(settings);
+//     node.addMethod(peers::Method("run"), handler);     // runs on the traffic loop
+//     node.addSystem([](base::Instant now) { ... });     // runs on the control loop
+//     node.start();
+
+#pragma once
+
+#include "toucanstep/base/KeyValue.h"
+#include "toucanstep/base/Metrics.h"
+#include "toucanstep/base/Result.h"
+#include "toucanstep/config/Configuration.h"
+#include "toucanstep/config/Settings.h"
+#include "toucanstep/node/InstanceTable.h"
+#include "toucanstep/node/Snapshot.h"
+#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/peers/PeerClient.h"
+#include "toucanstep/peers/PeerServer.h"
+#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/platform/HttpServer.h"
+
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace toucanstep::node {
+
+struct NodeOptions {
+    base::Duration tickInterval = std::chrono::milliseconds(50);
+    base::Duration configurationPollInterval = std::chrono::seconds(2);
+    base::Duration instanceListPollInterval = std::chrono::milliseconds(500);
+    base::Duration storeTimeout = std::chrono::milliseconds(800);
+};
+
+class Node {
+public:
+    using System = std::function<void(base::Instant now)>;
+    using ConfigurationListener = std::function<void(std::shared_ptr<const config::Configuration>)>;
+
+    explicit Node(config::ProcessSettings, NodeOptions = {});
+    // Stops both loops. Whatever the handlers and systems refer to must still be there.
+    ~Node();
+    Node(const Node&) = delete;
+    Node& operator=(const Node&) = delete;
+
+    // To be called before start().
+    void addMethod(peers::Method, peers::PeerServer::Handler);
+    void addSystem(System);
+    // Called on the control loop, after a newer version was published to readers.
+    void onConfiguration(ConfigurationListener);
+    void setStatus(std::function<nlohmann::json()>);
+
+    base::Result<void> start();
+    // Stops both threads, so that owners can take their state apart. The destructor does the same.
+    void stop();
+
+    const config::ProcessSettings& settings() const { return m_settings; }
+    const NodeOptions& options() const { return m_options; }
+    peers::EventLoop& control() { return *m_control; }
+    peers::EventLoop& traffic() { return *m_traffic; }
+    // To be used on the traffic loop.
+    peers::PeerClient& peers() { return *m_peers; }
+    std::shared_ptr<platform::HttpClient> http() { return m_http; }
+    base::KeyValueStore& store() { return *m_store; }
+    base::MetricsRegistry& metrics() { return m_metrics; }
+    std::shared_ptr<const config::Configuration> configuration() const { return m_configuration.load(); }
+    std::shared_ptr<const InstanceTable> instances() const { return m_instances.load(); }
+    base::Endpoint peerEndpoint() const { return m_peerEndpoint; }
+    uint16_t operatorPort() const;
+    // Names this start of the process, apart from every other.
+    const std::string& startNonce() const { return m_startNonce; }
+
+    // Whether the balancer may send new work here.
+    void setReady(bool ready) { m_ready = ready; }
+    bool ready() const { return m_ready; }
+
+    // Calls a peer from the control loop, and calls back there.
+    void callFromControl(peers::OutgoingCall, std::function<void(base::Outcome<std::string>)>);
+
+private:
+    class ConfigurationFollower;
+    class InstanceListPoller;
+
+    void tick();
+    void answerOperator(const std::shared_ptr<platform::HttpExchange>&);
+    void dispatch(peers::IncomingCall, std::shared_ptr<peers::PeerResponder>);
+
+    config::ProcessSettings m_settings;
+    NodeOptions m_options;
+    std::string m_startNonce;
+    base::MetricsRegistry m_metrics;
+    std::shared_ptr<platform::HttpClient> m_http;
+    std::shared_ptr<base::KeyValueStore> m_store;
+    Snapshot<config::Configuration> m_configuration;
+    Snapshot<InstanceTable> m_instances;
+    std::atomic<bool> m_ready { false };
+    base::Endpoint m_peerEndpoint;
+    std::vector<System> m_systems;
+    std::vector<ConfigurationListener> m_configurationListeners;
+    std::function<nlohmann::json()> m_status;
+    absl::flat_hash_map<peers::Method, peers::PeerServer::Handler> m_methods;
+    std::unique_ptr<peers::EventLoop> m_control;
+    std::unique_ptr<peers::EventLoop> m_traffic;
+    std::unique_ptr<peers::PeerServer> m_server;
+    std::unique_ptr<peers::PeerClient> m_peers;
+    std::shared_ptr<ConfigurationFollower> m_follower;
+    std::unique_ptr<InstanceListPoller> m_poller;
+    std::unique_ptr<platform::HttpServer> m_operator;
+    bool m_stopped = false;
+};
+
+} // namespace toucanstep::node
--- /dev/null
+++ b/packages/node/src/Node.cpp
@@ -0,0 +1,292 @@
+#include "toucanstep/node/Node.h"
+
+#include "ConfigurationFollower.h"
+#include "toucanstep/base/Digest.h"
+#include "toucanstep/base/LogLine.h"
+#include "toucanstep/node/Keys.h"
+#include "toucanstep/platform/EtcdStore.h"
+#include "toucanstep/platform/InstanceList.h"
+
+#include <glog/logging.h>
+
+namespace toucanstep::node {
+
+namespace {
+
+constexpr size_t startNonceBytes = 6;
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+} // namespace
+
+// Watches the text's key, and reads it from time to time on a connection of its own: a watch can go silent for good
+// while it looks open, and then only the poll shows a new version.
+class Node::ConfigurationFollower : public std::enable_shared_from_this<ConfigurationFollower> {
+public:
+    explicit ConfigurationFollower(Node& node)
+        : m_node(node)
+    {
+    }
+
+    void tick(base::Instant now)
+    {
+        if (!m_watch) {
+            openWatch();
+            poll(now);
+        } else if (now >= m_nextPoll)
+            poll(now);
+    }
+
+    void install(const internal::PublishedText& published)
+    {
+        // A version only ever moves up: an answer that was overtaken is older than what is in force.
+        if (published.version <= m_installed)
+            return;
+        auto configuration = internal::parsePublished(published);
+        if (!configuration)
+            return;
+        m_installed = published.version;
+        m_node.m_configuration.publish(configuration);
+        m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(published.version.value()));
+        base::LogLine("configuration_in_force").add("version", published.version);
+        for (const ConfigurationListener& listener : m_node.m_configurationListeners)
+            listener(configuration);
+    }
+
+private:
+    class Listener final : public base::WatchListener {
+    public:
+        explicit Listener(ConfigurationFollower& follower)
+            : m_loop(*follower.m_node.m_control)
+            , m_follower(follower.weak_from_this())
+        {
+        }
+
+        void onEvents(std::vector<base::WatchEvent> events, base::Revision) override
+        {
+            m_loop.post([follower = m_follower, events = std::move(events)] {
+                auto alive = follower.lock();
+                if (alive)
+                    alive->onEvents(events);
+            });
+        }
+
+        void onEnd(base::Error) override
+        {
+            m_loop.post([follower = m_follower] {
+                if (auto alive = follower.lock())
+                    alive->m_watch.reset();
+            });
+        }
+
+    private:
+        peers::EventLoop& m_loop;
+        std::weak_ptr<ConfigurationFollower> m_follower;
+    };
+
+    void openWatch()
+    {
+        m_watch = m_node.m_store->watch(std::string(configurationKey), base::Revision(m_installed.value() + 1), std::make_shared<Listener>(*this));
+    }
+
+    void onEvents(const std::vector<base::WatchEvent>& events)
+    {
+        for (const base::WatchEvent& event : events) {
+            if (!event.deleted && event.entry.key == configurationKey)
+                install({ event.entry.modified, event.entry.value });
+        }
+    }
+
+    void poll(base::Instant now)
+    {
+        m_nextPoll = now + m_node.m_options.configurationPollInterval;
+        m_node.m_store->get(std::string(configurationKey), now + m_node.m_options.storeTimeout, [loop = m_node.m_control.get(), weak = weak_from_this()](base::Outcome<base::RangeReply> outcome) {
+            auto* reply = std::get_if<base::RangeReply>(&outcome);
+            if (!reply || reply->entries.empty())
+                return;
+            internal::PublishedText published { reply->entries.front().modified, std::move(reply->entries.front().value) };
+            loop->post([weak, published = std::move(published)] {
+                if (auto follower = weak.lock())
+                    follower->install(published);
+            });
+        });
+    }
+
+    Node& m_node;
+    base::Revision m_installed;
+    base::Instant m_nextPoll;
+    std::unique_ptr<base::WatchHandle> m_watch;
+};
+
+Node::Node(config::ProcessSettings settings, NodeOptions options)
+    : m_settings(std::move(settings))
+    , m_options(options)
+    , m_startNonce(base::randomHex(startNonceBytes))
+    , m_http(std::make_shared<platform::HttpClient>())
+    , m_control(std::make_unique<peers::EventLoop>())
+    , m_traffic(std::make_unique<peers::EventLoop>())
+{
+    m_store = platform::makeEtcdStore(m_settings.keyValueUrl, m_http);
+    m_follower = std::make_shared<ConfigurationFollower>(*this);
+    m_poller = std::make_unique<InstanceListPoller>(*this);
+}
+
+Node::~Node()
+{
+    stop();
+}
+
+void Node::stop()
+{
+    if (m_stopped)
+        return;
+    m_stopped = true;
+    m_operator.reset();
+    m_control->runAndWait([this] {
+        m_systems.clear();
+        m_follower.reset();
+        m_poller.reset();
+    });
+    m_traffic->runAndWait([this] {
+        m_server.reset();
+        m_peers.reset();
+    });
+    // Calls that still run end here; their callbacks may still post to the loops, which drop them once stopped.
+    m_store.reset();
+    m_http.reset();
+    m_control->stop();
+    m_traffic->stop();
+}
+
+void Node::addMethod(peers::Method method, peers::PeerServer::Handler handler)
+{
+    m_methods[std::move(method)] = std::move(handler);
+}
+
+void Node::addSystem(System system)
+{
+    m_systems.push_back(std::move(system));
+}
+
+void Node::onConfiguration(ConfigurationListener listener)
+{
+    m_configurationListeners.push_back(std::move(listener));
+}
+
+void Node::setStatus(std::function<nlohmann::json()> status)
+{
+    m_status = std::move(status);
+}
+
+base::Result<void> Node::start()
+{
+    peers::PeerIdentity identity { m_settings.instance, m_settings.fleetSecret };
+    base::Error error;
+    std::optional<base::Endpoint> endpoint;
+    m_traffic->runAndWait([&] {
+        auto server = base::valueOr(error, [&] {
+            return peers::PeerServer::listen(*m_traffic, m_settings.peerListen, identity, [this](peers::IncomingCall call, std::shared_ptr<peers::PeerResponder> responder) { dispatch(std::move(call), std::move(responder)); });
+        });
+        if (!server)
+            return;
+        m_server = std::move(*server);
+        endpoint = m_server->endpoint();
+        m_peers = std::make_unique<peers::PeerClient>(*m_traffic, identity);
+    });
+    if (!endpoint)
+        return base::fail(error.kind, error.message);
+    m_peerEndpoint = *endpoint;
+
+    platform::HttpServerOptions operatorOptions { .address = m_settings.operatorListen.address, .port = m_settings.operatorListen.port, .threads = 1 };
+    BOOST_LEAF_ASSIGN(m_operator, platform::HttpServer::start(operatorOptions, [this](const std::shared_ptr<platform::HttpExchange>& exchange) { answerOperator(exchange); }));
+    m_control->post([this] { tick(); });
+    return {};
+}
+
+uint16_t Node::operatorPort() const
+{
+    return m_operator ? m_operator->port() : 0;
+}
+
+void Node::tick()
+{
+    if (!m_follower)
+        return;
+    base::Instant now = m_control->now();
+    m_follower->tick(now);
+    m_poller->tick(now);
+    for (const System& system : m_systems)
+        system(now);
+    m_control->at(now + m_options.tickInterval, [this] { tick(); });
+}
+
+void Node::dispatch(peers::IncomingCall call, std::shared_ptr<peers::PeerResponder> responder)
+{
+    auto found = m_methods.find(call.method);
+    if (found == m_methods.end()) {
+        base::LogLine("peer_unknown_method").add("method", call.method).add("from", call.from);
+        responder->abort();
+        return;
+    }
+    found->second(std::move(call), std::move(responder));
+}
+
+void Node::answerOperator(const std::shared_ptr<platform::HttpExchange>& exchange)
+{
+    const std::string& path = exchange->request().path;
+    if (path == "/healthz")
+        exchange->respond(statusOk, { { "Content-Type", "text/plain" } }, "ok\n");
+    else if (path == "/readyz")
+        exchange->respond(m_ready ? statusOk : statusUnavailable, { { "Content-Type", "text/plain" } }, m_ready ? "ready\n" : "not ready\n");
+    else if (path == "/metrics")
+        exchange->respond(statusOk, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metrics.render());
+    else if (path == "/status") {
+        nlohmann::json status = m_status ? m_status() : nlohmann::json::object();
+        status["instance"] = m_settings.instance.value();
+        status["start"] = m_startNonce;
+        status["ready"] = m_ready.load();
+        status["configuration"] = m_configuration.load()->version.value();
+        exchange->respond(statusOk, { { "Content-Type", "application/json" } }, status.dump(2) + "\n");
+    } else
+        exchange->respond(statusNotFound, { { "Content-Type", "text/plain" } }, "/healthz /readyz /metrics /status\n");
+}
+
+namespace {
+
+// Collects the one message of an answer and calls back on another loop.
+class SingleReply final : public peers::PeerCallListener {
+public:
+    SingleReply(peers::EventLoop& loop, std::function<void(base::Outcome<std::string>)> callback)
+        : m_loop(loop)
+        , m_callback(std::move(callback))
+    {
+    }
+
+    void onMessage(std::string message) override { m_message = std::move(message); }
+
+    void onEnd(std::optional<base::Error> error) override
+    {
+        base::Outcome<std::string> outcome = std::move(m_message);
+        if (error)
+            outcome = std::move(*error);
+        m_loop.post([callback = std::move(m_callback), outcome = std::move(outcome)]() mutable { callback(std::move(outcome)); });
+    }
+
+private:
+    peers::EventLoop& m_loop;
+    std::function<void(base::Outcome<std::string>)> m_callback;
+    std::string m_message;
+};
+
+} // namespace
+
+void Node::callFromControl(peers::OutgoingCall call, std::function<void(base::Outcome<std::string>)> callback)
+{
+    m_traffic->post([this, call = std::move(call), callback = std::move(callback)]() mutable {
+        if (m_peers)
+            m_peers->call(std::move(call), std::make_shared<SingleReply>(*m_control, std::move(callback)));
+    });
+}
+
+} // namespace toucanstep::node
--- a/packages/peers/include/toucanstep/peers/PeerServer.h
+++ b/packages/peers/include/toucanstep/peers/PeerServer.h
@@ -31,6 +31,13 @@
     std::string body;
 };
 
+enum class CloseReason {
+    // The caller wants no answer any more.
+    Cancelled,
+    // The connection is gone; the caller may come back on another one.
+    ConnectionLost,
+};
+
 // The answering side of one call. Calls after the end, or after the caller has gone, do nothing.
 class PeerResponder {
 public:
@@ -42,7 +49,7 @@
     virtual bool closed() const = 0;
     virtual size_t queuedBytes() const = 0;
     // Called once, when the caller cancels or its connection is lost before the end.
-    virtual void onClosed(std::function<void()>) = 0;
+    virtual void onClosed(std::function<void(CloseReason)>) = 0;
 };
 
 class PeerServer {
--- a/packages/peers/src/PeerServer.cpp
+++ b/packages/peers/src/PeerServer.cpp
@@ -35,22 +35,24 @@
     void abort() override;
     bool closed() const override { return m_closed; }
     size_t queuedBytes() const override;
-    void onClosed(std::function<void()> callback) override
+    void onClosed(std::function<void(CloseReason)> callback) override
     {
         if (m_closed && !m_finished)
-            callback();
+            callback(m_reason);
         else
             m_onClosed = std::move(callback);
     }
 
-    void streamClosed()
+    void streamClosed(CloseReason reason)
     {
         if (m_closed)
             return;
         m_closed = true;
+        m_reason = reason;
         auto callback = std::move(m_onClosed);
-        if (callback && !m_finished)
-            callback();
+        // A finished answer whose last bytes were not sent is lost with its connection like any other.
+        if (callback && (!m_finished || reason == CloseReason::ConnectionLost))
+            callback(reason);
     }
 
 private:
@@ -58,7 +60,8 @@
     int32_t m_stream;
     bool m_closed = false;
     bool m_finished = false;
-    std::function<void()> m_onClosed;
+    CloseReason m_reason = CloseReason::Cancelled;
+    std::function<void(CloseReason)> m_onClosed;
 };
 
 class ServerConnection final : public Http2Connection {
@@ -129,7 +132,7 @@
         if (found == m_responders.end())
             return;
         // The callback may call back into this connection; it runs outside nghttp2's callbacks.
-        m_loop.post([responder = found->second] { responder->streamClosed(); });
+        m_loop.post([responder = found->second] { responder->streamClosed(CloseReason::Cancelled); });
         m_responders.erase(found);
     }
 
@@ -138,7 +141,7 @@
         auto responders = std::move(m_responders);
         m_responders.clear();
         for (auto& [stream, responder] : responders)
-            responder->streamClosed();
+            responder->streamClosed(CloseReason::ConnectionLost);
         m_onGone(this);
     }
 
--- a/packages/peers/test/PeersTest.cpp
+++ b/packages/peers/test/PeersTest.cpp
@@ -187,9 +187,9 @@
     bool closed = false;
     listen([&](IncomingCall, std::shared_ptr<PeerResponder> responder) {
         responder->send("begun");
-        responder->onClosed([&] {
+        responder->onClosed([&](CloseReason reason) {
             std::lock_guard lock(mutex);
-            closed = true;
+            closed = reason == CloseReason::Cancelled;
             condition.notify_all();
         });
     });
@@ -202,7 +202,7 @@
 
 TEST(Peers, ACallWithoutAnswerEndsAtItsDeadline)
 {
-    listen([](IncomingCall, std::shared_ptr<PeerResponder> responder) { responder->onClosed([responder] {}); });
+    listen([](IncomingCall, std::shared_ptr<PeerResponder> responder) { responder->onClosed([responder](CloseReason) {}); });
     auto error = call(m_server->endpoint(), "hello", std::chrono::milliseconds(50))->waitForEnd();
     CHECK_TRUE(error.has_value());
     CHECK_TRUE(error->kind == base::ErrorKind::Timeout);
