--- /dev/null
+++ b/packages/sidecar/src/SidecarCore.h
@@ -0,0 +1,97 @@
+// The traffic side of a sidecar: takes requests, queues them, gives them to the upstream, keeps their answers.
+//
+// Everything here runs on the traffic loop.
+
+#pragma once
+
+#include "RequestTable.h"
+#include "toucanstep/node/Node.h"
+#include "toucanstep/placement/ResidencyManager.h"
+#include "toucanstep/platform/EngineClient.h"
+#include "toucanstep/routing/Quarantine.h"
+#include "toucanstep/routing/RequestQueue.h"
+#include "toucanstep/sidecar/Sidecar.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <set>
+
+namespace toucanstep::sidecar::internal {
+
+class SidecarCore {
+public:
+    SidecarCore(node::Node&, SidecarOptions);
+    ~SidecarCore();
+
+    // Peers' methods.
+    void onRun(const peers::IncomingCall&, std::shared_ptr<peers::PeerResponder>);
+    void onAttach(const peers::IncomingCall&, std::shared_ptr<peers::PeerResponder>);
+    void onReport(const peers::IncomingCall&, const std::shared_ptr<peers::PeerResponder>&);
+
+    void onConfiguration(std::shared_ptr<const config::Configuration>);
+    // The replica rows that name this instance, with their epochs.
+    void onRows(const std::map<base::ModelId, base::Epoch>&);
+    void tick();
+    void setLeaving() { m_leaving = true; }
+    bool idle() const;
+    nlohmann::json status() const;
+
+private:
+    class Generation;
+    using Refused = std::optional<base::Refusal>;
+
+    base::Instant now() const { return m_node.traffic().now(); }
+    // Why a new request is not taken; nothing where it is.
+    Refused reasonToRefuse(const peers::RunRequest&, const config::ClientAccount*, base::Instant now) const;
+    void enqueue(RequestEntry&, const config::ClientAccount&, base::Instant now);
+    routing::QueuedRequest queuedForm(const RequestEntry&, const config::ClientAccount&) const;
+    routing::UpstreamLoad load() const;
+
+    void pump();
+    bool mayStart(const routing::QueuedRequest&, base::Instant now);
+    void startRun(RequestEntry&, base::Instant now);
+    void callEngine(RequestEntry&);
+    void onChunk(const EntryKey&, std::string bytes);
+    void onRunEnd(const EntryKey&, const platform::GenerationEnd&);
+    void finishRun(RequestEntry&, peers::RunEventBody ending);
+    void takeOutOfQueue(RequestEntry&);
+    void refuse(RequestEntry&, const base::Refusal&);
+    void cancelEntry(RequestEntry&);
+    // One of the upstream's streams broke: was it the stream, or the upstream?
+    void suspectCrash(const RequestEntry&);
+    void onCrashProbe(const std::vector<routing::RequestFingerprint>& suspects, bool alive);
+
+    void runResidency(base::Instant now);
+    void carryOut(const placement::ResidencyOrder&);
+    void readIndex(const placement::ResidencyOrder&);
+
+    void attach(RequestEntry&, std::shared_ptr<peers::PeerResponder>, int64_t nextChunk);
+    void send(RequestEntry&, peers::RunEventBody, bool withReport);
+    peers::SidecarReport report(const base::InstanceId& gateway, const base::ModelId&) const;
+    void logEntry(std::string_view event, const RequestEntry&, std::string_view reason) const;
+
+    node::Node& m_node;
+    SidecarOptions m_options;
+    int64_t m_incarnation;
+    std::shared_ptr<const config::Configuration> m_configuration;
+    const config::UpstreamPool* m_pool = nullptr;
+    std::unique_ptr<platform::EngineClient> m_engine;
+    RequestTable m_requests;
+    std::unique_ptr<routing::RequestQueue> m_queue;
+    std::unique_ptr<placement::ResidencyManager> m_residency;
+    routing::Quarantine m_quarantine { {} };
+    routing::SoloGate m_solo;
+    absl::flat_hash_map<EntryKey, std::shared_ptr<Generation>> m_generations;
+    absl::flat_hash_map<base::InstanceId, int64_t> m_lastDispatch;
+    std::map<base::ModelId, base::Epoch> m_rows;
+    // Waiters that were refused, but for whose next try the load goes on, until that instant.
+    std::map<base::RequestId, std::pair<base::ModelId, base::Instant>> m_loadKeepers;
+    std::set<base::ModelId> m_cachedOnDisk;
+    mutable int64_t m_reportSequence = 0;
+    int64_t m_crashes = 0;
+    bool m_crashProbeRunning = false;
+    bool m_leaving = false;
+    bool m_pumpPosted = false;
+};
+
+} // namespace toucanstep::sidecar::internal
