--- a/packages/config/src/Settings.cpp
+++ b/packages/config/src/Settings.cpp
@@ -7,7 +7,7 @@
 
 #include <absl/strings/ascii.h>
 #include <arpa/inet.h>
-#include <array>
+#include <charconv>
 #include <filesystem>
 #include <fstream>
 
@@ -31,7 +31,7 @@
             continue;
         std::string_view rest = url.substr(scheme.size());
         std::string_view authority = rest.substr(0, rest.find('/'));
-        auto endpoint = base::parseEndpoint(authority);
+        auto endpoint = parseEndpoint(authority);
         return (endpoint && endpoint->port != 0) || isIpNumber(std::string(authority));
     }
     return false;
@@ -70,7 +70,7 @@
         std::string text = m_reader.text(field);
         if (text.empty())
             return {};
-        if (auto parsed = base::parseEndpoint(text))
+        if (auto parsed = parseEndpoint(text))
             return *parsed;
         m_reader.report(field, endpointMessage(text), std::string(endpointRule));
         return {};
@@ -80,7 +80,7 @@
     {
         std::vector<Endpoint> endpoints;
         for (const internal::PlacedText& element : m_reader.texts(field)) {
-            auto parsed = base::parseEndpoint(element.text);
+            auto parsed = parseEndpoint(element.text);
             if (parsed && parsed->port != 0)
                 endpoints.push_back(*parsed);
             else
