--- a/packages/assignments/include/toucanstep/assignments/AbsenceTracker.h
+++ b/packages/assignments/include/toucanstep/assignments/AbsenceTracker.h
@@ -2,7 +2,7 @@
 //
 // For each instance that holds rows, in this order: the list has dropped it; a majority of the voters has not heard it
 // for Timing::absence; a gone mark is written; a majority promises under that mark; then its rows may be taken, by
-// transactions that compare the mark. Any newer answer of the list that shows the instance starts again.
+// transactions that compare the mark and the electorates. Any newer answer of the list that shows the instance starts again.
 
 #pragma once
 
@@ -35,6 +35,8 @@
 struct Clearance {
     base::InstanceId instance;
     base::Revision mark;
+    // The revision of the electorates whose majorities have promised.
+    base::Revision electorates;
 };
 
 // Whether a row may be taken over. The baseline of leases that expire implements it as well.
@@ -54,7 +56,7 @@
 
     // One whole answer of the platform's list. An answer older than one already seen is left aside.
     void onListAnswer(Exchange, base::Instant now, std::optional<uint64_t> version, const std::set<base::InstanceId>& shown);
-    void onElectorates(const Electorates&);
+    void onElectorates(const Electorates&, base::Instant now);
     // All marks as read from the service at that revision.
     void onMarks(base::Revision, const std::vector<GoneMark>&);
     // A voter's reply to this node's question about `instance`.
@@ -65,13 +67,18 @@
     base::Revision markOf(const base::InstanceId&) const;
     // Instances about which voters have to be asked now.
     std::vector<base::InstanceId> toAsk(base::Instant now) const;
-    // Instances whose mark stands although the list shows them again: the mark can be deleted.
-    std::vector<GoneMark> marksToLift() const;
     std::optional<Clearance> clearance(const base::InstanceId&, base::Instant now) const;
 
     bool mayTake(const Row&, base::Instant now) const override;
+    // Whether a watched voter has been dropped for so long that it vouches for nobody any more.
+    bool hasStoppedVouching(const base::InstanceId&, base::Instant now) const;
 
 protected:
+    struct Heard {
+        VoterReply reply;
+        base::Instant receivedAt;
+    };
+
     struct Watched {
         base::Instant watchedAt;
         bool shown = false;
@@ -79,27 +86,34 @@
         std::optional<uint64_t> shownVersion;
         // When this node first received an answer without it, of all answers since; and whether it counts as dropped.
         std::optional<base::Instant> absentSince;
+        // When the newest of those answers was asked for.
+        base::Instant absentAskedAt;
         bool dropped = false;
         base::Revision mark;
-        std::map<base::InstanceId, VoterReply> replies;
-        std::map<base::InstanceId, base::Instant> unheardUntil;
+        std::map<base::InstanceId, Heard> replies;
     };
 
     // Seeded faults of the tests override these.
-    virtual bool isDropped(const Watched&, base::Instant now) const;
+    virtual bool isDropped(const Watched&) const;
     virtual bool absenceStood(const Watched&, base::Instant now) const;
     virtual bool unheardByMajority(const Watched&, base::Instant now) const;
-    virtual bool promisedByMajority(const Watched&) const;
+    virtual bool promisedByMajority(const Watched&, base::Instant now) const;
 
     const Timing& timing() const { return m_timing; }
     const Electorates& electorates() const { return m_electorates; }
 
 private:
+    AbsencePhase phaseOf(const Watched&, base::Instant now) const;
+
     Timing m_timing;
     Electorates m_electorates;
+    // When this node first knew of this state of the electorates. A holder that counted votes of a set which has been
+    // retired since has stopped once Timing::absence has passed from here.
+    std::optional<base::Instant> m_electoratesSince;
     std::optional<uint64_t> m_newestVersion;
     std::optional<base::Instant> m_newestSentAt;
     base::Revision m_marksKnownAt;
+    std::map<base::InstanceId, base::Revision> m_marks;
     std::map<base::InstanceId, Watched> m_watched;
 };
 
--- a/packages/assignments/include/toucanstep/assignments/AssignmentTable.h
+++ b/packages/assignments/include/toucanstep/assignments/AssignmentTable.h
@@ -26,7 +26,7 @@
     // Events that bring the table up to `revision` for the keys they name.
     std::vector<std::string> applyEvents(const std::vector<base::WatchEvent>&, base::Revision);
     // A write of our own that is known to have taken effect.
-    void applyWrite(Row);
+    void applyWrite(const Row&);
     void applyDeletion(const RowKey&, base::Revision);
 
     const Row* find(const RowKey&) const;
@@ -45,7 +45,9 @@
     };
 
     void apply(const RowKey&, std::optional<Row>, base::Revision);
-    void forgetOldDeletions(base::Revision);
+    void forgetOldDeletions();
+    template <typename Predicate>
+    std::vector<Row> select(Predicate&&) const;
 
     std::map<RowKey, Entry> m_entries;
     // No information older than this is taken for keys that the table does not list.
--- a/packages/assignments/include/toucanstep/assignments/HolderState.h
+++ b/packages/assignments/include/toucanstep/assignments/HolderState.h
@@ -6,6 +6,9 @@
 // Nothing lapses while the key-value service is down. A row is usable while the platform's list shows this instance, or
 // a majority of the gateways vouches for it, by a request sent less than Timing::holderLimit ago. A read of the service
 // counts for neither: it shows the row up to the instant at which a taker replaces it.
+//
+// Where both have been missing for longer than that, the list alone does not bring use back, for the rows may have moved
+// in between: it takes a majority that vouches (voters refuse once they have promised a taker) or a new read of the rows.
 // Ask with a fresh `now` directly before each use: after a pause the answer differs.
 
 #pragma once
@@ -39,7 +42,8 @@
 
     const Holder& self() const { return m_self; }
 
-    // A read of the gone marks and the electorates that was answered at `now`. The first one allows use at all.
+    // A read of the rows, the gone marks and the electorates that was answered at `now`. Its rows go into the
+    // AssignmentTable first. The first such read allows use at all.
     // `marked`: whether a gone mark for this instance stood at that revision.
     void onServiceRead(Exchange, base::Instant now, base::Revision, bool marked, const std::optional<Electorates>&);
     // An answer of the platform's list. `version` is its resource version where it has one. An answer older than one
@@ -52,7 +56,7 @@
 
     // Gives the row up for good, before its release or handover is sent: a release whose answer was lost may take
     // effect at any later time. Only a later revision of the row makes it usable again.
-    void relinquish(const Row&);
+    virtual void relinquish(const Row&);
 
     bool mayUse(const Row&, base::Instant now) const override;
     // The instant at which use ends if nothing more is heard; the past where it may not be used now.
@@ -60,6 +64,11 @@
     // Whether the platform's word that this instance is gone stands against it.
     bool markedGone() const { return m_marked; }
     bool hasReadService() const { return m_hasRead; }
+    // Whether use is stopped until a majority vouches or the rows are read again.
+    bool hasLapsed(base::Instant now) const;
+    // Whether the mark against this instance is an error that it may delete: the list has just shown it. Nobody else may
+    // lift a mark, because only the marked process knows that it reads its rows again before it uses any.
+    bool mayLiftMark(base::Instant now) const;
 
 protected:
     // The newest sending time that proves presence; seeded faults of the tests override it.
@@ -67,9 +76,16 @@
     std::optional<base::Instant> listEvidence() const { return m_listSentAt; }
     std::optional<base::Instant> voterEvidence() const;
     std::optional<base::Instant> serviceEvidence() const { return m_readSentAt; }
+    // Whether use, once it has lapsed, stays stopped until the rows are known to be still there.
+    virtual bool lapses() const { return true; }
     const Timing& timing() const { return m_timing; }
 
 private:
+    // Until when a new proof continues the former ones.
+    base::Instant continuousUntil() const;
+    void noteEvidence(base::Instant continuous);
+    void endLapse(base::Instant provedAt);
+
     Holder m_self;
     Timing m_timing;
     bool m_hasRead = false;
@@ -78,6 +94,9 @@
     std::optional<base::Instant> m_readSentAt;
     std::optional<base::Instant> m_listSentAt;
     std::optional<uint64_t> m_listVersion;
+    std::optional<base::Instant> m_newestListAnswer;
+    // When use ended because nothing was heard; only proofs that were asked for later bring it back.
+    std::optional<base::Instant> m_lapsedAt;
     Electorate m_electorate;
     std::map<base::InstanceId, base::Instant> m_vouchedAt;
     std::map<RowKey, base::Revision> m_relinquished;
--- a/packages/assignments/include/toucanstep/assignments/Timing.h
+++ b/packages/assignments/include/toucanstep/assignments/Timing.h
@@ -16,6 +16,9 @@
     base::Duration absence = std::chrono::seconds(6);
     // The oldest state that an answer of the platform's list may show.
     base::Duration listLag = std::chrono::seconds(10);
+    // How long a voter goes on vouching after the list last showed it. A dropped member of a former electorate that has
+    // been absent for longer (and the list's lag) has stopped vouching, wherever it is.
+    base::Duration voterLimit = std::chrono::minutes(10);
     // The most by which a monotonic clock runs fast or slow, in parts of a million.
     int64_t driftPartsPerMillion = 1000;
 };
@@ -23,4 +26,11 @@
 // Whether the holder's limit on the slowest clock ends before the taker's wait on the fastest one.
 bool isSafe(const Timing&);
 
+// How long absence from the list must have stood before rows move: the list may have shown the holder to itself for
+// `listLag` after it dropped it, and the holder goes on for its limit from then.
+base::Duration absenceFromList(const Timing&);
+
+// How long absence of a voter from the list must have stood before it has stopped vouching.
+base::Duration voterAbsence(const Timing&);
+
 } // namespace toucanstep::assignments
--- a/packages/assignments/include/toucanstep/assignments/VoterState.h
+++ b/packages/assignments/include/toucanstep/assignments/VoterState.h
@@ -38,12 +38,13 @@
 public:
     VoterState(base::InstanceId self, Timing, base::Instant startedAt);
 
-    // A read of the marks and the electorates by a request sent after this process started.
+    // A read of the marks and the electorates, at one revision, by a request sent after this process started. The voter
+    // takes its electorate from nowhere else: only so does it know every mark that stood when it became a member.
     void onServiceRead(base::Revision, const std::vector<GoneMark>&, const std::optional<Electorates>&);
     // The platform's list showed this voter, by a request sent at `sentAt`.
     void onListed(base::Instant sentAt);
 
-    // An instance asks to be vouched for. The answer goes back with generation().
+    // An instance asks to be vouched for: false where the voter must not, or cannot know whether it may. The answer goes back with generation().
     bool vouchFor(const base::InstanceId&, base::Instant now);
     // A taker asks, with the revision of the gone mark once it stands.
     VoterReply onQuestion(const base::InstanceId&, base::Revision mark, base::Instant now);
@@ -57,6 +58,8 @@
     base::InstanceId m_self;
     Timing m_timing;
     base::Instant m_startedAt;
+    // When votes that nobody can need any more were last dropped.
+    base::Instant m_swept;
     bool m_hasRead = false;
     base::Revision m_marksRead;
     std::optional<base::Instant> m_listedAt;
@@ -65,8 +68,4 @@
     std::map<base::InstanceId, base::Revision> m_promised;
 };
 
-// How long a voter goes on vouching after the list last showed it; a dropped member of a former electorate that has
-// been absent for longer (plus the list's lag) counts as having promised.
-inline constexpr base::Duration voterListLimit = std::chrono::minutes(30);
-
 } // namespace toucanstep::assignments
--- /dev/null
+++ b/packages/assignments/src/AbsenceTracker.cpp
@@ -0,0 +1,177 @@
+#include "toucanstep/assignments/AbsenceTracker.h"
+
+#include <algorithm>
+
+namespace toucanstep::assignments {
+
+using base::Instant;
+
+AbsenceTracker::AbsenceTracker(Timing timing)
+    : m_timing(timing)
+{
+}
+
+void AbsenceTracker::watch(const base::InstanceId& instance, Instant now)
+{
+    Watched watched;
+    watched.watchedAt = now;
+    watched.mark = m_marks.count(instance) ? m_marks.at(instance) : base::Revision();
+    m_watched.emplace(instance, watched);
+}
+
+void AbsenceTracker::forget(const base::InstanceId& instance)
+{
+    m_watched.erase(instance);
+}
+
+void AbsenceTracker::onListAnswer(Exchange exchange, Instant now, std::optional<uint64_t> version, const std::set<base::InstanceId>& shown)
+{
+    if (now > exchange.deadline)
+        return;
+    bool older = version && m_newestVersion ? *version < *m_newestVersion : m_newestSentAt && exchange.sentAt < *m_newestSentAt;
+    if (older)
+        return;
+    if (version)
+        m_newestVersion = version;
+    m_newestSentAt = exchange.sentAt;
+    for (auto& [instance, watched] : m_watched) {
+        if (shown.count(instance)) {
+            watched.shown = true;
+            watched.shownVersion = version;
+            watched.absentSince.reset();
+            watched.dropped = false;
+            continue;
+        }
+        if (!watched.absentSince)
+            watched.absentSince = now;
+        watched.absentAskedAt = exchange.sentAt;
+        // A later version without an instance that an earlier one showed is the platform's word, whatever the lag.
+        watched.dropped = watched.dropped || (version && watched.shownVersion && *version > *watched.shownVersion);
+    }
+}
+
+void AbsenceTracker::onElectorates(const Electorates& electorates, Instant now)
+{
+    bool newer = !m_electoratesSince || electorates.modified > m_electorates.modified;
+    if (!newer)
+        return;
+    m_electorates = electorates;
+    m_electoratesSince = now;
+}
+
+void AbsenceTracker::onMarks(base::Revision revision, const std::vector<GoneMark>& marks)
+{
+    if (revision < m_marksKnownAt)
+        return;
+    m_marksKnownAt = revision;
+    m_marks.clear();
+    for (const auto& mark : marks)
+        m_marks[mark.instance] = mark.modified;
+    for (auto& [instance, watched] : m_watched) {
+        auto found = m_marks.find(instance);
+        watched.mark = found == m_marks.end() ? base::Revision() : found->second;
+    }
+}
+
+void AbsenceTracker::onVoterReply(Exchange exchange, Instant now, const base::InstanceId& instance, const VoterReply& reply)
+{
+    auto found = m_watched.find(instance);
+    if (found == m_watched.end() || now > exchange.deadline)
+        return;
+    auto& replies = found->second.replies;
+    auto known = replies.find(reply.voter);
+    // Replies may cross: one without the promise, or under an earlier mark, does not undo a later one.
+    bool older = known != replies.end() && known->second.reply.promisedUnder > reply.promisedUnder;
+    if (!older)
+        replies[reply.voter] = Heard { reply, now };
+}
+
+bool AbsenceTracker::isDropped(const Watched& watched) const
+{
+    if (!watched.absentSince)
+        return false;
+    return watched.dropped || watched.absentAskedAt > *watched.absentSince + m_timing.listLag;
+}
+
+bool AbsenceTracker::absenceStood(const Watched& watched, Instant now) const
+{
+    return watched.absentSince && now > *watched.absentSince + absenceFromList(m_timing);
+}
+
+bool AbsenceTracker::unheardByMajority(const Watched& watched, Instant now) const
+{
+    std::set<base::InstanceId> unheard;
+    for (const auto& [voter, heard] : watched.replies) {
+        bool recent = now <= heard.receivedAt + m_timing.absence;
+        if (recent && heard.reply.unheard >= m_timing.absence)
+            unheard.insert(voter);
+    }
+    return isMajorityOfAll(m_electorates, unheard);
+}
+
+bool AbsenceTracker::promisedByMajority(const Watched& watched, Instant now) const
+{
+    std::set<base::InstanceId> stopped;
+    for (const auto& [voter, heard] : watched.replies) {
+        // What that voter vouched for before it promised has ended once the rest of the time has passed here.
+        Instant endsAt = heard.receivedAt + std::max(base::Duration::zero(), m_timing.absence - heard.reply.unheard);
+        if (heard.reply.promisedUnder == watched.mark && now >= endsAt)
+            stopped.insert(voter);
+    }
+    return isMajorityOfAll(m_electorates, stopped);
+}
+
+AbsencePhase AbsenceTracker::phaseOf(const Watched& watched, Instant now) const
+{
+    if (!watched.absentSince)
+        return AbsencePhase::Present;
+    if (!isDropped(watched) || !absenceStood(watched, now))
+        return AbsencePhase::Absent;
+    if (watched.mark == base::Revision())
+        return unheardByMajority(watched, now) ? AbsencePhase::MarkNeeded : AbsencePhase::Absent;
+    bool electoratesStood = m_electoratesSince && now >= *m_electoratesSince + m_timing.absence;
+    return electoratesStood && promisedByMajority(watched, now) ? AbsencePhase::Cleared : AbsencePhase::Marked;
+}
+
+AbsencePhase AbsenceTracker::phase(const base::InstanceId& instance, Instant now) const
+{
+    auto found = m_watched.find(instance);
+    return found == m_watched.end() ? AbsencePhase::Present : phaseOf(found->second, now);
+}
+
+base::Revision AbsenceTracker::markOf(const base::InstanceId& instance) const
+{
+    auto found = m_watched.find(instance);
+    return found == m_watched.end() ? base::Revision() : found->second.mark;
+}
+
+std::vector<base::InstanceId> AbsenceTracker::toAsk(Instant now) const
+{
+    std::vector<base::InstanceId> instances;
+    for (const auto& [instance, watched] : m_watched) {
+        AbsencePhase phase = phaseOf(watched, now);
+        if (phase == AbsencePhase::Absent || phase == AbsencePhase::Marked)
+            instances.push_back(instance);
+    }
+    return instances;
+}
+
+std::optional<Clearance> AbsenceTracker::clearance(const base::InstanceId& instance, Instant now) const
+{
+    if (phase(instance, now) != AbsencePhase::Cleared)
+        return std::nullopt;
+    return Clearance { instance, markOf(instance), m_electorates.modified };
+}
+
+bool AbsenceTracker::mayTake(const Row& row, Instant now) const
+{
+    return phase(row.holder.instance, now) == AbsencePhase::Cleared;
+}
+
+bool AbsenceTracker::hasStoppedVouching(const base::InstanceId& instance, Instant now) const
+{
+    auto found = m_watched.find(instance);
+    return found != m_watched.end() && isDropped(found->second) && now > *found->second.absentSince + voterAbsence(m_timing);
+}
+
+} // namespace toucanstep::assignments
--- /dev/null
+++ b/packages/assignments/src/AssignmentTable.cpp
@@ -0,0 +1,153 @@
+#include "toucanstep/assignments/AssignmentTable.h"
+
+#include <algorithm>
+
+namespace toucanstep::assignments {
+
+namespace {
+// Deletions are remembered so that a late event does not undo them, up to this many.
+constexpr size_t rememberedDeletions = 4096;
+}
+
+std::vector<std::string> AssignmentTable::applyRange(std::string_view prefix, const base::RangeReply& reply)
+{
+    std::vector<std::string> malformed;
+    std::map<RowKey, Row> read;
+    for (const auto& entry : reply.entries) {
+        base::Error error;
+        auto row = base::valueOr(error, [&] { return decodeRow(entry); });
+        if (row)
+            read.emplace(row->key, std::move(*row));
+        else
+            malformed.push_back(entry.key);
+    }
+    std::vector<RowKey> missing;
+    for (const auto& [key, entry] : m_entries) {
+        bool covered = storageKey(key).compare(0, prefix.size(), prefix) == 0;
+        if (entry.row && covered && !read.count(key))
+            missing.push_back(key);
+    }
+    for (const auto& key : missing)
+        apply(key, std::nullopt, reply.revision);
+    for (auto& [key, row] : read)
+        apply(key, std::move(row), reply.revision);
+    forgetOldDeletions();
+    return malformed;
+}
+
+std::vector<std::string> AssignmentTable::applyEvents(const std::vector<base::WatchEvent>& events, base::Revision revision)
+{
+    std::vector<std::string> malformed;
+    for (const auto& event : events) {
+        base::Error error;
+        if (event.deleted) {
+            auto key = base::valueOr(error, [&] { return parseStorageKey(event.entry.key); });
+            if (key)
+                apply(*key, std::nullopt, event.entry.modified == base::Revision() ? revision : event.entry.modified);
+            else
+                malformed.push_back(event.entry.key);
+            continue;
+        }
+        auto row = base::valueOr(error, [&] { return decodeRow(event.entry); });
+        if (row)
+            apply(RowKey(row->key), *row, row->modified);
+        else
+            malformed.push_back(event.entry.key);
+    }
+    forgetOldDeletions();
+    return malformed;
+}
+
+void AssignmentTable::applyWrite(const Row& row)
+{
+    apply(row.key, row, row.modified);
+}
+
+void AssignmentTable::applyDeletion(const RowKey& key, base::Revision revision)
+{
+    apply(key, std::nullopt, revision);
+    forgetOldDeletions();
+}
+
+void AssignmentTable::apply(const RowKey& key, std::optional<Row> row, base::Revision known)
+{
+    auto found = m_entries.find(key);
+    if (found == m_entries.end()) {
+        if (known < m_floor)
+            return;
+        m_entries.emplace(key, Entry { std::move(row), known });
+        ++m_changes;
+        return;
+    }
+    Entry& entry = found->second;
+    if (known < entry.known)
+        return;
+    entry.known = known;
+    if (entry.row == row)
+        return;
+    entry.row = std::move(row);
+    ++m_changes;
+}
+
+void AssignmentTable::forgetOldDeletions()
+{
+    std::vector<std::pair<base::Revision, RowKey>> deletions;
+    for (const auto& [key, entry] : m_entries) {
+        if (!entry.row)
+            deletions.emplace_back(entry.known, key);
+    }
+    if (deletions.size() <= rememberedDeletions)
+        return;
+    std::sort(deletions.begin(), deletions.end());
+    deletions.resize(deletions.size() - rememberedDeletions / 2);
+    for (const auto& [revision, key] : deletions) {
+        m_floor = std::max(m_floor, revision);
+        m_entries.erase(key);
+    }
+}
+
+const Row* AssignmentTable::find(const RowKey& key) const
+{
+    auto found = m_entries.find(key);
+    return found == m_entries.end() || !found->second.row ? nullptr : &*found->second.row;
+}
+
+template <typename Predicate>
+std::vector<Row> AssignmentTable::select(Predicate&& predicate) const
+{
+    std::vector<Row> rows;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.row && predicate(*entry.row))
+            rows.push_back(*entry.row);
+    }
+    return rows;
+}
+
+std::vector<Row> AssignmentTable::rowsOf(const base::InstanceId& instance) const
+{
+    return select([&](const Row& row) { return row.holder.instance == instance; });
+}
+
+std::vector<Row> AssignmentTable::rowsOfKind(RowKind kind) const
+{
+    return select([&](const Row& row) { return row.key.kind == kind; });
+}
+
+std::vector<Row> AssignmentTable::rowsOfSubject(RowKind kind, std::string_view subject) const
+{
+    std::vector<Row> rows;
+    for (auto found = m_entries.lower_bound(RowKey { kind, std::string(subject), 0 }); found != m_entries.end(); ++found) {
+        if (found->first.kind != kind || found->first.subject != subject)
+            break;
+        if (found->second.row)
+            rows.push_back(*found->second.row);
+    }
+    return rows;
+}
+
+std::vector<Row> AssignmentTable::all() const
+{
+    return select([](const Row&) { return true; });
+}
+
+} // namespace toucanstep::assignments
--- /dev/null
+++ b/packages/assignments/src/HolderState.cpp
@@ -0,0 +1,149 @@
+#include "toucanstep/assignments/HolderState.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace toucanstep::assignments {
+
+using base::Instant;
+
+HolderState::HolderState(Holder self, Timing timing)
+    : m_self(std::move(self))
+    , m_timing(timing)
+{
+}
+
+void HolderState::onServiceRead(Exchange exchange, Instant now, base::Revision revision, bool marked, const std::optional<Electorates>& electorates)
+{
+    // An answer after its deadline may have lain anywhere meanwhile; nothing is concluded from it.
+    if (now > exchange.deadline || revision < m_markKnownAt)
+        return;
+    m_markKnownAt = revision;
+    m_marked = marked;
+    m_readSentAt = m_readSentAt ? std::max(*m_readSentAt, exchange.sentAt) : exchange.sentAt;
+    if (electorates)
+        onElectorate(electorates->current);
+    if (m_marked) {
+        // The rows may move from here on, and a mark that is lifted later does not bring them back.
+        m_hasRead = false;
+        return;
+    }
+    m_hasRead = true;
+    endLapse(exchange.sentAt);
+}
+
+void HolderState::onListAnswer(Exchange exchange, Instant now, std::optional<uint64_t> version, bool showsSelf)
+{
+    if (now > exchange.deadline)
+        return;
+    bool older = version && m_listVersion ? *version < *m_listVersion : m_newestListAnswer && exchange.sentAt < *m_newestListAnswer;
+    if (older)
+        return;
+    if (version)
+        m_listVersion = version;
+    m_newestListAnswer = exchange.sentAt;
+    if (!showsSelf)
+        return;
+    Instant continuous = continuousUntil();
+    m_listSentAt = exchange.sentAt;
+    noteEvidence(continuous);
+}
+
+void HolderState::onVoterAnswer(Exchange exchange, Instant now, const base::InstanceId& voter, Generation generation, bool vouches)
+{
+    // A voter that knows a later set has promised not to vouch under this one.
+    bool counts = vouches && now <= exchange.deadline && generation <= m_electorate.generation && m_electorate.members.count(voter);
+    if (!counts)
+        return;
+    Instant continuous = continuousUntil();
+    auto [found, isNew] = m_vouchedAt.emplace(voter, exchange.sentAt);
+    if (!isNew)
+        found->second = std::max(found->second, exchange.sentAt);
+    noteEvidence(continuous);
+    if (auto evidence = voterEvidence())
+        endLapse(*evidence);
+}
+
+void HolderState::onElectorate(const Electorate& electorate)
+{
+    if (electorate.generation <= m_electorate.generation)
+        return;
+    m_electorate = electorate;
+    // Votes that were given for the former set do not make a majority of this one.
+    m_vouchedAt.clear();
+}
+
+std::optional<Instant> HolderState::voterEvidence() const
+{
+    std::vector<Instant> sent;
+    for (const auto& [voter, sentAt] : m_vouchedAt)
+        sent.push_back(sentAt);
+    if (m_electorate.members.empty() || sent.size() < m_electorate.majority())
+        return std::nullopt;
+    auto needed = sent.begin() + static_cast<std::ptrdiff_t>(m_electorate.majority()) - 1;
+    std::nth_element(sent.begin(), needed, sent.end(), std::greater<>());
+    return *needed;
+}
+
+std::optional<Instant> HolderState::newestEvidence() const
+{
+    return std::max(listEvidence(), voterEvidence());
+}
+
+Instant HolderState::usableUntil() const
+{
+    auto evidence = newestEvidence();
+    if (!m_hasRead || m_marked || m_lapsedAt || !evidence)
+        return Instant::min();
+    return *evidence + m_timing.holderLimit;
+}
+
+Instant HolderState::continuousUntil() const
+{
+    auto latest = std::max(newestEvidence(), m_readSentAt);
+    return latest ? *latest + m_timing.holderLimit : Instant::min();
+}
+
+// A lapse shows when the next proof comes: it was asked for after the former ones had ended.
+void HolderState::noteEvidence(Instant continuous)
+{
+    auto evidence = newestEvidence();
+    if (lapses() && m_hasRead && !m_lapsedAt && evidence && *evidence > continuous)
+        m_lapsedAt = continuous;
+}
+
+void HolderState::endLapse(Instant provedAt)
+{
+    if (m_lapsedAt && provedAt > *m_lapsedAt)
+        m_lapsedAt.reset();
+}
+
+bool HolderState::hasLapsed(Instant now) const
+{
+    return m_hasRead && !m_marked && now > usableUntil();
+}
+
+bool HolderState::mayLiftMark(Instant now) const
+{
+    return m_marked && m_listSentAt && now <= *m_listSentAt + m_timing.holderLimit;
+}
+
+void HolderState::relinquish(const Row& row)
+{
+    auto [found, isNew] = m_relinquished.emplace(row.key, row.modified);
+    if (!isNew)
+        found->second = std::max(found->second, row.modified);
+}
+
+bool HolderState::mayUse(const Row& row, Instant now) const
+{
+    if (!(row.holder == m_self) || m_self.start.empty())
+        return false;
+    auto relinquished = m_relinquished.find(row.key);
+    if (relinquished != m_relinquished.end() && row.modified <= relinquished->second)
+        return false;
+    return now <= usableUntil();
+}
+
+} // namespace toucanstep::assignments
