--- a/packages/routing/include/toucanstep/routing/Admission.h
+++ b/packages/routing/include/toucanstep/routing/Admission.h
@@ -10,13 +10,11 @@
 namespace toucanstep::routing {
 
 struct AdmissionRequest {
-    base::ClientAccountId account;
-    int64_t accountWeight = 1;
+    NewRequest request;
     base::Instant deadline;
     base::Duration shortestRun {};
-    // Set while the model is not loaded.
+    // Set while the model is not loaded and the end of its load is known.
     std::optional<base::Instant> expectedLoadEnd;
-    bool modelLoaded = false;
 };
 
 struct AdmissionVerdict {
--- a/packages/routing/include/toucanstep/routing/ExpectedWait.h
+++ b/packages/routing/include/toucanstep/routing/ExpectedWait.h
@@ -30,11 +30,18 @@
     std::vector<AccountBacklog> backlog;
 };
 
-// Tokens of the backlog that a fair queue serves before a new request of that account: its own queued tokens, and of
-// every other account at most the same, scaled by the weights. So another account's long queue is not waited for.
-base::Tokens tokensAhead(const std::vector<AccountBacklog>&, const base::ClientAccountId&, int64_t weight);
+// A request that is not queued yet.
+struct NewRequest {
+    base::ClientAccountId account;
+    int64_t accountWeight = 1;
+    base::Tokens cost;
+};
+
+// Tokens of the backlog that a fair queue serves before a new request: those of its own account, and of every other
+// account at most as much as its own and the request, scaled by the weights. So another's long queue is not waited for.
+base::Tokens tokensAhead(const std::vector<AccountBacklog>&, const NewRequest&);
 
-// Zero while a slot is free and nothing is ahead.
-base::Duration expectedWait(const UpstreamLoad&, const base::ClientAccountId&, int64_t weight);
+// Zero while a slot is free: what is queued then waits for something else, for example for a model's load.
+base::Duration expectedWait(const UpstreamLoad&, const NewRequest&);
 
 } // namespace toucanstep::routing
--- a/packages/routing/include/toucanstep/routing/Quarantine.h
+++ b/packages/routing/include/toucanstep/routing/Quarantine.h
@@ -72,16 +72,26 @@
 };
 
 // Decides at a sidecar which requests may start next to those in flight.
+//
+// A request that must run alone starts only on an idle upstream, and nothing starts beside it. Once such a request has
+// waited for `patience`, nothing else starts until it has run; then others get at least `patience` again. So neither
+// starves, and a caller with many suspected requests takes a bounded part of the upstream.
 class SoloGate {
 public:
-    // A request that must run alone starts only on an idle upstream; nothing starts beside it.
-    bool mayStart(QuarantineState, int64_t inFlight) const;
+    explicit SoloGate(base::Duration patience);
+    // A request that must run alone is queued and could start otherwise.
+    void aloneWaits(base::Instant now);
+    // No such request is queued any more.
+    void noneWaits() { m_waitingSince.reset(); }
+    bool mayStart(QuarantineState, int64_t inFlight, base::Instant now) const;
     void started(const base::RequestId&, QuarantineState);
     void ended(const base::RequestId&);
     bool busy() const { return m_alone.has_value(); }
 
 private:
+    base::Duration m_patience;
     std::optional<base::RequestId> m_alone;
+    std::optional<base::Instant> m_waitingSince;
 };
 
 } // namespace toucanstep::routing
--- a/packages/routing/include/toucanstep/routing/Router.h
+++ b/packages/routing/include/toucanstep/routing/Router.h
@@ -105,7 +105,8 @@
 struct RouterSettings {
     // A report older than this is stale.
     base::Duration staleAfter = std::chrono::seconds(2);
-    // An upstream is preferred for a prefix while its requests are at most this percentage of the holders' mean, plus one.
+    // An upstream is preferred for a prefix while its outstanding tokens are at most this percentage of the holders' mean,
+    // plus the request's own.
     int64_t affinityLoadPercent = 125;
     // Waits that differ by less than this count as equal, and the generator decides.
     base::Duration equalWithin = std::chrono::milliseconds(1);
--- a/packages/routing/include/toucanstep/routing/UpstreamTable.h
+++ b/packages/routing/include/toucanstep/routing/UpstreamTable.h
@@ -26,12 +26,6 @@
     bool quarantining = false;
 };
 
-struct Dispatch {
-    base::ClientAccountId account;
-    int64_t accountWeight = 1;
-    base::Tokens cost;
-};
-
 struct UpstreamEntry {
     UpstreamReport report;
     std::optional<base::Instant> reportedAt;
@@ -39,7 +33,7 @@
     // The platform's list says that it terminates.
     bool terminating = false;
     // Own dispatches that no report counts yet, and that have not ended.
-    std::map<DispatchNumber, Dispatch> unreported;
+    std::map<DispatchNumber, NewRequest> unreported;
     DispatchNumber lastDispatch;
 };
 
@@ -49,7 +43,7 @@
     bool report(const base::UpstreamId&, UpstreamReport, base::Instant now);
     void setConnected(const base::UpstreamId&, bool);
     void setTerminating(const base::UpstreamId&, bool);
-    DispatchNumber dispatched(const base::UpstreamId&, Dispatch);
+    DispatchNumber dispatched(const base::UpstreamId&, NewRequest);
     // The dispatch was answered, refused or given up.
     void ended(const base::UpstreamId&, DispatchNumber);
     void erase(const base::UpstreamId&);
--- /dev/null
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -0,0 +1,199 @@
+#include "toucanstep/routing/RequestQueue.h"
+#include "Fixtures.h"
+#include "toucanstep/testing/Property.h"
+
+#include <map>
+
+using namespace toucanstep;
+using namespace toucanstep::routing;
+using namespace toucanstep::routing::fixtures;
+
+namespace {
+
+bool everything(const QueuedRequest&) { return true; }
+
+QueuedRequest makeRequest(int64_t number, const std::string& account, int64_t weight, int64_t cost, const std::string& kind = "ask", int64_t kindWeight = 1)
+{
+    return { .id = base::RequestId(base::concat(number)),
+        .account = base::ClientAccountId(account),
+        .key = base::KeyFingerprint(account + "-key"),
+        .model = base::ModelId("m"),
+        .accountWeight = weight,
+        .kind = kind,
+        .kindWeight = kindWeight,
+        .cost = base::Tokens(cost),
+        .latestStart = at(100s) };
+}
+
+constexpr int64_t largestCost = 4000;
+constexpr int64_t quantum = 256;
+
+// Keeps every account backlogged, and checks that what each got stays in proportion to its weight within the bound of
+// deficit round robin: one largest cost and one quantum for each account.
+void checkShares(RequestQueue& queue)
+{
+    auto accounts = *rc::gen::inRange(2, 5);
+    std::vector<int64_t> weights;
+    std::vector<int64_t> largest;
+    for (int account = 0; account < accounts; ++account) {
+        weights.push_back(*rc::gen::inRange(1, 6));
+        largest.push_back(*rc::gen::inRange<int64_t>(10, largestCost));
+    }
+    std::map<std::string, int64_t> served;
+    int64_t number = 0;
+    auto push = [&](int account) {
+        auto cost = *rc::gen::inRange<int64_t>(1, largest[account] + 1);
+        queue.push(makeRequest(++number, base::concat("a", account), weights[account], cost), 0s, at(0s));
+    };
+    for (int account = 0; account < accounts; ++account)
+        for (int copy = 0; copy < 2; ++copy)
+            push(account);
+    for (int step = 0; step < 300; ++step) {
+        auto request = queue.pop(at(0s), everything);
+        RC_ASSERT(request.has_value());
+        served[request->account.value()] += request->cost.value();
+        push(std::stoi(request->account.value().substr(1)));
+        for (int left = 0; left < accounts; ++left)
+            for (int right = 0; right < accounts; ++right) {
+                auto normalLeft = static_cast<double>(served[base::concat("a", left)]) / static_cast<double>(weights[left]);
+                auto normalRight = static_cast<double>(served[base::concat("a", right)]) / static_cast<double>(weights[right]);
+                RC_ASSERT(normalLeft - normalRight <= 2.0 * (largestCost + quantum));
+            }
+    }
+}
+
+} // namespace
+
+TEST_GROUP(RequestQueue)
+{
+    std::unique_ptr<RequestQueue> queue = makeFairQueue({ base::Tokens(quantum) });
+};
+
+TEST(RequestQueue, ASmallAccountIsServedSoonBehindAFlood)
+{
+    // One account sends five times its rate and fills the queue. The farm's one request came last, and its caller gave
+    // up: the queue went strictly by arrival.
+    for (int64_t number = 0; number < 500; ++number)
+        queue->push(makeRequest(number, "ferry", 1, 1000), 0s, at(0s));
+    queue->push(makeRequest(1000, "farm", 1, 1000), 0s, at(0s));
+    int position = 1;
+    while (queue->pop(at(0s), everything)->account.value() != "farm")
+        ++position;
+    CHECK_TRUE(position <= 2);
+}
+
+TEST(RequestQueue, ServiceIsProportionalToTheAccountsWeights)
+{
+    CHECK_PROPERTY([] { checkShares(*makeFairQueue({ base::Tokens(quantum) })); });
+}
+
+TEST(RequestQueue, TheCheckOfProportionalServiceRejectsFirstInFirstOut)
+{
+    CHECK_FALSE(testing::counterexample({}, [] { checkShares(*makeFifoQueue()); }).empty());
+}
+
+TEST(RequestQueue, KindsShareTheirAccountsPartByTheirWeights)
+{
+    std::map<std::string, int> served;
+    for (int64_t number = 0; number < 400; ++number) {
+        queue->push(makeRequest(number, "farm", 1, 100, "control", 3), 0s, at(0s));
+        queue->push(makeRequest(1000 + number, "farm", 1, 100, "report", 1), 0s, at(0s));
+        queue->push(makeRequest(2000 + number, "ferry", 1, 100), 0s, at(0s));
+    }
+    for (int step = 0; step < 400; ++step) {
+        auto request = queue->pop(at(0s), everything);
+        ++served[request->account.value() + request->kind];
+    }
+    // Two kinds give the farm no more than the ferry: half, cut three to one.
+    CHECK_TRUE(std::abs(served["ferryask"] - 200) <= 15);
+    CHECK_TRUE(std::abs(served["farmcontrol"] - 150) <= 15);
+    CHECK_TRUE(std::abs(served["farmreport"] - 50) <= 15);
+}
+
+TEST(RequestQueue, WhatWaitsForALoadHoldsNobodyUp)
+{
+    auto cold = makeRequest(1, "farm", 1, 100);
+    cold.model = base::ModelId("cold");
+    queue->push(cold, 0s, at(0s));
+    queue->push(makeRequest(2, "farm", 1, 100), 0s, at(0s));
+    auto loaded = [](const QueuedRequest& request) { return request.model.value() != "cold"; };
+    STRCMP_EQUAL("2", queue->pop(at(0s), loaded)->id.value().c_str());
+    CHECK_FALSE(queue->pop(at(0s), loaded).has_value());
+    STRCMP_EQUAL("1", queue->pop(at(0s), everything)->id.value().c_str());
+}
+
+TEST(RequestQueue, WhatCannotBeServedInTimeIsRefusedAtOnce)
+{
+    auto refusal = queue->push(makeRequest(1, "farm", 1, 100), 101s, at(0s));
+    CHECK_TRUE(refusal->code == base::RefusalCode::DeadlineUnreachable);
+    CHECK_TRUE(*refusal->retryAt == at(1s));
+    CHECK_EQUAL(0, queue->size());
+    queue->push(makeRequest(2, "farm", 1, 100), 0s, at(0s));
+    CHECK_TRUE(queue->takeExpired(at(100s)).empty());
+    CHECK_FALSE(queue->pop(at(101s), everything).has_value());
+    auto expired = queue->takeExpired(at(101s));
+    CHECK_EQUAL(1, expired.size());
+    CHECK_TRUE(expired[0].refusal.code == base::RefusalCode::DeadlineExceeded);
+    CHECK_TRUE(expired[0].refusal.ran == base::RanState::NotRun);
+}
+
+TEST(RequestQueue, AWithdrawnKeysRequestsAreRefusedAndOthersStay)
+{
+    queue->push(makeRequest(1, "farm", 1, 100), 0s, at(0s));
+    queue->push(makeRequest(2, "ferry", 1, 100), 0s, at(0s));
+    auto refused = queue->removeKey(base::KeyFingerprint("farm-key"));
+    CHECK_EQUAL(1, refused.size());
+    CHECK_TRUE(refused[0].refusal.code == base::RefusalCode::Unauthorized);
+    CHECK_EQUAL(1, queue->size());
+    CHECK_EQUAL(1, queue->removeAccount(base::ClientAccountId("ferry")).size());
+    CHECK_TRUE(queue->backlog().empty());
+}
+
+TEST(RequestQueue, EveryRequestLeavesOnceAndAnEligibleOneIsNeverHeldBack)
+{
+    for (bool fair : { true, false }) {
+        CHECK_PROPERTY([fair] {
+            auto tested = fair ? makeFairQueue({ base::Tokens(quantum) }) : makeFifoQueue();
+            std::map<std::string, QueuedRequest> oracle;
+            int64_t number = 0;
+            auto steps = *rc::gen::inRange(0, 60);
+            for (int step = 0; step < steps; ++step) {
+                switch (*rc::gen::inRange(0, 4)) {
+                case 0:
+                case 1: {
+                    auto request = makeRequest(++number, base::concat("a", *rc::gen::inRange(0, 3)), 1, *rc::gen::inRange(0, 500),
+                        base::concat("k", *rc::gen::inRange(0, 2)));
+                    request.model = base::ModelId(base::concat("m", *rc::gen::inRange(0, 2)));
+                    request.latestStart = at(std::chrono::seconds(*rc::gen::inRange(0, 80)));
+                    if (!tested->push(request, 0s, at(std::chrono::seconds(step))))
+                        oracle.emplace(request.id.value(), request);
+                    break;
+                }
+                case 2: {
+                    auto id = base::concat(*rc::gen::inRange<int64_t>(0, number + 1));
+                    RC_ASSERT(tested->cancel(base::RequestId(id)) == (oracle.erase(id) == 1));
+                    break;
+                }
+                default: {
+                    auto now = at(std::chrono::seconds(step));
+                    Eligible onlyFirst = [](const QueuedRequest& request) { return request.model.value() == "m0"; };
+                    auto startable = std::any_of(oracle.begin(), oracle.end(), [&](const auto& entry) { return onlyFirst(entry.second) && entry.second.latestStart >= now; });
+                    auto popped = tested->pop(now, onlyFirst);
+                    RC_ASSERT(popped.has_value() == startable);
+                    if (popped)
+                        RC_ASSERT(oracle.erase(popped->id.value()) == 1U);
+                    break;
+                }
+                }
+                int64_t queued = 0;
+                for (const auto& part : tested->backlog())
+                    queued += part.queued.value();
+                int64_t expected = 0;
+                for (const auto& [id, request] : oracle)
+                    expected += request.cost.value();
+                RC_ASSERT(queued == expected);
+                RC_ASSERT(tested->size() == oracle.size());
+            }
+        });
+    }
+}
