Shares of client accounts' limits, charged whole before a request runs

Cause: a client account may not get more than burst + rate x window over all gateways, and should not be refused within it. Change: TokenBucket (integers), ShareHolder (charges once per id, refunds only what one smaller charge would have left), ShareTable (rows by epoch, handover once), ChargePlanner (fullest share first, gathering in fixed order with a turn), and AdmissionPolicy with shares, static 1/N, leases of tokens and a central counter. Conclusion: a capped refund breaks the bound (burst, refill, burst, refund, burst again), so refunds are bounded by the least room that the share has had since the charge.

--- a/packages/limits/include/toucanstep/limits/ChargePlanner.h
+++ b/packages/limits/include/toucanstep/limits/ChargePlanner.h
@@ -96,7 +96,9 @@
     enum class Phase {
         WholeFromOne,
         Gather,
+        // Another request gathers; ask for the turn again at m_resumeAt.
         WaitingForTurn,
+        // Tokens accrue in time; begin anew at m_resumeAt.
         WaitingForTokens,
     };
     struct Pending {
@@ -106,42 +108,56 @@
         base::Instant answerBy;
         bool retried = false;
     };
-    struct Part {
-        ChargedPart charged;
-        base::Instant sentAt;
-    };
 
     void proceed(base::Instant now);
     void askWhole(base::Instant now);
-    void beginGather(base::Instant now);
     void continueGather(base::Instant now);
     void finishPass(base::Instant now);
-    void admit();
-    void refuse(base::Instant now);
+    void finishGather();
+    void restart(base::Instant now);
+    void refuseOrWait(base::Instant now);
     void refuseWith(base::RefusalCode, std::optional<base::Instant> retryAt);
     void ask(size_t share, base::Tokens minimum, base::Tokens wanted, base::Duration turn, base::Instant now);
+    void onAnswerTimeout(base::Instant now);
+    void returnCharge(const Pending&);
     void abandonPending();
     void giveBackParts();
     void endTurn();
-    void onGranted(const ChargeReply&, base::Instant now);
-    std::optional<size_t> bestForWhole(base::Instant now) const;
+    void noteHint(size_t share, const ChargeReply&, base::Instant now);
+    void onGranted(const Pending&, const ChargeReply&, base::Instant now);
+    void onBusy(const ChargeReply&, base::Instant now);
+    std::optional<size_t> fullestUnasked(base::Instant now) const;
     std::optional<size_t> nextReachable(size_t from) const;
-    base::Tokens missing() const;
-    TokenNanos expectedTotal(base::Instant now) const;
-    std::optional<base::Instant> coveredAt(base::Tokens amount, base::Instant now) const;
-    int unreachable() const;
+    void beginGather(base::Instant now);
+    base::Tokens gathered() const;
+    base::Tokens levelAfterGather(base::Instant now) const;
+    base::Tokens expectedTotal(base::Instant now) const;
+    std::optional<base::Instant> coveredAt(base::Instant now) const;
+    std::vector<AddressedMessage> takeOutput();
 
     PlannerOptions m_options;
     ChargeOrder m_order;
+    // In the order of their indexes, which is the order of gathering at every gateway.
     std::vector<ShareView> m_shares;
     std::vector<bool> m_askedWhole;
     Phase m_phase = Phase::WholeFromOne;
     size_t m_nextInPass = 0;
+    // What the first pass of a gathering leaves in each share, so that none stays full and loses what it accrues.
+    base::Tokens m_gatherLevel;
+    // The share at which this request has the turn to gather.
     std::optional<size_t> m_turnAt;
     std::optional<Pending> m_pending;
     std::optional<base::Instant> m_resumeAt;
-    std::vector<Part> m_parts;
+    base::Instant m_startedAt;
+    // Since when this request waits for the turn.
+    std::optional<base::Instant> m_turnWantedAt;
+    std::vector<ChargedPart> m_parts;
+    // When the oldest of m_parts was asked for, by this gateway's clock.
+    base::Instant m_oldestPartSentAt;
+    int m_nextCharge = 0;
+    // Charges that count against the bound on one request's work.
     int m_chargesSent = 0;
+    int m_restarts = 0;
     std::vector<AddressedMessage> m_output;
     std::optional<ChargeOutcome> m_outcome;
 };
--- /dev/null
+++ b/packages/limits/src/ShareTable.cpp
@@ -0,0 +1,114 @@
+#include "toucanstep/limits/ShareTable.h"
+
+#include <algorithm>
+
+namespace toucanstep::limits {
+
+namespace {
+
+// How long a request waits before it asks again for a turn that another has. The turn usually ends after two round trips.
+constexpr base::Duration turnRetryInterval = std::chrono::milliseconds(2);
+
+} // namespace
+
+ShareTable::Held* ShareTable::find(const ShareId& share, base::Epoch epoch)
+{
+    auto found = m_shares.find(share);
+    if (found == m_shares.end() || found->second.epoch != epoch)
+        return nullptr;
+    return &found->second;
+}
+
+void ShareTable::take(const ShareId& share, base::Epoch epoch, BucketLimits limits, base::Instant now)
+{
+    auto found = m_shares.find(share);
+    if (found != m_shares.end() && found->second.epoch >= epoch)
+        return;
+    m_shares.erase(share);
+    m_shares.emplace(share, Held { epoch, ShareHolder(limits, now) });
+}
+
+std::optional<Handover> ShareTable::release(const ShareId& share, base::Instant now)
+{
+    auto found = m_shares.find(share);
+    if (found == m_shares.end())
+        return std::nullopt;
+    Handover handover { share, found->second.epoch, found->second.holder.drop(now) };
+    m_shares.erase(found);
+    return handover;
+}
+
+void ShareTable::dropAll()
+{
+    m_shares.clear();
+}
+
+bool ShareTable::acceptHandover(const Handover& handover, base::Instant now)
+{
+    Held* held = find(handover.share, handover.epoch + base::Epoch(1));
+    if (!held || held->handoverAccepted)
+        return false;
+    // A second copy of the message must not add the stock again.
+    held->handoverAccepted = true;
+    held->holder.addHandedOver(handover.stock, now);
+    return true;
+}
+
+void ShareTable::setLimits(const base::ClientAccountId& account, BucketLimits whole, int shareCount, base::Instant now)
+{
+    std::vector<BucketLimits> slices = splitLimits(whole, shareCount);
+    for (auto& [share, held] : m_shares) {
+        if (share.account != account)
+            continue;
+        // A share that the account no longer has gets no tokens until its row is released.
+        bool exists = share.index < static_cast<int>(slices.size());
+        held.holder.setLimits(exists ? slices[share.index] : BucketLimits {}, now);
+    }
+}
+
+ChargeReply ShareTable::onCharge(const ChargeRequest& request, base::Instant now)
+{
+    ChargeReply reply { .charge = request.charge, .hint = { .share = request.share, .epoch = request.epoch } };
+    Held* held = find(request.share, request.epoch);
+    if (!held)
+        return reply;
+    ShareHolder& holder = held->holder;
+    if (request.turn > base::Duration::zero() && !holder.takeTurn(request.gatherer, now + request.turn, now)) {
+        reply.result = ChargeResult::Busy;
+        reply.retryAfter = std::min(base::remaining(now, *holder.turnEndsAt(now)), turnRetryInterval);
+    } else {
+        reply.granted = holder.charge(request.charge, request.minimum, request.wanted, now);
+        reply.result = reply.granted > base::Tokens(0) ? ChargeResult::Granted : ChargeResult::Lacks;
+    }
+    reply.hint.stock = holder.bucket().stockAt(now);
+    reply.hint.limits = holder.bucket().limits();
+    return reply;
+}
+
+TokenNanos ShareTable::onReturn(const ChargeReturn& message, base::Instant now)
+{
+    Held* held = find(message.share, message.epoch);
+    return held ? held->holder.refund(message.charge, message.unused, now) : TokenNanos(0);
+}
+
+void ShareTable::onTurnEnd(const TurnEnd& message)
+{
+    if (Held* held = find(message.share, message.epoch))
+        held->holder.endTurn(message.gatherer);
+}
+
+bool ShareTable::holds(const ShareId& share) const
+{
+    return m_shares.contains(share);
+}
+
+std::vector<ShareHint> ShareTable::hints(base::Instant now) const
+{
+    std::vector<ShareHint> hints;
+    for (const auto& [share, held] : m_shares)
+        hints.push_back({ share, held.epoch, held.holder.bucket().stockAt(now), held.holder.bucket().limits() });
+    std::sort(hints.begin(), hints.end(), [](const ShareHint& left, const ShareHint& right) { return left.share < right.share; });
+    return hints;
+}
+
+} // namespace toucanstep::limits
--- /dev/null
+++ b/packages/limits/src/TokenBucket.cpp
@@ -0,0 +1,92 @@
+#include "toucanstep/limits/TokenBucket.h"
+
+#include <algorithm>
+
+namespace toucanstep::limits {
+
+namespace {
+
+BucketLimits withinBounds(BucketLimits limits)
+{
+    int64_t rate = std::clamp<int64_t>(limits.tokensPerSecond.value(), 0, maximumRate);
+    int64_t burst = std::clamp<int64_t>(limits.burst.value(), 0, maximumBurst);
+    return { base::Tokens(rate), base::Tokens(burst) };
+}
+
+} // namespace
+
+TokenBucket::TokenBucket(BucketLimits limits, TokenNanos stock, base::Instant now)
+    : m_limits(withinBounds(limits))
+    , m_stock(std::clamp(stock, TokenNanos(0), toNanos(m_limits.burst)))
+    , m_updatedAt(now)
+{
+}
+
+TokenNanos TokenBucket::stockAt(base::Instant now) const
+{
+    int64_t rate = m_limits.tokensPerSecond.value();
+    if (now <= m_updatedAt || !rate)
+        return m_stock;
+    int64_t room = toNanos(m_limits.burst).value() - m_stock.value();
+    int64_t elapsed = (now - m_updatedAt).count();
+    // Compared by division, because elapsed times rate may not fit into 64 bits.
+    if (elapsed > room / rate)
+        return toNanos(m_limits.burst);
+    return m_stock + TokenNanos(elapsed * rate);
+}
+
+void TokenBucket::advance(base::Instant now)
+{
+    m_stock = stockAt(now);
+    m_updatedAt = std::max(m_updatedAt, now);
+}
+
+bool TokenBucket::take(base::Tokens amount, base::Instant now)
+{
+    if (amount < base::Tokens(0) || amount > m_limits.burst)
+        return false;
+    advance(now);
+    if (m_stock < toNanos(amount))
+        return false;
+    m_stock -= toNanos(amount);
+    return true;
+}
+
+TokenNanos TokenBucket::add(TokenNanos amount, base::Instant now)
+{
+    advance(now);
+    TokenNanos room = toNanos(m_limits.burst) - m_stock;
+    TokenNanos added = std::clamp(amount, TokenNanos(0), room);
+    m_stock += added;
+    return added;
+}
+
+TokenNanos TokenBucket::drain(base::Instant now)
+{
+    advance(now);
+    TokenNanos drained = m_stock;
+    m_stock = TokenNanos(0);
+    return drained;
+}
+
+void TokenBucket::setLimits(BucketLimits limits, base::Instant now)
+{
+    advance(now);
+    m_limits = withinBounds(limits);
+    m_stock = std::min(m_stock, toNanos(m_limits.burst));
+}
+
+std::optional<base::Instant> TokenBucket::availableAt(base::Tokens amount, base::Instant now) const
+{
+    TokenNanos stock = stockAt(now);
+    if (amount <= wholeTokens(stock))
+        return now;
+    int64_t rate = m_limits.tokensPerSecond.value();
+    if (amount > m_limits.burst || !rate)
+        return std::nullopt;
+    int64_t lacking = toNanos(amount).value() - stock.value();
+    int64_t wait = lacking / rate + (lacking % rate ? 1 : 0);
+    return std::max(now, m_updatedAt) + base::Duration(wait);
+}
+
+} // namespace toucanstep::limits
--- /dev/null
+++ b/packages/limits/test/WindowOracle.h
@@ -0,0 +1,75 @@
+// Judges whether what an account used kept its limits in every window. Written without the library's buckets.
+
+#pragma once
+
+#include "toucanstep/limits/TokenBucket.h"
+
+#include <algorithm>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace toucanstep::limits {
+
+class WindowOracle {
+public:
+    // From `at` on no gateway applies more than these limits.
+    void limitsFrom(base::Instant at, BucketLimits limits) { m_limits.push_back({ at, limits }); }
+    void used(base::Instant at, int64_t tokens) { m_uses.push_back({ at, tokens }); }
+
+    // Describes a window with more than burst + rate x (window + allowance), or is empty.
+    std::string firstBreak(base::Duration allowance = {}) const
+    {
+        auto uses = m_uses;
+        std::stable_sort(uses.begin(), uses.end(), [](const Use& left, const Use& right) { return left.at < right.at; });
+        for (size_t first = 0; first < uses.size(); ++first) {
+            __int128 sum = 0;
+            for (size_t last = first; last < uses.size(); ++last) {
+                sum += static_cast<__int128>(uses[last].tokens) * nanosPerToken;
+                __int128 allowed = allowedBetween(uses[first].at - allowance, uses[last].at);
+                if (sum > allowed)
+                    return describe(uses[first].at, uses[last].at, sum, allowed);
+            }
+        }
+        return {};
+    }
+
+private:
+    struct Use {
+        base::Instant at;
+        int64_t tokens;
+    };
+    struct Limits {
+        base::Instant from;
+        BucketLimits limits;
+    };
+
+    __int128 allowedBetween(base::Instant start, base::Instant end) const
+    {
+        __int128 accrued = 0;
+        int64_t burst = 0;
+        for (size_t index = 0; index < m_limits.size(); ++index) {
+            bool isLast = index + 1 == m_limits.size();
+            base::Instant from = index ? std::max(start, m_limits[index].from) : start;
+            base::Instant until = isLast ? end : std::min(end, m_limits[index + 1].from);
+            if (until < from)
+                continue;
+            accrued += static_cast<__int128>((until - from).count()) * m_limits[index].limits.tokensPerSecond.value();
+            burst = std::max(burst, m_limits[index].limits.burst.value());
+        }
+        return accrued + static_cast<__int128>(burst) * nanosPerToken;
+    }
+
+    static std::string describe(base::Instant from, base::Instant to, __int128 sum, __int128 allowed)
+    {
+        std::ostringstream text;
+        text << "window of " << (to - from).count() << " ns: used " << static_cast<double>(sum) / nanosPerToken << " tokens, allowed "
+             << static_cast<double>(allowed) / nanosPerToken;
+        return text.str();
+    }
+
+    std::vector<Limits> m_limits;
+    std::vector<Use> m_uses;
+};
+
+} // namespace toucanstep::limits
