--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -97,16 +97,16 @@
     void end(CURLcode result)
     {
         if (result == CURLE_OK && now() >= m_call.deadline)
-            endWith(error(base::ErrorKind::Timeout, "the answer came after the deadline"));
+            fail(error(base::ErrorKind::Timeout, "the answer came after the deadline"));
         else if (result == CURLE_OK)
-            endWith(std::nullopt);
+            m_listener->onEnd(std::nullopt);
         else
-            endWith(classify(result));
+            fail(classify(result));
     }
 
-    void giveUp(const std::string& reason) { endWith(error(kindOfCutCall(), reason)); }
+    void giveUp(const std::string& reason) { fail(error(kindOfCutCall(), reason)); }
 
-    void endWith(std::optional<base::Error> outcome) { m_listener->onEnd(std::move(outcome)); }
+    void fail(base::Error reason) { m_listener->onEnd(std::move(reason)); }
 
 private:
     template <typename Value>
@@ -412,7 +412,7 @@
     void begin(std::unique_ptr<Transfer> transfer)
     {
         if (auto reason = transfer->prepare()) {
-            transfer->endWith(std::move(reason));
+            transfer->fail(std::move(*reason));
             return;
         }
         curl_multi_add_handle(m_multi, transfer->easy());
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -7,7 +7,6 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <charconv>
-#include <cstring>
 #include <deque>
 #include <glog/logging.h>
 #include <microhttpd.h>
@@ -327,7 +326,7 @@
         while (taken < capacity && !m_pieces.empty()) {
             const std::string& piece = m_pieces.front();
             size_t part = std::min(capacity - taken, piece.size() - m_frontOffset);
-            std::memcpy(buffer + taken, piece.data() + m_frontOffset, part);
+            piece.copy(buffer + taken, part, m_frontOffset);
             taken += part;
             m_frontOffset += part;
             if (m_frontOffset == piece.size()) {
