--- a/packages/gateway/src/CallerRequest.cpp
+++ b/packages/gateway/src/CallerRequest.cpp
@@ -129,6 +129,11 @@
     request.pool = model->pool;
     request.promptTokens = base::Tokens(static_cast<int64_t>(request.prompt.size()) / bytesPerToken + 1);
     request.body = http.body;
+    if (model->repositoryName != request.targetId) {
+        // Upstreams know the model by the name under which its checkpoint is stored.
+        body["model"] = model->repositoryName;
+        request.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
     return request;
 }
 
--- /dev/null
+++ b/packages/gateway/src/Gateway.cpp
@@ -0,0 +1,111 @@
+#include "toucanstep/gateway/Gateway.h"
+
+#include "GatewayCore.h"
+#include "StaticLimitGate.h"
+#include "toucanstep/base/Text.h"
+
+namespace toucanstep::gateway {
+
+namespace {
+
+constexpr base::Duration coreTickInterval = std::chrono::milliseconds(20);
+constexpr int statusOk = 200;
+constexpr unsigned callerThreads = 2;
+
+class RunningGateway final : public Gateway {
+public:
+    RunningGateway(config::ProcessSettings settings, const GatewayOptions& options)
+        : m_node(std::move(settings), options.node)
+        , m_core(std::make_unique<internal::GatewayCore>(m_node, options, std::make_unique<internal::StaticLimitGate>(m_node)))
+    {
+    }
+
+    ~RunningGateway() override
+    {
+        m_callers.reset();
+        m_node.stop();
+    }
+
+    base::Result<void> start()
+    {
+        m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
+            m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
+            m_node.setReady(!m_leaving);
+        });
+        m_node.setStatus([this] {
+            nlohmann::json status;
+            m_node.traffic().runAndWait([&] { status = m_core->status(); });
+            return status;
+        });
+        BOOST_LEAF_CHECK(m_node.start());
+        m_node.traffic().post([this] { tick(); });
+
+        platform::HttpServerOptions options;
+        options.address = m_node.settings().callerListen.address;
+        options.port = m_node.settings().callerListen.port;
+        options.threads = callerThreads;
+        base::Refusal tooLarge { base::RefusalCode::BodyTooLarge, base::RanState::NotRun, "the body is larger than this system takes", std::nullopt };
+        options.bodyTooLargeAnswer = refusalBody(tooLarge, {});
+        BOOST_LEAF_ASSIGN(m_callers, platform::HttpServer::start(options, [this](const std::shared_ptr<platform::HttpExchange>& exchange) { onCaller(exchange); }));
+        return {};
+    }
+
+    uint16_t callerPort() const override { return m_callers->port(); }
+    base::Endpoint peerEndpoint() const override { return m_node.peerEndpoint(); }
+    uint16_t operatorPort() const override { return m_node.operatorPort(); }
+
+    void leave() override
+    {
+        m_leaving = true;
+        m_node.setReady(false);
+        m_node.traffic().post([this] { m_core->setLeaving(); });
+    }
+
+    bool drained() const override
+    {
+        bool idle = false;
+        m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
+        return m_leaving && idle && !m_callers->openExchanges();
+    }
+
+private:
+    // Runs on the callers' threads: parsing and hashing keep off the traffic loop.
+    void onCaller(const std::shared_ptr<platform::HttpExchange>& exchange)
+    {
+        base::Instant now = m_node.traffic().now();
+        auto configuration = m_node.configuration();
+        ParsedCallerRequest parsed = parseCallerRequest(exchange->request(), *configuration, now);
+        if (auto* refusal = std::get_if<base::Refusal>(&parsed)) {
+            m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal->code), "\""));
+            exchange->respond(httpStatus(refusal->code), refusalHeaders(*refusal, now), refusalBody(*refusal, now));
+            return;
+        }
+        if (std::holds_alternative<ModelListRequest>(parsed)) {
+            exchange->respond(statusOk, { { "Content-Type", "application/json" } }, modelListBody(*configuration));
+            return;
+        }
+        m_node.traffic().post([this, request = std::move(std::get<CallerRequest>(parsed)), exchange]() mutable { m_core->begin(std::move(request), exchange); });
+    }
+
+    void tick()
+    {
+        m_core->tick();
+        m_node.traffic().at(m_node.traffic().now() + coreTickInterval, [this] { tick(); });
+    }
+
+    mutable node::Node m_node;
+    std::unique_ptr<internal::GatewayCore> m_core;
+    std::unique_ptr<platform::HttpServer> m_callers;
+    std::atomic<bool> m_leaving { false };
+};
+
+} // namespace
+
+base::Result<std::unique_ptr<Gateway>> Gateway::start(config::ProcessSettings settings, GatewayOptions options)
+{
+    auto gateway = std::make_unique<RunningGateway>(std::move(settings), options);
+    BOOST_LEAF_CHECK(gateway->start());
+    return std::unique_ptr<Gateway>(std::move(gateway));
+}
+
+} // namespace toucanstep::gateway
--- /dev/null
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -0,0 +1,489 @@
+#include "GatewayCore.h"
+
+#include "toucanstep/base/Digest.h"
+#include "toucanstep/base/LogLine.h"
+#include "toucanstep/base/Text.h"
+#include "toucanstep/placement/Checkpoints.h"
+
+#include <absl/hash/hash.h>
+#include <nlohmann/json.hpp>
+
+namespace toucanstep::gateway::internal {
+
+namespace {
+
+constexpr size_t prefixHints = 20'000;
+constexpr base::Duration prefixLifetime = std::chrono::minutes(5);
+// How often a gateway goes back to the same sidecar after its connection was lost, before it looks elsewhere.
+constexpr int maximumAttaches = 3;
+// A caller that does not read is not waited for with more than this in memory.
+constexpr size_t maximumQueuedBytes = 8 * 1024 * 1024;
+
+uint64_t seedFrom(const std::string& nonce)
+{
+    return absl::HashOf(nonce);
+}
+
+// The instance that a model would live on if only the list decided: the greatest hash wins, so that an instance that
+// comes or goes moves only its own models.
+const node::InstanceRow* hashHome(const std::vector<const node::InstanceRow*>& rows, const std::string& target)
+{
+    const node::InstanceRow* best = nullptr;
+    std::string bestHash;
+    for (const node::InstanceRow* row : rows) {
+        std::string hash = base::sha256Hex(base::concat(row->instance, "\n", target));
+        if (!best || hash > bestHash) {
+            best = row;
+            bestHash = std::move(hash);
+        }
+    }
+    return best;
+}
+
+routing::HolderState toHolderState(peers::ModelPhase phase)
+{
+    switch (phase) {
+    case peers::ModelPhase::Loading:
+        return routing::HolderState::Loading;
+    case peers::ModelPhase::Loaded:
+        return routing::HolderState::Loaded;
+    case peers::ModelPhase::Cold:
+        break;
+    }
+    return routing::HolderState::Cold;
+}
+
+} // namespace
+
+// Hears one dispatch; events of an earlier attempt of the same request are told apart by its number.
+class GatewayCore::DispatchListener final : public peers::PeerCallListener {
+public:
+    DispatchListener(GatewayCore& core, base::RequestId request, int64_t attempt)
+        : m_core(core)
+        , m_request(std::move(request))
+        , m_attempt(attempt)
+    {
+    }
+
+    void onMessage(std::string message) override { m_core.onEvent(m_request, m_attempt, message); }
+    void onEnd(std::optional<base::Error> error) override { m_core.onDispatchEnd(m_request, m_attempt, error); }
+
+private:
+    GatewayCore& m_core;
+    base::RequestId m_request;
+    int64_t m_attempt;
+};
+
+GatewayCore::GatewayCore(node::Node& node, GatewayOptions options, std::unique_ptr<LimitGate> limits)
+    : m_node(node)
+    , m_options(options)
+    , m_limits(std::move(limits))
+    , m_router(options.routing == RouteMode::ExpectedWait ? routing::makeExpectedWaitRouter({}) : routing::makeRandomRouter())
+    , m_prefixes(prefixHints, prefixLifetime)
+    , m_retries({})
+    , m_generator(seedFrom(node.startNonce()))
+{
+}
+
+GatewayCore::~GatewayCore() = default;
+
+CallerEntry* GatewayCore::find(const base::RequestId& id)
+{
+    auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : found->second.get();
+}
+
+void GatewayCore::onConfiguration(const std::shared_ptr<const config::Configuration>& configuration)
+{
+    m_limits->onConfiguration(*configuration, now());
+}
+
+// ---- arrival
+
+void GatewayCore::begin(CallerRequest request, std::shared_ptr<platform::HttpExchange> exchange)
+{
+    auto entry = std::make_unique<CallerEntry>();
+    // The start nonce and the counter make an id unique over instances and restarts, so that an answer which comes late
+    // or crossed is never taken for another request's.
+    entry->id = base::RequestId(base::concat(m_node.settings().instance, "-", m_node.startNonce(), "-", ++m_counter));
+    entry->request = std::move(request);
+    entry->exchange = std::move(exchange);
+    entry->arrivedAt = now();
+    base::RequestId id = entry->id;
+    CallerEntry& added = *entry;
+    m_entries.emplace(id, std::move(entry));
+    added.exchange->onCallerGone([this, id] { m_node.traffic().post([this, id] { callerGone(id); }); });
+    m_node.metrics().count("toucanstep_requests_total");
+    m_retries.onRequest();
+    if (m_leaving) {
+        refuse(added, { base::RefusalCode::Leaving, base::RanState::NotRun, "this gateway is leaving; ask again", now() });
+        return;
+    }
+    limits::ChargeOrder order { id, added.request.account, added.request.cost(), added.request.deadline };
+    m_limits->charge(order, [this, id](const std::optional<base::Refusal>& refusal) { onCharged(id, refusal); });
+}
+
+void GatewayCore::onCharged(const base::RequestId& id, const std::optional<base::Refusal>& refusal)
+{
+    CallerEntry* entry = find(id);
+    if (!entry) {
+        // The caller left while the charge was under way; nothing ran for it.
+        if (!refusal)
+            m_limits->settle(id, base::Tokens(std::numeric_limits<int32_t>::max()));
+        return;
+    }
+    if (refusal) {
+        refuse(*entry, *refusal);
+        return;
+    }
+    entry->charged = true;
+    route(*entry);
+}
+
+// ---- routing
+
+std::vector<routing::Holder> GatewayCore::holdersOf(const CallerEntry& entry, base::Instant now)
+{
+    auto configuration = m_node.configuration();
+    auto instances = m_node.instances();
+    const config::UpstreamPool* pool = configuration->findPool(entry.request.pool);
+    if (!pool)
+        return {};
+    std::vector<const node::InstanceRow*> ready;
+    for (const node::InstanceRow* row : instances->inList(pool->listName)) {
+        base::UpstreamId upstream(row->instance.value());
+        m_upstreams.setConnected(upstream, row->ready);
+        m_upstreams.setTerminating(upstream, row->terminating);
+        if (row->ready && !row->terminating)
+            ready.push_back(row);
+    }
+    std::vector<routing::Holder> holders;
+    if (entry.request.target == peers::TargetKind::Service) {
+        for (const node::InstanceRow* row : ready)
+            holders.push_back({ base::UpstreamId(row->instance.value()), {}, routing::HolderState::Loaded, std::nullopt });
+        return holders;
+    }
+    const node::InstanceRow* home = hashHome(ready, entry.request.targetId);
+    if (!home)
+        return {};
+    base::UpstreamId upstream(home->instance.value());
+    const config::Model* model = configuration->findModel(base::ModelId(entry.request.targetId));
+    auto known = m_phases.find({ upstream, base::ModelId(entry.request.targetId) });
+    routing::Holder holder { upstream, {}, routing::HolderState::Cold, std::nullopt };
+    if (known != m_phases.end()) {
+        holder.state = toHolderState(known->second.phase);
+        holder.expectedLoadEnd = known->second.loadEnd;
+    }
+    if (holder.state != routing::HolderState::Loaded && !holder.expectedLoadEnd && model)
+        holder.expectedLoadEnd = now + placement::loadTime(model->checkpoint, placement::CheckpointTier::Disk, configuration->loads);
+    holders.push_back(holder);
+    return holders;
+}
+
+routing::RouteDecision GatewayCore::chooseFor(const CallerEntry& entry, base::Instant now)
+{
+    auto configuration = m_node.configuration();
+    const config::ClientAccount* account = configuration->findAccount(entry.request.account);
+    routing::RouteRequest request;
+    request.id = entry.id;
+    request.model = base::ModelId(entry.request.targetId);
+    request.account = entry.request.account;
+    request.accountWeight = account ? account->weight : 1;
+    request.now = now;
+    request.deadline = entry.request.deadline;
+    request.cost = entry.request.cost();
+    request.prefixes = routing::prefixesOf(request.model, entry.request.prompt);
+    request.excluded = entry.tried;
+    request.configurationVersion = configuration->version;
+    return m_router->choose(request, holdersOf(entry, now), m_upstreams, m_prefixes, m_generator);
+}
+
+void GatewayCore::logDecision(const routing::RouteDecision& decision) const
+{
+    base::LogLine line("routed");
+    line.add("request", decision.request).add("model", decision.model);
+    line.add("chosen", decision.chosen ? decision.chosen->value() : std::string("none"));
+    line.add("reason", routing::routeReasonName(decision.reason)).add("candidates", routing::describeCandidates(decision));
+    line.add("wait_ms", base::toMilliseconds(decision.expectedWait)).add("epoch", decision.epoch).add("version", decision.configurationVersion);
+}
+
+void GatewayCore::route(CallerEntry& entry)
+{
+    routing::RouteDecision decision = chooseFor(entry, now());
+    logDecision(decision);
+    if (!decision.chosen) {
+        refuse(entry, *decision.refusal);
+        return;
+    }
+    for (routing::PrefixFingerprint prefix : routing::prefixesOf(decision.model, entry.request.prompt))
+        m_prefixes.stored(*decision.chosen, prefix, now());
+    dispatch(entry, *decision.chosen);
+}
+
+void GatewayCore::dispatch(CallerEntry& entry, const base::UpstreamId& upstream)
+{
+    auto instances = m_node.instances();
+    const node::InstanceRow* row = instances->find(base::InstanceId(upstream.value()));
+    if (!row) {
+        refuse(entry, { base::RefusalCode::NoCapacity, base::RanState::NotRun, "the chosen upstream has gone", now() });
+        return;
+    }
+    auto configuration = m_node.configuration();
+    const config::ClientAccount* account = configuration->findAccount(entry.request.account);
+    ++entry.attempt;
+    entry.upstream = upstream;
+    entry.target = row->peer;
+    entry.tried.push_back(upstream);
+    entry.attaches = 0;
+    entry.dispatch = m_upstreams.dispatched(upstream, { entry.request.account, account ? account->weight : 1, entry.request.cost() });
+
+    peers::RunRequest message;
+    message.request = entry.id;
+    message.attempt = entry.attempt;
+    message.account = entry.request.account;
+    message.key = entry.request.key;
+    message.configuration = configuration->version;
+    message.remaining = base::remaining(now(), entry.request.deadline);
+    message.kind = entry.request.kind.value();
+    message.target = entry.request.target;
+    message.targetId = entry.request.targetId;
+    message.httpMethod = entry.request.httpMethod;
+    message.path = entry.request.path;
+    message.idempotencyKey = entry.request.idempotencyKey;
+    message.contentType = entry.request.contentType;
+    message.promptTokens = entry.request.promptTokens;
+    message.maximumTokens = entry.request.maximumTokens;
+    message.stream = entry.request.stream;
+    message.fingerprint = entry.request.fingerprint;
+    message.dispatchNumber = entry.dispatch.value();
+    message.body = entry.request.body;
+    auto listener = std::make_shared<DispatchListener>(*this, entry.id, entry.attempt);
+    entry.call = m_node.peers().call({ entry.target, peers::Method(std::string(peers::runMethod)), peers::encode(message), entry.request.deadline }, listener);
+}
+
+// The connection to the sidecar was lost in the middle of an answer. The sidecar keeps the answer; a new connection
+// takes it up at the first chunk that did not arrive, so the caller gets it whole and nothing runs twice.
+void GatewayCore::attachAgain(CallerEntry& entry)
+{
+    ++entry.attaches;
+    base::LogLine("attach").add("request", entry.id).add("upstream", entry.upstream).add("next_chunk", entry.nextChunk);
+    m_node.metrics().count("toucanstep_attaches_total");
+    auto listener = std::make_shared<DispatchListener>(*this, entry.id, entry.attempt);
+    std::string message = peers::encode(peers::AttachRequest { entry.id, entry.attempt, entry.nextChunk });
+    entry.call = m_node.peers().call({ entry.target, peers::Method(std::string(peers::attachMethod)), std::move(message), entry.request.deadline }, listener);
+}
+
+// ---- answers
+
+void GatewayCore::onEvent(const base::RequestId& id, int64_t attempt, const std::string& message)
+{
+    CallerEntry* entry = find(id);
+    base::Error error;
+    auto event = base::valueOr(error, [&] { return peers::decodeRunEvent(message); });
+    if (!event || event->request != id) {
+        // A message of another request must never reach this caller.
+        m_node.metrics().count("toucanstep_foreign_events_total");
+        base::LogLine("foreign_event").add("request", id).add("carried", event ? event->request.value() : std::string("malformed"));
+        return;
+    }
+    if (!entry || entry->attempt != attempt || entry->finished)
+        return;
+    if (event->report)
+        onReport(entry->upstream, *event->report, entry->request.targetId);
+    if (auto* start = std::get_if<peers::AnswerStart>(&event->body))
+        onStart(*entry, *start);
+    else if (auto* chunk = std::get_if<peers::AnswerChunk>(&event->body))
+        onChunk(*entry, *chunk);
+    else if (auto* end = std::get_if<peers::AnswerEnd>(&event->body))
+        onAnswerEnd(*entry, *end);
+    else if (auto* refused = std::get_if<peers::AnswerRefused>(&event->body))
+        onRefused(*entry, *refused);
+}
+
+void GatewayCore::onReport(const base::UpstreamId& upstream, const peers::SidecarReport& message, const std::string& model)
+{
+    routing::UpstreamReport report;
+    report.incarnation = message.incarnation;
+    report.sequence = message.sequence;
+    report.load.slots = message.slots;
+    report.load.tokensPerSecond = message.tokensPerSecond;
+    report.load.inFlight = message.inFlight;
+    report.load.inFlightTokens = message.inFlightTokens;
+    for (const peers::AccountQueue& queue : message.queues)
+        report.load.backlog.push_back({ queue.account, queue.weight, queue.queued });
+    report.lastDispatchSeen = routing::DispatchNumber(message.lastDispatchSeen);
+    report.leaving = message.leaving;
+    report.quarantining = message.quarantining;
+    if (!m_upstreams.report(upstream, std::move(report), now()))
+        return;
+    ModelOnUpstream& known = m_phases[{ upstream, base::ModelId(model) }];
+    known.phase = message.phase;
+    known.loadEnd = message.loadRemaining >= base::Duration::zero() ? std::optional(now() + message.loadRemaining) : std::nullopt;
+}
+
+void GatewayCore::onStart(CallerEntry& entry, const peers::AnswerStart& start)
+{
+    if (entry.started)
+        return;
+    entry.started = true;
+    entry.start = start;
+    if (entry.request.stream)
+        entry.exchange->startStream(start.status, { { "Content-Type", start.contentType }, { "Cache-Control", "no-cache" } });
+}
+
+void GatewayCore::onChunk(CallerEntry& entry, const peers::AnswerChunk& chunk)
+{
+    // A chunk that was already passed on comes again after an attach; one from further on would leave a hole.
+    if (chunk.index != entry.nextChunk)
+        return;
+    if (!entry.nextChunk)
+        m_node.metrics().observe("toucanstep_first_chunk_seconds", "", base::toSeconds(now() - entry.arrivedAt));
+    ++entry.nextChunk;
+    if (!entry.request.stream) {
+        entry.body += chunk.bytes;
+        return;
+    }
+    if (entry.exchange->queuedBytes() > maximumQueuedBytes) {
+        base::LogLine("caller_too_slow").add("request", entry.id);
+        callerGone(entry.id);
+        return;
+    }
+    entry.exchange->write(chunk.bytes);
+}
+
+void GatewayCore::onAnswerEnd(CallerEntry& entry, const peers::AnswerEnd& end)
+{
+    if (end.chunks != entry.nextChunk) {
+        // Chunks are missing: the answer is not whole, and the rest is fetched from where it stands.
+        attachAgain(entry);
+        return;
+    }
+    if (entry.request.stream)
+        entry.exchange->finish();
+    else
+        entry.exchange->respond(entry.start.status, { { "Content-Type", entry.start.contentType } }, std::move(entry.body));
+    m_node.metrics().count("toucanstep_answers_total", base::concat("cold=\"", end.cold ? "true" : "false", "\""));
+    base::LogLine("answered").add("request", entry.id).add("upstream", entry.upstream).add("chunks", end.chunks).add("used_tokens", end.usedTokens).add("milliseconds", base::toMilliseconds(now() - entry.arrivedAt));
+    finish(entry.id, entry.request.cost() - end.usedTokens);
+}
+
+void GatewayCore::onRefused(CallerEntry& entry, const peers::AnswerRefused& refused)
+{
+    bool elsewhere = refused.code == base::RefusalCode::Leaving || refused.code == base::RefusalCode::NoCapacity || refused.code == base::RefusalCode::UpstreamFailed;
+    if (elsewhere && tryElsewhere(entry, refused.ran))
+        return;
+    refuse(entry, peers::toRefusal(refused, now()));
+}
+
+// Routes a request anew after an upstream did not serve it. A request of which the caller has seen a part, or that may
+// have run and must run only once, stays where it is.
+bool GatewayCore::tryElsewhere(CallerEntry& entry, base::RanState ran)
+{
+    if (entry.nextChunk || entry.started || now() >= entry.request.deadline)
+        return false;
+    if (ran != base::RanState::NotRun) {
+        auto retriesSoFar = static_cast<int64_t>(entry.tried.size()) - 1;
+        if (!m_retries.tryRetry(entry.request.idempotent, retriesSoFar))
+            return false;
+    }
+    endDispatch(entry);
+    routing::RouteDecision decision = chooseFor(entry, now());
+    logDecision(decision);
+    if (!decision.chosen)
+        return false;
+    m_node.metrics().count("toucanstep_retries_total");
+    dispatch(entry, *decision.chosen);
+    return true;
+}
+
+void GatewayCore::onDispatchEnd(const base::RequestId& id, int64_t attempt, const std::optional<base::Error>& error)
+{
+    CallerEntry* entry = find(id);
+    if (!entry || entry->attempt != attempt || entry->finished)
+        return;
+    if (now() >= entry->request.deadline) {
+        refuse(*entry, { base::RefusalCode::DeadlineExceeded, base::RanState::MayHaveRun, "the deadline passed", std::nullopt });
+        return;
+    }
+    bool neverSent = error && error->kind == base::ErrorKind::Unavailable;
+    if (neverSent && !entry->attaches) {
+        if (tryElsewhere(*entry, base::RanState::NotRun))
+            return;
+        refuse(*entry, { base::RefusalCode::NoCapacity, base::RanState::NotRun, "the upstream cannot be reached", now() });
+        return;
+    }
+    if (entry->attaches < maximumAttaches) {
+        attachAgain(*entry);
+        return;
+    }
+    if (tryElsewhere(*entry, base::RanState::MayHaveRun))
+        return;
+    refuse(*entry, { entry->nextChunk ? base::RefusalCode::AnswerCut : base::RefusalCode::UpstreamFailed, base::RanState::MayHaveRun, "the upstream was lost", std::nullopt });
+}
+
+void GatewayCore::refuse(CallerEntry& entry, const base::Refusal& refusal)
+{
+    m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal.code), "\""));
+    base::LogLine("refused").add("request", entry.id).add("account", entry.request.account).add("target", entry.request.targetId).add("code", refusalCodeName(refusal.code)).add("ran", ranStateName(refusal.ran)).add("reason", refusal.message);
+    if (entry.started && entry.request.stream) {
+        // The caller must not take the part it has for the whole answer: it gets the refusal, and no end mark.
+        entry.exchange->write(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
+        entry.exchange->abort();
+    } else
+        entry.exchange->respond(httpStatus(refusal.code), refusalHeaders(refusal, now()), refusalBody(refusal, now()));
+    finish(entry.id, refusal.ran == base::RanState::NotRun ? entry.request.cost() : base::Tokens(0));
+}
+
+void GatewayCore::endDispatch(CallerEntry& entry)
+{
+    if (entry.call)
+        entry.call->cancel();
+    entry.call.reset();
+    if (entry.attempt)
+        m_upstreams.ended(entry.upstream, entry.dispatch);
+}
+
+void GatewayCore::finish(const base::RequestId& id, base::Tokens unused)
+{
+    auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    std::unique_ptr<CallerEntry> entry = std::move(found->second);
+    m_entries.erase(found);
+    entry->finished = true;
+    endDispatch(*entry);
+    if (entry->charged)
+        m_limits->settle(id, std::max(unused, base::Tokens(0)));
+}
+
+void GatewayCore::callerGone(const base::RequestId& id)
+{
+    CallerEntry* entry = find(id);
+    if (!entry)
+        return;
+    base::LogLine("caller_gone").add("request", id);
+    m_node.metrics().count("toucanstep_callers_gone_total");
+    entry->exchange->abort();
+    finish(id, entry->attempt ? base::Tokens(0) : entry->request.cost());
+}
+
+void GatewayCore::tick()
+{
+    // A listener may have stopped before its end; the deadline holds for every request whatever became of its calls.
+    std::vector<base::RequestId> late;
+    for (const auto& [id, entry] : m_entries) {
+        if (now() >= entry->request.deadline)
+            late.push_back(id);
+    }
+    for (const base::RequestId& id : late) {
+        if (CallerEntry* entry = find(id))
+            refuse(*entry, { base::RefusalCode::DeadlineExceeded, entry->attempt ? base::RanState::MayHaveRun : base::RanState::NotRun, "the deadline passed", std::nullopt });
+    }
+}
+
+nlohmann::json GatewayCore::status() const
+{
+    return { { "role", "gateway" }, { "leaving", m_leaving }, { "requests", m_entries.size() } };
+}
+
+} // namespace toucanstep::gateway::internal
--- /dev/null
+++ b/packages/gateway/src/GatewayCore.h
@@ -0,0 +1,104 @@
+// The traffic side of a gateway: charges, routes, dispatches and answers callers' requests.
+//
+// Everything here runs on the traffic loop.
+
+#pragma once
+
+#include "LimitGate.h"
+#include "toucanstep/gateway/CallerRequest.h"
+#include "toucanstep/gateway/Gateway.h"
+#include "toucanstep/node/Node.h"
+#include "toucanstep/routing/RetryBudget.h"
+#include "toucanstep/routing/Router.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace toucanstep::gateway::internal {
+
+// One caller's request until its answer has ended.
+struct CallerEntry {
+    base::RequestId id;
+    CallerRequest request;
+    std::shared_ptr<platform::HttpExchange> exchange;
+    base::Instant arrivedAt;
+    bool charged = false;
+    // Dispatches so far; the current one's number is the attempt that travels.
+    int64_t attempt = 0;
+    std::vector<base::UpstreamId> tried;
+    // The current dispatch.
+    base::UpstreamId upstream;
+    base::Endpoint target;
+    routing::DispatchNumber dispatch;
+    std::shared_ptr<peers::PeerCall> call;
+    int attaches = 0;
+    // The answer towards the caller.
+    bool started = false;
+    peers::AnswerStart start;
+    int64_t nextChunk = 0;
+    std::string body;
+    bool finished = false;
+};
+
+class GatewayCore {
+public:
+    GatewayCore(node::Node&, GatewayOptions, std::unique_ptr<LimitGate>);
+    ~GatewayCore();
+
+    void begin(CallerRequest, std::shared_ptr<platform::HttpExchange>);
+    void onConfiguration(const std::shared_ptr<const config::Configuration>&);
+    void tick();
+    void setLeaving() { m_leaving = true; }
+    bool idle() const { return m_entries.empty(); }
+    nlohmann::json status() const;
+
+private:
+    class DispatchListener;
+
+    base::Instant now() const { return m_node.traffic().now(); }
+    CallerEntry* find(const base::RequestId&);
+
+    void onCharged(const base::RequestId&, const std::optional<base::Refusal>&);
+    void route(CallerEntry&);
+    routing::RouteDecision chooseFor(const CallerEntry&, base::Instant now);
+    std::vector<routing::Holder> holdersOf(const CallerEntry&, base::Instant now);
+    void logDecision(const routing::RouteDecision&) const;
+    void dispatch(CallerEntry&, const base::UpstreamId&);
+    void attachAgain(CallerEntry&);
+
+    void onEvent(const base::RequestId&, int64_t attempt, const std::string& message);
+    void onDispatchEnd(const base::RequestId&, int64_t attempt, const std::optional<base::Error>&);
+    void onReport(const base::UpstreamId&, const peers::SidecarReport&, const std::string& model);
+    void onStart(CallerEntry&, const peers::AnswerStart&);
+    void onChunk(CallerEntry&, const peers::AnswerChunk&);
+    void onAnswerEnd(CallerEntry&, const peers::AnswerEnd&);
+    void onRefused(CallerEntry&, const peers::AnswerRefused&);
+    bool tryElsewhere(CallerEntry&, base::RanState);
+    void refuse(CallerEntry&, const base::Refusal&);
+    void endDispatch(CallerEntry&);
+    void finish(const base::RequestId&, base::Tokens unused);
+    void callerGone(const base::RequestId&);
+
+    node::Node& m_node;
+    GatewayOptions m_options;
+    std::unique_ptr<LimitGate> m_limits;
+    std::unique_ptr<routing::Router> m_router;
+    routing::UpstreamTable m_upstreams;
+    routing::PrefixIndex m_prefixes;
+    routing::RetryBudget m_retries;
+    routing::Generator m_generator;
+    absl::flat_hash_map<base::RequestId, std::unique_ptr<CallerEntry>> m_entries;
+    // The last known phase of a model on an upstream, with the end of its load.
+    struct ModelOnUpstream {
+        peers::ModelPhase phase = peers::ModelPhase::Cold;
+        std::optional<base::Instant> loadEnd;
+    };
+    std::map<std::pair<base::UpstreamId, base::ModelId>, ModelOnUpstream> m_phases;
+    int64_t m_counter = 0;
+    bool m_leaving = false;
+};
+
+} // namespace toucanstep::gateway::internal
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -23,7 +23,9 @@
 #include "toucanstep/peers/PeerServer.h"
 #include "toucanstep/platform/HttpClient.h"
 #include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/platform/InstanceList.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -39,8 +41,16 @@
     base::Duration storeTimeout = std::chrono::milliseconds(800);
 };
 
+// One answer of the platform's list, as the parts that prove presence and absence need it.
+struct ListingAnswer {
+    std::string listName;
+    platform::InstanceListing listing;
+    base::Instant sentAt;
+};
+
 class Node {
 public:
+    using ListingListener = std::function<void(const ListingAnswer&)>;
     using System = std::function<void(base::Instant now)>;
     using ConfigurationListener = std::function<void(std::shared_ptr<const config::Configuration>)>;
 
@@ -55,6 +65,8 @@
     void addSystem(System);
     // Called on the control loop, after a newer version was published to readers.
     void onConfiguration(ConfigurationListener);
+    // Called on the control loop for every answer of the platform's list.
+    void onListing(ListingListener);
     void setStatus(std::function<nlohmann::json()>);
 
     base::Result<void> start();
@@ -104,6 +116,7 @@
     base::Endpoint m_peerEndpoint;
     std::vector<System> m_systems;
     std::vector<ConfigurationListener> m_configurationListeners;
+    std::vector<ListingListener> m_listingListeners;
     std::function<nlohmann::json()> m_status;
     absl::flat_hash_map<peers::Method, peers::PeerServer::Handler> m_methods;
     std::unique_ptr<peers::EventLoop> m_control;
@@ -111,7 +124,7 @@
     std::unique_ptr<peers::PeerServer> m_server;
     std::unique_ptr<peers::PeerClient> m_peers;
     std::shared_ptr<ConfigurationFollower> m_follower;
-    std::unique_ptr<InstanceListPoller> m_poller;
+    std::shared_ptr<InstanceListPoller> m_poller;
     std::unique_ptr<platform::HttpServer> m_operator;
     bool m_stopped = false;
 };
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -8,6 +8,7 @@
 #include "toucanstep/platform/InstanceList.h"
 
 #include <glog/logging.h>
+#include <set>
 
 namespace toucanstep::node {
 
@@ -119,6 +120,64 @@
     std::unique_ptr<base::WatchHandle> m_watch;
 };
 
+// Reads the platform's list under every name that matters to this process and publishes what was read last.
+class Node::InstanceListPoller : public std::enable_shared_from_this<InstanceListPoller> {
+public:
+    explicit InstanceListPoller(Node& node)
+        : m_node(node)
+        , m_list(platform::makeInstanceList(node.m_settings.instanceListUrl, node.m_http))
+    {
+    }
+
+    void tick(base::Instant now)
+    {
+        if (now < m_nextPoll)
+            return;
+        m_nextPoll = now + m_node.m_options.instanceListPollInterval;
+        for (const std::string& name : names())
+            read(name, now);
+    }
+
+private:
+    // Sidecars need the gateways and their own pool; gateways need every pool.
+    std::set<std::string> names() const
+    {
+        std::set<std::string> names { std::string(gatewayListName), m_node.m_settings.listName };
+        if (m_node.m_settings.role == config::Role::Gateway) {
+            for (const config::UpstreamPool& pool : m_node.configuration()->pools)
+                names.insert(pool.listName);
+        }
+        names.erase("");
+        return names;
+    }
+
+    void read(const std::string& name, base::Instant now)
+    {
+        m_list->read(name, now + m_node.m_options.storeTimeout, [loop = m_node.m_control.get(), weak = weak_from_this(), name, now](base::Outcome<platform::InstanceListing> outcome) {
+            loop->post([weak, name, now, outcome = std::move(outcome)] {
+                auto poller = weak.lock();
+                if (auto* listing = std::get_if<platform::InstanceListing>(&outcome); poller && listing)
+                    poller->install(name, *listing, now);
+            });
+        });
+    }
+
+    void install(const std::string& name, const platform::InstanceListing& listing, base::Instant sentAt)
+    {
+        auto table = std::make_shared<InstanceTable>(*m_node.m_instances.load());
+        std::erase_if(table->rows, [&](const InstanceRow& row) { return row.listName == name; });
+        for (const platform::ListedInstance& listed : listing.instances)
+            table->rows.push_back({ listed.instance, listed.endpoint, listed.failureDomain, name, listed.ready, listed.terminating });
+        m_node.m_instances.publish(table);
+        for (const ListingListener& listener : m_node.m_listingListeners)
+            listener({ name, listing, sentAt });
+    }
+
+    Node& m_node;
+    std::unique_ptr<platform::InstanceList> m_list;
+    base::Instant m_nextPoll;
+};
+
 Node::Node(config::ProcessSettings settings, NodeOptions options)
     : m_settings(std::move(settings))
     , m_options(options)
@@ -129,7 +188,7 @@
 {
     m_store = platform::makeEtcdStore(m_settings.keyValueUrl, m_http);
     m_follower = std::make_shared<ConfigurationFollower>(*this);
-    m_poller = std::make_unique<InstanceListPoller>(*this);
+    m_poller = std::make_shared<InstanceListPoller>(*this);
 }
 
 Node::~Node()
@@ -174,6 +233,11 @@
     m_configurationListeners.push_back(std::move(listener));
 }
 
+void Node::onListing(ListingListener listener)
+{
+    m_listingListeners.push_back(std::move(listener));
+}
+
 void Node::setStatus(std::function<nlohmann::json()> status)
 {
     m_status = std::move(status);
