--- a/packages/fakes/src/RestartableServer.cpp
+++ b/packages/fakes/src/RestartableServer.cpp
@@ -58,7 +58,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(m_port);
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(m_placeholder, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (::bind(m_placeholder, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+        LOG(WARNING) << "port " << m_port << " is not held while the stand-in is down";
 }
 
 } // namespace toucanstep::fakes::internal
