Placement: replica plan, residency manager, learnt keep-alive, load permits

Cause: a cold model needs one decided place and one load, an engine's memory must never be overcommitted by orders that are late, lost, doubled or a dead predecessor's, and the weight store must not be overdriven. Change: a planner that writes rows through typed intents with the revision they were planned upon; a table of residency states that takes memory before an order and frees it on a proof of absence; keep-alive from each model's own idle gaps; permits by earliest deadline, with a paced local guess while their home is away.

--- a/packages/placement/include/toucanstep/placement/ReplicaPlan.h
+++ b/packages/placement/include/toucanstep/placement/ReplicaPlan.h
@@ -20,11 +20,14 @@
 
 namespace toucanstep::placement {
 
-// Numbers the rows of one model from 0; row 0 is its home.
+// Numbers the rows of one model. A model without demand has one row, its home.
 using ReplicaSlot = base::StrongNumber<struct ReplicaSlotTag>;
 
 enum class HolderPresence {
     Present,
+    // Not heard, and not proved absent: its rows stay, and others are added in their place meanwhile. An instance that
+    // is not in the input counts as missing.
+    Missing,
     // Finishes what runs and takes nothing new.
     Leaving,
     // Proved absent for long enough that its rows may move; a lapsed lease alone is no proof.
@@ -85,6 +88,8 @@
     Cold,
     HolderGone,
     HolderLeaving,
+    // Stands in for a row whose holder is missing, leaves or gives it back.
+    Replacement,
     // The adapter's holder does not hold its base model.
     BaseElsewhere,
     ModelDropped,
@@ -120,7 +125,7 @@
     size_t maximumIntents = 256;
     size_t maximumRebalancing = 2;
     // Rebalancing begins once the fullest instance is assigned this many percent of its memory more than the emptiest.
-    int64_t rebalanceGapPercent = 150;
+    int64_t rebalanceGapPercent = 75;
     // A replica is wanted for each such part of an instance's slots in use, in percent.
     int64_t targetUtilisationPercent = 70;
     // Fewer replicas must have been enough for this long before one is taken back.
--- a/packages/placement/include/toucanstep/placement/ResidencyManager.h
+++ b/packages/placement/include/toucanstep/placement/ResidencyManager.h
@@ -16,7 +16,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <vector>
 
@@ -93,7 +92,7 @@
     bool fencing = false;
     // After it was sent, an order can take effect for this long at most.
     base::Duration lateOrderHorizon = std::chrono::seconds(10);
-    // Given to loads beyond their expected time, and to unloads and index readings.
+    // Given to loads beyond twice their expected time, and to unloads and index readings.
     base::Duration orderTimeout = std::chrono::seconds(5);
     base::Duration indexInterval = std::chrono::seconds(5);
     // Least time between two readings while something is not settled.
@@ -133,14 +132,16 @@
     bool usable(const base::ModelId&) const;
     bool holdsRow(const base::ModelId&) const;
     // The row may be given back: the model is proved absent.
-    bool mayRelease(const base::ModelId&, base::Instant now) const;
+    bool mayRelease(const base::ModelId&) const;
+    // The row was given back.
+    void dropRow(const base::ModelId&);
     // When the model can be used if nothing fails; nothing without a row, or if it can never fit.
     std::optional<base::Instant> expectedLoadEnd(const base::ModelId&, base::Instant now) const;
     base::Bytes taken() const;
     base::Bytes capacity() const { return m_settings.capacity; }
     std::vector<base::ModelId> loaded() const;
     // Whether no index can be trusted yet, because orders of an earlier sidecar process may still land.
-    bool predecessorMayAct(base::Instant now) const;
+    bool predecessorMayAct() const;
 
 private:
     struct Entry {
@@ -149,9 +150,10 @@
         bool withdrawn = false;
         ResidencyState state = ResidencyState::Assigned;
         std::optional<OrderId> order;
-        base::Instant orderSent;
+        // Readings of the index that began earlier say nothing about this model.
+        base::Instant settledAt;
         base::Instant loadExpectedEnd;
-        // Orders that timed out can take effect until these points.
+        // Until then an earlier order to load, or one to unload that timed out, can take effect.
         base::Instant lateLoadUntil;
         base::Instant lateUnloadUntil;
         int64_t inUse = 0;
@@ -159,41 +161,57 @@
         std::map<base::RequestId, base::Instant> waiters;
     };
     struct Pending {
-        OrderKind kind;
+        OrderKind kind = OrderKind::ReadIndex;
         base::ModelId model;
         base::Instant sent;
     };
-    using Entries = std::map<base::ModelId, Entry>;
+    // What can be unloaded together: a model with its loaded adapters.
+    struct Victim {
+        base::ModelId model;
+        base::Bytes memory;
+        double cost = 0;
+    };
+    using Orders = std::vector<ResidencyOrder>;
 
     Entry& entry(const base::ModelId&);
-    static bool holdsMemory(const Entry&, base::Instant now);
-    bool hasLoadedAdapters(const base::ModelId&) const;
+    const Entry* find(const base::ModelId&) const;
+    std::vector<base::ModelId> residentAdapters(const base::ModelId&) const;
     bool evictable(const Entry&) const;
-    bool settled(base::Instant now) const;
-    base::Instant earliestWaiter(const Entry&) const;
-    std::vector<Entry*> wanted();
+    std::optional<base::Instant> earliestWaiter(const Entry&) const;
+    std::vector<base::ModelId> byEarliestWaiter(ResidencyState) const;
+    IdleModel idleModel(const Entry&) const;
+    base::Bytes memoryOf(const Entry&) const;
+    bool mayLoad(const Entry&) const;
+    bool unsettled() const;
+    void becomeLoaded(Entry&, base::Instant now);
     void applyIndex(Entry&, std::optional<EngineModelState>, base::Instant readBegan, base::Instant now);
-    void finish(Entry&, OrderKind, OrderOutcome, base::Instant sent, base::Instant now);
-    ResidencyOrder give(OrderKind, const base::ModelId&, base::Epoch, base::Duration allowed, base::Instant now);
-    void unload(Entry&, base::Instant now, std::vector<ResidencyOrder>&);
+    void finishLoad(Entry&, OrderOutcome, base::Instant now);
+    void finishUnload(Entry&, OrderOutcome, base::Instant sent, base::Instant now);
+    void fenceOff(base::Instant sent, base::Instant now);
+    bool isPending(OrderKind) const;
+    OrderId give(OrderKind, const base::ModelId&, base::Duration allowed, base::Instant now, Orders&);
+    void unload(Entry&, base::Instant now, Orders&);
     void cancelUnwanted();
-    void reserveWanted(base::Instant now, std::vector<ResidencyOrder>&);
-    bool makeRoom(const Entry& wanted, base::Instant now, std::vector<ResidencyOrder>&);
-    void beginLoads(base::Instant now, const LoadPermission&, std::vector<ResidencyOrder>&);
-    void unloadIdle(base::Instant now, std::vector<ResidencyOrder>&);
-    void readIndexIfDue(base::Instant now, std::vector<ResidencyOrder>&);
+    void raiseFenceIfDue(base::Instant now, Orders&);
+    void reserveWanted(base::Instant now, Orders&);
+    std::vector<Victim> victims(const Entry& wanted, base::Instant now) const;
+    bool makeRoom(const Entry& wanted, base::Bytes missing, base::Instant now, Orders&);
+    void beginLoads(base::Instant now, const LoadPermission&, Orders&);
+    void unloadUnneeded(base::Instant now, Orders&);
+    void readIndexIfDue(base::Instant now, Orders&);
 
     ResidencySettings m_settings;
     std::unique_ptr<KeepAlivePolicy> m_policy;
     base::Epoch m_epoch;
+    // No index that began before it is proof of absence.
     base::Instant m_predecessorUntil;
     bool m_fenceRaised = false;
-    std::optional<base::Instant> m_lastIndex;
+    std::optional<base::Instant> m_lastIndexBegan;
+    std::optional<base::Instant> m_lastIndexAsked;
     std::optional<base::Instant> m_crashedAt;
-    Entries m_entries;
+    std::map<base::ModelId, Entry> m_entries;
     std::map<OrderId, Pending> m_pending;
     OrderId m_lastOrder;
-    base::Instant m_now;
 };
 
 } // namespace toucanstep::placement
--- /dev/null
+++ b/packages/placement/src/ResidencyManager.cpp
@@ -0,0 +1,564 @@
+#include "toucanstep/placement/ResidencyManager.h"
+
+#include <algorithm>
+
+namespace toucanstep::placement {
+
+std::string_view residencyStateName(ResidencyState state)
+{
+    switch (state) {
+    case ResidencyState::Assigned:
+        return "assigned";
+    case ResidencyState::Reserved:
+        return "reserved";
+    case ResidencyState::Loading:
+        return "loading";
+    case ResidencyState::Loaded:
+        return "loaded";
+    case ResidencyState::Unloading:
+        return "unloading";
+    case ResidencyState::Unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+ResidencyManager::ResidencyManager(ResidencySettings settings, std::unique_ptr<KeepAlivePolicy> policy, base::Epoch epoch, base::Instant started)
+    : m_settings(settings)
+    , m_policy(std::move(policy))
+    , m_epoch(epoch)
+    , m_predecessorUntil(started + settings.lateOrderHorizon)
+{
+}
+
+ResidencyManager::Entry& ResidencyManager::entry(const base::ModelId& model)
+{
+    auto& found = m_entries[model];
+    found.facts.model = model;
+    return found;
+}
+
+const ResidencyManager::Entry* ResidencyManager::find(const base::ModelId& model) const
+{
+    auto place = m_entries.find(model);
+    return place == m_entries.end() ? nullptr : &place->second;
+}
+
+// A model of unknown size is taken to fill the whole memory: nothing is loaded beside it until it is gone.
+base::Bytes ResidencyManager::memoryOf(const Entry& entry) const
+{
+    return entry.facts.memory.value() > 0 ? entry.facts.memory : m_settings.capacity;
+}
+
+void ResidencyManager::setFacts(std::vector<ModelFacts> facts)
+{
+    std::map<base::ModelId, const ModelFacts*> given;
+    for (const auto& fact : facts)
+        given.emplace(fact.model, &fact);
+    for (auto place = m_entries.begin(); place != m_entries.end();) {
+        auto& known = place->second;
+        // The size of what may be on the engine must outlive its place in the text.
+        auto isGone = !given.count(place->first) && known.state == ResidencyState::Assigned && !known.row && known.waiters.empty() && known.inUse == 0;
+        if (isGone)
+            m_policy->forget(place->first);
+        place = isGone ? m_entries.erase(place) : std::next(place);
+    }
+    for (const auto& fact : facts)
+        entry(fact.model).facts = fact;
+}
+
+void ResidencyManager::grantRow(const base::ModelId& model, base::Epoch epoch)
+{
+    auto& granted = entry(model);
+    granted.row = epoch;
+    granted.withdrawn = false;
+}
+
+void ResidencyManager::withdrawRow(const base::ModelId& model)
+{
+    entry(model).withdrawn = true;
+}
+
+void ResidencyManager::dropRow(const base::ModelId& model)
+{
+    auto& dropped = entry(model);
+    dropped.row.reset();
+    dropped.withdrawn = false;
+}
+
+bool ResidencyManager::mayRelease(const base::ModelId& model) const
+{
+    const auto* known = find(model);
+    return !known || (known->state == ResidencyState::Assigned && !predecessorMayAct());
+}
+
+bool ResidencyManager::predecessorMayAct() const
+{
+    if (m_settings.fencing && !m_fenceRaised)
+        return true;
+    return !m_lastIndexBegan || *m_lastIndexBegan < m_predecessorUntil;
+}
+
+// --- What the engine says ---
+
+void ResidencyManager::onIndex(const EngineIndex& index, base::Instant now)
+{
+    if (m_crashedAt && index.readBegan <= *m_crashedAt)
+        return;
+    if (m_lastIndexBegan && index.readBegan < *m_lastIndexBegan)
+        return;
+    m_lastIndexBegan = index.readBegan;
+    std::map<base::ModelId, EngineModelState> shown;
+    for (const auto& listed : index.entries) {
+        shown[listed.model] = listed.state;
+        entry(listed.model);
+    }
+    for (auto& [model, known] : m_entries) {
+        auto place = shown.find(model);
+        applyIndex(known, place == shown.end() ? std::nullopt : std::optional(place->second), index.readBegan, now);
+    }
+}
+
+void ResidencyManager::applyIndex(Entry& known, std::optional<EngineModelState> shown, base::Instant readBegan, base::Instant now)
+{
+    if (known.order || readBegan < known.settledAt)
+        return;
+    if (!shown) {
+        if (known.state == ResidencyState::Assigned || known.state == ResidencyState::Reserved)
+            return;
+        // Absent now, and nothing that was ordered before can bring it back: only then is its memory free.
+        auto isProof = readBegan >= known.lateLoadUntil && !predecessorMayAct();
+        known.state = isProof ? ResidencyState::Assigned : ResidencyState::Unknown;
+        return;
+    }
+    switch (*shown) {
+    case EngineModelState::Loading:
+        if (known.state != ResidencyState::Loading)
+            known.loadExpectedEnd = now + known.facts.loadTime;
+        known.state = ResidencyState::Loading;
+        return;
+    case EngineModelState::Unloading:
+        known.state = ResidencyState::Unloading;
+        return;
+    case EngineModelState::Ready:
+        if (readBegan < known.lateUnloadUntil)
+            known.state = ResidencyState::Unknown;
+        else if (known.state != ResidencyState::Loaded)
+            becomeLoaded(known, now);
+        return;
+    }
+}
+
+void ResidencyManager::becomeLoaded(Entry& known, base::Instant now)
+{
+    known.state = ResidencyState::Loaded;
+    known.idleSince = now;
+    if (known.inUse == 0 && known.waiters.empty())
+        m_policy->onIdle(known.facts.model, now);
+}
+
+void ResidencyManager::onUpstreamCrashed(base::Instant now)
+{
+    m_crashedAt = now;
+    for (auto& [model, known] : m_entries)
+        if (known.state != ResidencyState::Assigned && known.state != ResidencyState::Reserved)
+            known.state = ResidencyState::Unknown;
+}
+
+void ResidencyManager::onOrderResult(OrderId id, OrderOutcome outcome, base::Instant now)
+{
+    auto place = m_pending.find(id);
+    if (place == m_pending.end())
+        return;
+    auto pending = place->second;
+    m_pending.erase(place);
+    if (outcome == OrderOutcome::Done && pending.kind != OrderKind::ReadIndex)
+        fenceOff(pending.sent, now);
+    if (pending.kind == OrderKind::Load)
+        finishLoad(entry(pending.model), outcome, now);
+    if (pending.kind == OrderKind::Unload)
+        finishUnload(entry(pending.model), outcome, pending.sent, now);
+}
+
+// An engine that honours fencing has taken an order that was sent at `sent`: it refuses all that were sent before.
+void ResidencyManager::fenceOff(base::Instant sent, base::Instant now)
+{
+    if (!m_settings.fencing)
+        return;
+    if (!m_fenceRaised) {
+        m_fenceRaised = true;
+        m_predecessorUntil = std::min(m_predecessorUntil, now);
+    }
+    auto cut = [&](base::Instant& until) {
+        if (until - m_settings.lateOrderHorizon < sent)
+            until = std::min(until, now);
+    };
+    for (auto& [model, known] : m_entries) {
+        cut(known.lateLoadUntil);
+        cut(known.lateUnloadUntil);
+    }
+}
+
+void ResidencyManager::finishLoad(Entry& known, OrderOutcome outcome, base::Instant now)
+{
+    known.order.reset();
+    known.settledAt = now;
+    // Answered by an engine process that has died since.
+    auto isOfDeadEngine = known.state != ResidencyState::Loading;
+    if (outcome == OrderOutcome::Done && !isOfDeadEngine && now >= known.lateUnloadUntil)
+        becomeLoaded(known, now);
+    else
+        known.state = ResidencyState::Unknown;
+}
+
+void ResidencyManager::finishUnload(Entry& known, OrderOutcome outcome, base::Instant sent, base::Instant now)
+{
+    known.order.reset();
+    known.settledAt = now;
+    if (outcome == OrderOutcome::TimedOut)
+        known.lateUnloadUntil = std::max(known.lateUnloadUntil, sent + m_settings.lateOrderHorizon);
+    known.state = outcome == OrderOutcome::Done ? ResidencyState::Unloading : ResidencyState::Unknown;
+}
+
+// --- What requests want ---
+
+void ResidencyManager::addWaiter(const base::ModelId& model, const base::RequestId& request, base::Instant deadline, base::Instant now)
+{
+    auto& wanted = entry(model);
+    m_policy->onRequest(model, now);
+    if (wanted.facts.baseModel)
+        m_policy->onRequest(*wanted.facts.baseModel, now);
+    wanted.waiters.emplace(request, deadline);
+}
+
+void ResidencyManager::removeWaiter(const base::ModelId& model, const base::RequestId& request, base::Instant now)
+{
+    auto& wanted = entry(model);
+    auto wasWaiting = wanted.waiters.erase(request) > 0;
+    if (wasWaiting && wanted.waiters.empty() && wanted.inUse == 0 && wanted.state == ResidencyState::Loaded)
+        wanted.idleSince = now;
+}
+
+bool ResidencyManager::beginUse(const base::ModelId& model, base::Instant now)
+{
+    if (!usable(model))
+        return false;
+    auto& used = entry(model);
+    m_policy->onRequest(model, now);
+    ++used.inUse;
+    if (used.facts.baseModel)
+        ++entry(*used.facts.baseModel).inUse;
+    return true;
+}
+
+void ResidencyManager::endUse(const base::ModelId& model, base::Instant now)
+{
+    auto end = [&](Entry& used) {
+        used.inUse = std::max<int64_t>(0, used.inUse - 1);
+        if (used.inUse > 0)
+            return;
+        used.idleSince = now;
+        if (used.waiters.empty())
+            m_policy->onIdle(used.facts.model, now);
+    };
+    auto& used = entry(model);
+    end(used);
+    if (used.facts.baseModel)
+        end(entry(*used.facts.baseModel));
+}
+
+// --- Decisions ---
+
+std::vector<ResidencyOrder> ResidencyManager::tick(base::Instant now, const LoadPermission& permission)
+{
+    Orders orders;
+    cancelUnwanted();
+    raiseFenceIfDue(now, orders);
+    // Until orders of an earlier process can land no longer, what the engine will hold is not known: nothing is ordered.
+    if (!predecessorMayAct()) {
+        unloadUnneeded(now, orders);
+        reserveWanted(now, orders);
+        beginLoads(now, permission, orders);
+    }
+    readIndexIfDue(now, orders);
+    return orders;
+}
+
+void ResidencyManager::cancelUnwanted()
+{
+    for (auto& [model, known] : m_entries)
+        if (known.state == ResidencyState::Reserved && (!earliestWaiter(known) || !mayLoad(known)))
+            known.state = ResidencyState::Assigned;
+}
+
+bool ResidencyManager::mayLoad(const Entry& known) const
+{
+    return known.row && !known.withdrawn && known.facts.memory.value() > 0;
+}
+
+// Who waits for an adapter waits for its base model as well.
+std::optional<base::Instant> ResidencyManager::earliestWaiter(const Entry& known) const
+{
+    std::optional<base::Instant> earliest;
+    auto consider = [&](const Entry& waitedFor) {
+        for (const auto& [request, deadline] : waitedFor.waiters)
+            earliest = std::min(earliest.value_or(deadline), deadline);
+    };
+    consider(known);
+    for (const auto& [model, other] : m_entries)
+        if (other.facts.baseModel == known.facts.model && mayLoad(other))
+            consider(other);
+    return earliest;
+}
+
+std::vector<base::ModelId> ResidencyManager::byEarliestWaiter(ResidencyState state) const
+{
+    std::vector<std::pair<base::Instant, base::ModelId>> order;
+    for (const auto& [model, known] : m_entries) {
+        if (known.state != state || known.order || !mayLoad(known))
+            continue;
+        if (auto earliest = earliestWaiter(known))
+            order.emplace_back(*earliest, model);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<base::ModelId> models;
+    for (auto& [deadline, model] : order)
+        models.push_back(std::move(model));
+    return models;
+}
+
+void ResidencyManager::reserveWanted(base::Instant now, Orders& orders)
+{
+    // Memory that earlier ones in the order wait for is not given to later ones.
+    base::Bytes promised;
+    for (const auto& model : byEarliestWaiter(ResidencyState::Assigned)) {
+        auto& wanted = entry(model);
+        auto free = m_settings.capacity - taken() - promised;
+        auto memory = memoryOf(wanted);
+        if (free >= memory) {
+            wanted.state = ResidencyState::Reserved;
+            continue;
+        }
+        if (makeRoom(wanted, memory - free, now, orders))
+            promised += memory;
+    }
+}
+
+bool ResidencyManager::makeRoom(const Entry& wanted, base::Bytes missing, base::Instant now, Orders& orders)
+{
+    base::Bytes coming;
+    for (const auto& [model, known] : m_entries)
+        if (known.state == ResidencyState::Unloading)
+            coming += memoryOf(known);
+    auto candidates = victims(wanted, now);
+    auto possible = coming;
+    for (const auto& victim : candidates)
+        possible += victim.memory;
+    if (possible < missing)
+        return false;
+    for (const auto& victim : candidates) {
+        if (coming >= missing)
+            break;
+        coming += victim.memory;
+        auto adapters = residentAdapters(victim.model);
+        for (const auto& adapter : adapters)
+            unload(entry(adapter), now, orders);
+        // A base model follows its adapters in a later tick, once they are gone.
+        if (adapters.empty())
+            unload(entry(victim.model), now, orders);
+    }
+    return true;
+}
+
+std::vector<base::ModelId> ResidencyManager::residentAdapters(const base::ModelId& base) const
+{
+    std::vector<base::ModelId> adapters;
+    for (const auto& [model, known] : m_entries)
+        if (known.facts.baseModel == base && known.state != ResidencyState::Assigned)
+            adapters.push_back(model);
+    return adapters;
+}
+
+bool ResidencyManager::evictable(const Entry& known) const
+{
+    return known.state == ResidencyState::Loaded && !known.order && known.inUse == 0 && known.waiters.empty();
+}
+
+IdleModel ResidencyManager::idleModel(const Entry& known) const
+{
+    return { known.facts.model, known.idleSince, known.facts.loadTime, memoryOf(known) };
+}
+
+std::vector<ResidencyManager::Victim> ResidencyManager::victims(const Entry& wanted, base::Instant now) const
+{
+    std::vector<Victim> candidates;
+    for (const auto& [model, known] : m_entries) {
+        if (!evictable(known) || model == wanted.facts.baseModel || earliestWaiter(known))
+            continue;
+        Victim victim { model, memoryOf(known), m_policy->evictionCost(idleModel(known), now) };
+        bool allIdle = true;
+        for (const auto& adapter : residentAdapters(model)) {
+            const auto* part = find(adapter);
+            allIdle = allIdle && evictable(*part);
+            victim.cost += m_policy->evictionCost(idleModel(*part), now);
+        }
+        if (allIdle)
+            candidates.push_back(std::move(victim));
+    }
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) { return left.cost < right.cost; });
+    return candidates;
+}
+
+void ResidencyManager::beginLoads(base::Instant now, const LoadPermission& permission, Orders& orders)
+{
+    for (const auto& model : byEarliestWaiter(ResidencyState::Reserved)) {
+        auto& wanted = entry(model);
+        if (wanted.facts.baseModel && !usable(*wanted.facts.baseModel))
+            continue;
+        if (!permission(model, *earliestWaiter(wanted)))
+            continue;
+        wanted.order = give(OrderKind::Load, model, 2 * wanted.facts.loadTime + m_settings.orderTimeout, now, orders);
+        wanted.state = ResidencyState::Loading;
+        wanted.loadExpectedEnd = now + wanted.facts.loadTime;
+        // Also an order that is answered may have been sent twice on the way.
+        wanted.lateLoadUntil = std::max(wanted.lateLoadUntil, now + m_settings.lateOrderHorizon);
+    }
+}
+
+void ResidencyManager::unload(Entry& known, base::Instant now, Orders& orders)
+{
+    if (known.order || known.state != ResidencyState::Loaded)
+        return;
+    known.order = give(OrderKind::Unload, known.facts.model, m_settings.orderTimeout, now, orders);
+    known.state = ResidencyState::Unloading;
+}
+
+void ResidencyManager::unloadUnneeded(base::Instant now, Orders& orders)
+{
+    for (auto& [model, known] : m_entries) {
+        auto hasNoRow = !known.row || known.withdrawn;
+        auto isUnused = known.state == ResidencyState::Loaded && known.inUse == 0 && residentAdapters(model).empty();
+        if (!isUnused)
+            continue;
+        auto isIdle = !earliestWaiter(known) && m_policy->keepUntil(idleModel(known)) <= now;
+        if (hasNoRow || isIdle)
+            unload(known, now, orders);
+    }
+}
+
+bool ResidencyManager::isPending(OrderKind kind) const
+{
+    return std::any_of(m_pending.begin(), m_pending.end(), [&](const auto& pending) { return pending.second.kind == kind; });
+}
+
+void ResidencyManager::raiseFenceIfDue(base::Instant now, Orders& orders)
+{
+    if (!m_settings.fencing || isPending(OrderKind::RaiseFence))
+        return;
+    auto mayStillLand = [&](const auto& known) {
+        return known.second.state == ResidencyState::Unknown && !known.second.order && std::max(known.second.lateLoadUntil, known.second.lateUnloadUntil) > now;
+    };
+    if (!m_fenceRaised || std::any_of(m_entries.begin(), m_entries.end(), mayStillLand))
+        give(OrderKind::RaiseFence, base::ModelId(), m_settings.orderTimeout, now, orders);
+}
+
+bool ResidencyManager::unsettled() const
+{
+    auto isUnsettled = [&](const auto& known) {
+        switch (known.second.state) {
+        case ResidencyState::Unknown:
+        case ResidencyState::Unloading:
+        case ResidencyState::Loading:
+            // An order that is under way is settled by its answer.
+            return !known.second.order;
+        default:
+            return false;
+        }
+    };
+    return predecessorMayAct() || std::any_of(m_entries.begin(), m_entries.end(), isUnsettled);
+}
+
+void ResidencyManager::readIndexIfDue(base::Instant now, Orders& orders)
+{
+    if (isPending(OrderKind::ReadIndex))
+        return;
+    auto interval = unsettled() ? m_settings.unsettledIndexInterval : m_settings.indexInterval;
+    if (m_lastIndexAsked && now - *m_lastIndexAsked < interval)
+        return;
+    m_lastIndexAsked = now;
+    give(OrderKind::ReadIndex, base::ModelId(), m_settings.orderTimeout, now, orders);
+}
+
+OrderId ResidencyManager::give(OrderKind kind, const base::ModelId& model, base::Duration allowed, base::Instant now, Orders& orders)
+{
+    m_lastOrder += OrderId(1);
+    m_pending.emplace(m_lastOrder, Pending { kind, model, now });
+    orders.push_back({ m_lastOrder, kind, model, m_epoch, now + allowed });
+    return m_lastOrder;
+}
+
+// --- Answers ---
+
+ResidencyState ResidencyManager::state(const base::ModelId& model) const
+{
+    const auto* known = find(model);
+    return known ? known->state : ResidencyState::Assigned;
+}
+
+bool ResidencyManager::holdsRow(const base::ModelId& model) const
+{
+    const auto* known = find(model);
+    return known && known->row.has_value();
+}
+
+bool ResidencyManager::usable(const base::ModelId& model) const
+{
+    const auto* known = find(model);
+    if (!known || known->state != ResidencyState::Loaded || !known->row || known->withdrawn)
+        return false;
+    return !known->facts.baseModel || usable(*known->facts.baseModel);
+}
+
+base::Bytes ResidencyManager::taken() const
+{
+    base::Bytes sum;
+    for (const auto& [model, known] : m_entries)
+        if (known.state != ResidencyState::Assigned)
+            sum += memoryOf(known);
+    return sum;
+}
+
+std::vector<base::ModelId> ResidencyManager::loaded() const
+{
+    std::vector<base::ModelId> models;
+    for (const auto& [model, known] : m_entries)
+        if (known.state == ResidencyState::Loaded)
+            models.push_back(model);
+    return models;
+}
+
+std::optional<base::Instant> ResidencyManager::expectedLoadEnd(const base::ModelId& model, base::Instant now) const
+{
+    const auto* known = find(model);
+    if (!known || !mayLoad(*known) || known->facts.memory > m_settings.capacity)
+        return std::nullopt;
+    auto begin = now;
+    if (known->facts.baseModel) {
+        auto baseEnd = expectedLoadEnd(*known->facts.baseModel, now);
+        if (!baseEnd)
+            return std::nullopt;
+        begin = std::max(begin, *baseEnd);
+    }
+    if (known->state == ResidencyState::Loaded)
+        return begin;
+    // A load beyond its expected time is expected to take a quarter of it more.
+    if (known->state == ResidencyState::Loading)
+        return std::max(begin, known->loadExpectedEnd > now ? known->loadExpectedEnd : now + known->facts.loadTime / 4);
+    if (!m_settings.fencing && predecessorMayAct())
+        begin = std::max(begin, m_predecessorUntil);
+    if (!m_settings.fencing && known->state == ResidencyState::Unknown)
+        begin = std::max({ begin, known->lateLoadUntil, known->lateUnloadUntil });
+    return begin + known->facts.loadTime;
+}
+
+} // namespace toucanstep::placement
--- /dev/null
+++ b/packages/placement/test/KeepAlivePolicyTest.cpp
@@ -0,0 +1,84 @@
+#include "toucanstep/placement/KeepAlivePolicy.h"
+#include "toucanstep/testing/Property.h"
+
+using namespace toucanstep;
+using namespace toucanstep::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::ModelId model("m");
+
+base::Instant at(base::Duration sinceStart) { return base::Instant(std::chrono::hours(1)) + sinceStart; }
+
+IdleModel idleSince(base::Instant since, const base::ModelId& id = model) { return { id, since, 10s, base::Bytes(100) }; }
+
+} // namespace
+
+TEST_GROUP(KeepAlivePolicy)
+{
+    std::unique_ptr<KeepAlivePolicy> policy = makeLearntKeepAlive({ .idleSecondsPerWaitSecond = 4 });
+    base::Instant now = at(0s);
+
+    void haveGap(base::Duration gap)
+    {
+        policy->onIdle(model, now);
+        now += gap;
+        policy->onRequest(model, now);
+    }
+};
+
+TEST(KeepAlivePolicy, WithoutHistoryIdlingCostsAsMuchAsTheLoadThatItMaySave)
+{
+    CHECK_TRUE(policy->keepUntil(idleSince(at(0s))) == at(40s));
+}
+
+TEST(KeepAlivePolicy, AModelThatReturnsOnlyAfterLongGapsIsUnloadedAtOnce)
+{
+    for (int index = 0; index < 20; ++index)
+        haveGap(10min);
+    CHECK_TRUE(policy->keepUntil(idleSince(now)) == now);
+}
+
+TEST(KeepAlivePolicy, AModelThatReturnsWithinABurstIsKeptJustThatLong)
+{
+    for (int index = 0; index < 40; ++index)
+        haveGap(index % 10 == 0 ? base::Duration(20min) : base::Duration(3s));
+    auto kept = policy->keepUntil(idleSince(now)) - now;
+    CHECK_TRUE(kept >= 3s);
+    CHECK_TRUE(kept <= 4s);
+}
+
+TEST(KeepAlivePolicy, UnderPressureTheModelThatIsLeastLikelyToReturnGoesFirst)
+{
+    base::ModelId rare("rare");
+    for (int index = 0; index < 20; ++index) {
+        haveGap(5s);
+        policy->onIdle(rare, now);
+        policy->onRequest(rare, now + 30min);
+    }
+    CHECK_TRUE(policy->evictionCost(idleSince(now, rare), now + 1s) < policy->evictionCost(idleSince(now), now + 1s));
+}
+
+TEST(KeepAlivePolicy, TheBaselineKeepsAFixedTimeAndEvictsTheLeastRecentlyUsed)
+{
+    auto fixed = makeFixedKeepAlive(60s);
+    CHECK_TRUE(fixed->keepUntil(idleSince(at(0s))) == at(60s));
+    CHECK_TRUE(fixed->evictionCost(idleSince(at(0s)), at(10s)) < fixed->evictionCost(idleSince(at(5s)), at(10s)));
+}
+
+TEST(KeepAlivePolicy, KeepingNeverEndsBeforeItBeginsNorLastsBeyondTheLongest)
+{
+    CHECK_PROPERTY([](const std::vector<uint16_t>& gaps) {
+        auto learnt = makeLearntKeepAlive({ .longest = 10min });
+        auto time = at(0s);
+        for (auto gap : gaps) {
+            learnt->onIdle(model, time);
+            time += std::chrono::milliseconds(gap) * 100;
+            learnt->onRequest(model, time);
+            auto until = learnt->keepUntil(idleSince(time));
+            RC_ASSERT(until >= time);
+            RC_ASSERT(until <= time + 10min);
+        }
+    });
+}
--- /dev/null
+++ b/packages/placement/test/LoadPermitsTest.cpp
@@ -0,0 +1,136 @@
+#include "toucanstep/placement/LoadPermits.h"
+#include "toucanstep/base/Text.h"
+#include "toucanstep/testing/Property.h"
+
+using namespace toucanstep;
+using namespace toucanstep::placement;
+using namespace std::chrono_literals;
+
+namespace {
+
+base::Instant at(base::Duration sinceStart) { return base::Instant(std::chrono::hours(1)) + sinceStart; }
+
+PermitRequest requestFrom(int borrower, base::Duration deadline, int64_t weight = 1, PermitKind kind = PermitKind::Model)
+{
+    return { base::UpstreamId(base::concat("u", borrower)), base::ModelId("m"), kind, at(deadline), weight, 10s };
+}
+
+// Asks, gives back and lets time pass at random; more than the limit must never be lent at once.
+void checkLimit(PermitSettings settings, int64_t allowed)
+{
+    LoadPermits permits(settings);
+    auto now = at(0s);
+    std::vector<LentPermit> lent;
+    auto steps = *rc::gen::inRange(0, 60);
+    for (int step = 0; step < steps; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+        auto borrower = *rc::gen::inRange(0, 12);
+        if (*rc::gen::arbitrary<bool>()) {
+            if (auto permit = permits.ask(requestFrom(borrower, 60s), now))
+                lent.push_back(*permit);
+        } else if (!lent.empty()) {
+            permits.giveBack(lent.back().id);
+            lent.pop_back();
+        }
+        for (const auto& permit : permits.tick(now))
+            lent.push_back(permit);
+        RC_ASSERT(permits.lent(PermitKind::Model, now) <= allowed);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(LoadPermits)
+{
+    LoadPermits permits { {} };
+
+    void lendAll()
+    {
+        for (int borrower = 0; borrower < 4; ++borrower)
+            CHECK_TRUE(permits.ask(requestFrom(borrower, 60s), at(0s)).has_value());
+    }
+};
+
+TEST(LoadPermits, NoMoreLoadsRunThanTheStoreServesAtFullSpeed)
+{
+    CHECK_PROPERTY([] { checkLimit({}, 4); });
+    CHECK_FALSE(toucanstep::testing::counterexample({}, [] { checkLimit({ .models = 5 }, 4); }).empty());
+}
+
+TEST(LoadPermits, TheEarliestDeadlineGoesFirstAndTheGreaterWeightAmongEqualOnes)
+{
+    lendAll();
+    permits.ask(requestFrom(10, 50s), at(1s));
+    permits.ask(requestFrom(11, 30s), at(1s));
+    permits.ask(requestFrom(12, 30s, 5), at(1s));
+    auto held = permits.ask(requestFrom(0, 60s), at(1s));
+    permits.giveBack(held->id);
+    auto lent = permits.tick(at(2s));
+    CHECK_EQUAL(1, lent.size());
+    STRCMP_EQUAL("u12", lent[0].borrower.value().c_str());
+}
+
+TEST(LoadPermits, ALostAnswerIsHealedByAskingAgain)
+{
+    auto first = permits.ask(requestFrom(1, 60s), at(0s));
+    auto again = permits.ask(requestFrom(1, 60s), at(1s));
+    CHECK_TRUE(first->id == again->id);
+    CHECK_EQUAL(1, permits.lent(PermitKind::Model, at(1s)));
+}
+
+TEST(LoadPermits, ABorrowerThatDiedBlocksItsPermitForALimitedTime)
+{
+    lendAll();
+    CHECK_FALSE(permits.ask(requestFrom(10, 60s), at(1s)).has_value());
+    CHECK_TRUE(permits.ask(requestFrom(10, 60s), at(31s)).has_value());
+}
+
+TEST(LoadPermits, WhoNoLongerWaitsOrStoppedAskingGetsNone)
+{
+    lendAll();
+    permits.ask(requestFrom(10, 60s), at(1s));
+    permits.ask(requestFrom(11, 60s), at(1s));
+    permits.withdraw(base::UpstreamId("u10"), base::ModelId("m"));
+    CHECK_TRUE(permits.tick(at(40s)).empty());
+}
+
+TEST(LoadPermits, TheExpectedTimeCountsRunningLoadsAndThoseAhead)
+{
+    lendAll();
+    CHECK_TRUE(permits.expectedAt(requestFrom(20, 60s), at(2s)) == at(10s));
+    for (int borrower = 10; borrower < 14; ++borrower)
+        permits.ask(requestFrom(borrower, 50s), at(2s));
+    CHECK_TRUE(permits.expectedAt(requestFrom(20, 60s), at(2s)) == at(20s));
+    CHECK_TRUE(permits.expectedAt(requestFrom(20, 40s), at(2s)) == at(10s));
+    CHECK_TRUE(permits.expectedAt(requestFrom(20, 60s, 1, PermitKind::Adapter), at(2s)) == at(2s));
+}
+
+TEST(LoadPermits, WithoutTheHomeAllSidecarsTogetherKeepTheStoresPace)
+{
+    // The gateway that lends the permits is cut off. Eighteen sidecars with waiting callers must neither stop nor begin
+    // eighteen loads at once, which would slow the store for all.
+    std::vector<LocalPermits> sidecars;
+    for (int index = 0; index < 18; ++index)
+        sidecars.emplace_back(LocalPermitSettings { {}, 18 }, index * 1000 / 18, at(0s));
+    std::vector<std::pair<int, base::Instant>> running;
+    int begun = 0;
+    size_t most = 0;
+    for (int tick = 0; tick < 1200; ++tick) {
+        auto now = at(100ms * tick);
+        std::erase_if(running, [&](const auto& load) {
+            if (load.second > now)
+                return false;
+            sidecars[static_cast<size_t>(load.first)].ended(PermitKind::Model);
+            return true;
+        });
+        for (int index = 0; index < 18; ++index)
+            if (sidecars[static_cast<size_t>(index)].tryBegin(PermitKind::Model, 10s, now)) {
+                running.emplace_back(index, now + 10s);
+                ++begun;
+            }
+        most = std::max(most, running.size());
+    }
+    CHECK_TRUE(most <= 5);
+    // Four loads of 10 s at once make 48 in 120 s.
+    CHECK_TRUE(begun >= 44);
+}
