--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -1,6 +1,8 @@
 #include "toucanstep/gateway/Gateway.h"
 
+#include "FleetPlanner.h"
 #include "GatewayCore.h"
+#include "ShareLimitGate.h"
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
 
@@ -16,18 +18,37 @@
 public:
     RunningGateway(config::ProcessSettings settings, const GatewayOptions& options)
         : m_node(std::move(settings), options.node)
-        , m_core(std::make_unique<internal::GatewayCore>(m_node, options, std::make_unique<internal::StaticLimitGate>(m_node)))
+        , m_options(options)
+        , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
     {
+        std::unique_ptr<internal::LimitGate> gate;
+        if (options.limits == LimitMode::Shares) {
+            auto shares = std::make_unique<internal::ShareLimitGate>(m_node, *m_agent);
+            shares->install();
+            m_shares = shares.get();
+            gate = std::move(shares);
+        } else
+            gate = std::make_unique<internal::StaticLimitGate>(m_node);
+        m_core = std::make_unique<internal::GatewayCore>(m_node, options, std::move(gate));
     }
 
     ~RunningGateway() override
     {
         m_callers.reset();
+        m_agent->stop();
         m_node.stop();
     }
 
     base::Result<void> start()
     {
+        m_agent->install();
+        m_agent->onRows([this](const node::AssignmentView& view) {
+            m_node.traffic().post([this, view] { m_core->onRows(view); });
+        });
+        if (m_options.homes == HomeMode::Rows || m_options.limits == LimitMode::Shares) {
+            m_planner = std::make_unique<internal::FleetPlanner>(m_node, *m_agent, [this] { return takeDemand(); });
+            m_planner->install();
+        }
         m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
             m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
             m_node.setReady(!m_leaving);
@@ -87,6 +108,16 @@
         m_node.traffic().post([this, request = std::move(std::get<CallerRequest>(parsed)), exchange]() mutable { m_core->begin(std::move(request), exchange); });
     }
 
+    // The last demand that traffic has handed over; a control loop must not wait for traffic.
+    std::vector<placement::ModelDemand> takeDemand()
+    {
+        m_node.traffic().post([this] {
+            auto demand = m_core->takeDemand();
+            m_node.control().post([this, demand = std::move(demand)] { m_demand = demand; });
+        });
+        return m_demand;
+    }
+
     void tick()
     {
         m_core->tick();
@@ -94,7 +125,12 @@
     }
 
     mutable node::Node m_node;
+    GatewayOptions m_options;
+    std::unique_ptr<node::AssignmentAgent> m_agent;
+    internal::ShareLimitGate* m_shares = nullptr;
     std::unique_ptr<internal::GatewayCore> m_core;
+    std::unique_ptr<internal::FleetPlanner> m_planner;
+    std::vector<placement::ModelDemand> m_demand;
     std::unique_ptr<platform::HttpServer> m_callers;
     std::atomic<bool> m_leaving { false };
 };
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -142,44 +142,86 @@
 
 // ---- routing
 
-std::vector<routing::Holder> GatewayCore::holdersOf(const CallerEntry& entry, base::Instant now)
+std::vector<const node::InstanceRow*> GatewayCore::readyInstances(const config::UpstreamPool& pool, const node::InstanceTable& instances)
 {
-    auto configuration = m_node.configuration();
-    auto instances = m_node.instances();
-    const config::UpstreamPool* pool = configuration->findPool(entry.request.pool);
-    if (!pool)
-        return {};
     std::vector<const node::InstanceRow*> ready;
-    for (const node::InstanceRow* row : instances->inList(pool->listName)) {
+    for (const node::InstanceRow* row : instances.inList(pool.listName)) {
         base::UpstreamId upstream(row->instance.value());
         m_upstreams.setConnected(upstream, row->ready);
         m_upstreams.setTerminating(upstream, row->terminating);
         if (row->ready && !row->terminating)
             ready.push_back(row);
     }
+    return ready;
+}
+
+routing::Holder GatewayCore::holderOn(const base::UpstreamId& upstream, base::Epoch epoch, const base::ModelId& modelId, base::Instant now) const
+{
+    routing::Holder holder { upstream, epoch, routing::HolderState::Cold, std::nullopt };
+    auto known = m_phases.find({ upstream, modelId });
+    if (known != m_phases.end()) {
+        holder.state = toHolderState(known->second.phase);
+        holder.expectedLoadEnd = known->second.loadEnd;
+    }
+    // A cold model may have been fetched before; the sidecar, which knows, refuses what truly ends too late.
+    auto configuration = m_node.configuration();
+    const config::Model* model = configuration->findModel(modelId);
+    bool ended = holder.expectedLoadEnd && *holder.expectedLoadEnd <= now;
+    if (holder.state != routing::HolderState::Loaded && (!holder.expectedLoadEnd || ended) && model)
+        holder.expectedLoadEnd = now + placement::loadTime(model->checkpoint, placement::CheckpointTier::Memory, configuration->loads);
+    return holder;
+}
+
+std::vector<routing::Holder> GatewayCore::holdersOf(const CallerEntry& entry, base::Instant now)
+{
+    auto configuration = m_node.configuration();
+    auto instances = m_node.instances();
+    const config::UpstreamPool* pool = configuration->findPool(entry.request.pool);
+    if (!pool)
+        return {};
+    std::vector<const node::InstanceRow*> ready = readyInstances(*pool, *instances);
     std::vector<routing::Holder> holders;
     if (entry.request.target == peers::TargetKind::Service) {
         for (const node::InstanceRow* row : ready)
             holders.push_back({ base::UpstreamId(row->instance.value()), {}, routing::HolderState::Loaded, std::nullopt });
         return holders;
     }
-    const node::InstanceRow* home = hashHome(ready, entry.request.targetId);
-    if (!home)
-        return {};
-    base::UpstreamId upstream(home->instance.value());
-    const config::Model* model = configuration->findModel(base::ModelId(entry.request.targetId));
-    auto known = m_phases.find({ upstream, base::ModelId(entry.request.targetId) });
-    routing::Holder holder { upstream, {}, routing::HolderState::Cold, std::nullopt };
-    if (known != m_phases.end()) {
-        holder.state = toHolderState(known->second.phase);
-        holder.expectedLoadEnd = known->second.loadEnd;
+    base::ModelId model(entry.request.targetId);
+    if (m_options.homes == HomeMode::Hash) {
+        if (const node::InstanceRow* home = hashHome(ready, entry.request.targetId))
+            holders.push_back(holderOn(base::UpstreamId(home->instance.value()), {}, model, now));
+        return holders;
     }
-    if (holder.state != routing::HolderState::Loaded && !holder.expectedLoadEnd && model)
-        holder.expectedLoadEnd = now + placement::loadTime(model->checkpoint, placement::CheckpointTier::Disk, configuration->loads);
-    holders.push_back(holder);
+    auto rows = m_rows.find(model);
+    if (rows == m_rows.end())
+        return holders;
+    for (const assignments::Row& row : rows->second)
+        holders.push_back(holderOn(base::UpstreamId(row.holder.instance.value()), row.epoch, model, now));
     return holders;
 }
 
+void GatewayCore::onRows(const node::AssignmentView& view)
+{
+    m_rows.clear();
+    for (const assignments::Row& row : view.rows) {
+        if (row.key.kind == assignments::RowKind::ReplicaSlot)
+            m_rows[base::ModelId(row.key.subject)].push_back(row);
+    }
+}
+
+std::vector<placement::ModelDemand> GatewayCore::takeDemand()
+{
+    base::Instant at = now();
+    base::Duration span = std::max<base::Duration>(at - m_demandSince, std::chrono::milliseconds(1));
+    std::vector<placement::ModelDemand> demand;
+    constexpr int64_t thousandths = 1000;
+    for (const auto& [model, seen] : m_demand)
+        demand.push_back({ model, seen.busy * thousandths / span.count(), seen.misses });
+    m_demand.clear();
+    m_demandSince = at;
+    return demand;
+}
+
 routing::RouteDecision GatewayCore::chooseFor(const CallerEntry& entry, base::Instant now)
 {
     auto configuration = m_node.configuration();
@@ -212,6 +254,8 @@
     routing::RouteDecision decision = chooseFor(entry, now());
     logDecision(decision);
     if (!decision.chosen) {
+        if (entry.request.target == peers::TargetKind::Model)
+            ++m_demand[decision.model].misses;
         refuse(entry, *decision.refusal);
         return;
     }
@@ -451,6 +495,8 @@
     std::unique_ptr<CallerEntry> entry = std::move(found->second);
     m_entries.erase(found);
     entry->finished = true;
+    if (entry->request.target == peers::TargetKind::Model)
+        m_demand[base::ModelId(entry->request.targetId)].busy += (now() - entry->arrivedAt).count();
     endDispatch(*entry);
     if (entry->charged)
         m_limits->settle(id, std::max(unused, base::Tokens(0)));
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -7,7 +7,8 @@
 #include "LimitGate.h"
 #include "toucanstep/gateway/CallerRequest.h"
 #include "toucanstep/gateway/Gateway.h"
-#include "toucanstep/node/Node.h"
+#include "toucanstep/node/AssignmentAgent.h"
+#include "toucanstep/placement/ReplicaPlan.h"
 #include "toucanstep/routing/RetryBudget.h"
 #include "toucanstep/routing/Router.h"
 
@@ -54,9 +55,14 @@
     void setLeaving() { m_leaving = true; }
     bool idle() const { return m_entries.empty(); }
     nlohmann::json status() const;
+    // The replica rows of each model, by which requests find its holders.
+    void onRows(const node::AssignmentView&);
+    // What was asked of each model since the last call.
+    std::vector<placement::ModelDemand> takeDemand();
 
 private:
     class DispatchListener;
+    using HolderRows = std::map<base::ModelId, std::vector<assignments::Row>>;
 
     base::Instant now() const { return m_node.traffic().now(); }
     CallerEntry* find(const base::RequestId&);
@@ -65,6 +71,8 @@
     void route(CallerEntry&);
     routing::RouteDecision chooseFor(const CallerEntry&, base::Instant now);
     std::vector<routing::Holder> holdersOf(const CallerEntry&, base::Instant now);
+    std::vector<const node::InstanceRow*> readyInstances(const config::UpstreamPool&, const node::InstanceTable&);
+    routing::Holder holderOn(const base::UpstreamId&, base::Epoch, const base::ModelId&, base::Instant now) const;
     void logDecision(const routing::RouteDecision&) const;
     void dispatch(CallerEntry&, const base::UpstreamId&);
     void attachAgain(CallerEntry&);
@@ -97,6 +105,14 @@
         std::optional<base::Instant> loadEnd;
     };
     std::map<std::pair<base::UpstreamId, base::ModelId>, ModelOnUpstream> m_phases;
+    HolderRows m_rows;
+    struct Demand {
+        // Integral of running and waiting requests over time, in request-nanoseconds.
+        int64_t busy = 0;
+        int64_t misses = 0;
+    };
+    std::map<base::ModelId, Demand> m_demand;
+    base::Instant m_demandSince;
     int64_t m_counter = 0;
     bool m_leaving = false;
 };
--- a/packages/node/include/toucanstep/node/AssignmentAgent.h
+++ b/packages/node/include/toucanstep/node/AssignmentAgent.h
@@ -53,6 +53,8 @@
     void install();
     // Called on the control loop whenever the rows have changed.
     void onRows(RowsListener);
+    // Ends its watch and every callback; to be called before Node::stop(), from another thread than the control loop's.
+    void stop();
 
     bool mayUse(base::Instant now) const { return now.time_since_epoch().count() < m_usableUntil.load(); }
     std::shared_ptr<const AssignmentView> view() const { return m_view.load(); }
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -101,6 +101,14 @@
     *m_alive = false;
 }
 
+void AssignmentAgent::stop()
+{
+    m_node.control().runAndWait([this] {
+        *m_alive = false;
+        m_watch.reset();
+    });
+}
+
 void AssignmentAgent::install()
 {
     m_node.addSystem([this](base::Instant now) { tick(now); });
@@ -118,6 +126,8 @@
 
 void AssignmentAgent::tick(base::Instant now)
 {
+    if (!*m_alive)
+        return;
     if (now >= m_nextRead)
         readService(now);
     if (!m_watch && m_hasRead)
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -1,6 +1,10 @@
 #include "toucanstep/sidecar/Sidecar.h"
 
 #include "SidecarCore.h"
+#include "toucanstep/node/AssignmentAgent.h"
+#include "toucanstep/peers/Codec.h"
+
+#include <set>
 
 namespace toucanstep::sidecar {
 
@@ -12,14 +16,25 @@
 public:
     RunningSidecar(config::ProcessSettings settings, SidecarOptions options)
         : m_node(std::move(settings), options.node)
+        , m_options(options)
+        , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
         , m_core(std::make_unique<internal::SidecarCore>(m_node, options))
     {
     }
 
-    ~RunningSidecar() override { m_node.stop(); }
+    ~RunningSidecar() override
+    {
+        m_agent->stop();
+        m_node.stop();
+    }
 
     base::Result<void> start()
     {
+        if (m_options.placement == PlacementMode::Rows) {
+            m_agent->install();
+            m_node.addSystem([this](base::Instant now) { handOutRows(now); });
+            m_node.addMethod(peers::Method("release_row"), [this](const peers::IncomingCall& call, const std::shared_ptr<peers::PeerResponder>& responder) { onReleaseAsked(call, responder); });
+        }
         m_node.addMethod(peers::Method(std::string(peers::runMethod)), [this](const peers::IncomingCall& call, std::shared_ptr<peers::PeerResponder> responder) { m_core->onRun(call, std::move(responder)); });
         m_node.addMethod(peers::Method(std::string(peers::attachMethod)), [this](const peers::IncomingCall& call, std::shared_ptr<peers::PeerResponder> responder) { m_core->onAttach(call, std::move(responder)); });
         m_node.addMethod(peers::Method(std::string(peers::reportMethod)), [this](const peers::IncomingCall& call, const std::shared_ptr<peers::PeerResponder>& responder) { m_core->onReport(call, responder); });
@@ -55,6 +70,71 @@
     }
 
 private:
+    // Gives the core the rows that may be used at this moment. A sidecar that was cut off from everyone must have
+    // unloaded what it held before another loads it: its rows then count as withdrawn.
+    void handOutRows(base::Instant now)
+    {
+        std::map<base::ModelId, base::Epoch> rows;
+        if (m_agent->mayUse(now)) {
+            for (const assignments::Row& row : m_agent->view()->own) {
+                bool replica = row.key.kind == assignments::RowKind::ReplicaSlot;
+                if (replica && !m_releasing.contains(row.key))
+                    rows[base::ModelId(row.key.subject)] = row.epoch;
+            }
+        }
+        if (rows != m_handedOut) {
+            m_handedOut = rows;
+            m_node.traffic().post([this, rows] { m_core->onRows(rows); });
+        }
+        if (!m_releasing.empty())
+            giveBackRows();
+    }
+
+    void onReleaseAsked(const peers::IncomingCall& call, const std::shared_ptr<peers::PeerResponder>& responder)
+    {
+        peers::FieldReader reader(call.body);
+        std::string model = reader.text();
+        auto slot = static_cast<uint32_t>(reader.number());
+        base::Revision expected(reader.number());
+        if (!reader.complete()) {
+            responder->abort();
+            return;
+        }
+        m_node.control().post([this, key = assignments::RowKey { assignments::RowKind::ReplicaSlot, model, slot }, expected] {
+            for (const assignments::Row& row : m_agent->view()->own) {
+                if (row.key == key && row.modified == expected)
+                    m_releasing.insert(key);
+            }
+        });
+        responder->send({});
+        responder->finish();
+    }
+
+    // A row goes back only once its model is proved to be unloaded.
+    void giveBackRows()
+    {
+        m_node.traffic().post([this, releasing = m_releasing] {
+            std::set<assignments::RowKey> ready;
+            for (const assignments::RowKey& key : releasing) {
+                if (m_core->mayRelease(base::ModelId(key.subject)))
+                    ready.insert(key);
+            }
+            m_node.control().post([this, ready] { releaseReady(ready); });
+        });
+    }
+
+    void releaseReady(const std::set<assignments::RowKey>& ready)
+    {
+        for (const assignments::Row& row : m_agent->view()->own) {
+            if (!ready.contains(row.key) || m_agent->busy(row.key) || !m_releasing.contains(row.key))
+                continue;
+            m_agent->release(row, [this, key = row.key](assignments::MoveState state) {
+                if (state == assignments::MoveState::Committed)
+                    m_releasing.erase(key);
+            });
+        }
+    }
+
     void tick()
     {
         m_core->tick();
@@ -62,7 +142,12 @@
     }
 
     mutable node::Node m_node;
+    SidecarOptions m_options;
+    std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<internal::SidecarCore> m_core;
+    // On the control loop: rows as last given to the core, and rows that are being given back.
+    std::map<base::ModelId, base::Epoch> m_handedOut;
+    std::set<assignments::RowKey> m_releasing;
     std::atomic<bool> m_leaving { false };
 };
 
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -31,6 +31,8 @@
     void onConfiguration(std::shared_ptr<const config::Configuration>);
     // The replica rows that name this instance, with their epochs.
     void onRows(const std::map<base::ModelId, base::Epoch>&);
+    // Whether a withdrawn row's model is proved to be absent from the engine.
+    bool mayRelease(const base::ModelId& model) const { return !m_residency || m_residency->mayRelease(model); }
     void tick();
     void setLeaving() { m_leaving = true; }
     bool idle() const;
