--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetPlanner.h"
 #include "GatewayCore.h"
+#include "ShareDeparture.h"
 #include "ShareLimitGate.h"
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
@@ -25,7 +26,7 @@
         if (options.limits == LimitMode::Shares) {
             auto shares = std::make_unique<internal::ShareLimitGate>(m_node, *m_agent);
             shares->install();
-            m_shares = shares.get();
+            m_departure = std::make_unique<internal::ShareDeparture>(m_node, *m_agent, *shares);
             gate = std::move(shares);
         } else
             gate = std::make_unique<internal::StaticLimitGate>(m_node);
@@ -49,6 +50,8 @@
             m_planner = std::make_unique<internal::FleetPlanner>(m_node, *m_agent, [this] { return takeDemand(); });
             m_planner->install();
         }
+        if (m_departure)
+            m_node.addSystem([this](base::Instant now) { m_departure->tick(now); });
         m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
             m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
             m_node.setReady(!m_leaving);
@@ -80,13 +83,16 @@
         m_leaving = true;
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
+        if (m_departure)
+            m_node.control().post([this] { m_departure->begin(m_node.control().now()); });
     }
 
     bool drained() const override
     {
         bool idle = false;
         m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
-        return m_leaving && idle && !m_callers->openExchanges();
+        bool sharesLeft = m_departure && !m_departure->done();
+        return m_leaving && idle && !sharesLeft && !m_callers->openExchanges();
     }
 
 private:
@@ -127,7 +133,7 @@
     mutable node::Node m_node;
     GatewayOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
-    internal::ShareLimitGate* m_shares = nullptr;
+    std::unique_ptr<internal::ShareDeparture> m_departure;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
     std::vector<placement::ModelDemand> m_demand;
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -3,6 +3,7 @@
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
+#include "toucanstep/node/CallCodec.h"
 #include "toucanstep/placement/Checkpoints.h"
 
 #include <absl/hash/hash.h>
@@ -78,6 +79,7 @@
     : m_node(node)
     , m_options(options)
     , m_limits(std::move(limits))
+    , m_onceCalls(node, *this)
     , m_router(options.routing == RouteMode::ExpectedWait ? routing::makeExpectedWaitRouter({}) : routing::makeRandomRouter())
     , m_prefixes(prefixHints, prefixLifetime)
     , m_retries({})
@@ -114,6 +116,7 @@
     m_entries.emplace(id, std::move(entry));
     added.exchange->onCallerGone([this, id] { m_node.traffic().post([this, id] { callerGone(id); }); });
     m_node.metrics().count("toucanstep_requests_total");
+    recordOffer(added);
     m_retries.onRequest();
     if (m_leaving) {
         refuse(added, { base::RefusalCode::Leaving, base::RanState::NotRun, "this gateway is leaving; ask again", now() });
@@ -123,6 +126,13 @@
     m_limits->charge(order, [this, id](const std::optional<base::Refusal>& refusal) { onCharged(id, refusal); });
 }
 
+void GatewayCore::recordOffer(const CallerEntry& entry)
+{
+    auto configuration = m_node.configuration();
+    const config::RequestKind* kind = configuration->findKind(entry.request.kind);
+    m_node.record({ .kind = base::HistoryKind::Offered, .request = entry.id, .account = entry.request.account, .key = entry.request.key, .tokens = entry.request.cost(), .weight = kind ? kind->weight : 1, .deadline = entry.request.deadline });
+}
+
 void GatewayCore::onCharged(const base::RequestId& id, const std::optional<base::Refusal>& refusal)
 {
     CallerEntry* entry = find(id);
@@ -137,7 +147,11 @@
         return;
     }
     entry->charged = true;
-    route(*entry);
+    m_node.record({ .kind = base::HistoryKind::Admitted, .request = id, .account = entry->request.account, .key = entry->request.key, .tokens = entry->request.cost() });
+    if (entry->request.idempotent)
+        route(*entry);
+    else
+        m_onceCalls.begin(id, entry->request);
 }
 
 // ---- routing
@@ -261,17 +275,48 @@
     }
     for (routing::PrefixFingerprint prefix : routing::prefixesOf(decision.model, entry.request.prompt))
         m_prefixes.stored(*decision.chosen, prefix, now());
-    dispatch(entry, *decision.chosen);
+    if (!dispatch(entry, *decision.chosen))
+        refuse(entry, { base::RefusalCode::NoCapacity, base::RanState::NotRun, "the chosen upstream has gone", now() });
 }
 
-void GatewayCore::dispatch(CallerEntry& entry, const base::UpstreamId& upstream)
+bool GatewayCore::sendAttempt(const base::RequestId& id, const calls::CallDispatch& dispatched, base::Instant)
 {
-    auto instances = m_node.instances();
-    const node::InstanceRow* row = instances->find(base::InstanceId(upstream.value()));
-    if (!row) {
-        refuse(entry, { base::RefusalCode::NoCapacity, base::RanState::NotRun, "the chosen upstream has gone", now() });
+    CallerEntry* entry = find(id);
+    if (!entry)
+        return false;
+    endDispatch(*entry);
+    routing::RouteDecision decision = chooseFor(*entry, now());
+    logDecision(decision);
+    if (!decision.chosen || !dispatch(*entry, *decision.chosen, node::encodeDispatch(dispatched)))
+        return false;
+    entry->onceAttempt = dispatched.attempt;
+    return true;
+}
+
+void GatewayCore::finishCall(const base::RequestId& id, const calls::CallResult& result)
+{
+    CallerEntry* entry = find(id);
+    if (!entry)
+        return;
+    if (result.refusal) {
+        refuse(*entry, *result.refusal);
         return;
     }
+    platform::HttpHeaders headers { { "Content-Type", result.answer->contentType }, { "Idempotency-Replayed", result.repeated ? "true" : "false" } };
+    if (result.answer->bodyDropped)
+        headers.push_back({ "Idempotency-Body", "dropped" });
+    entry->exchange->respond(result.answer->status, headers, result.answer->body);
+    m_node.record({ .kind = base::HistoryKind::Answered, .request = id, .account = entry->request.account, .complete = true });
+    base::LogLine("call_answered").add("request", id).add("service", entry->request.targetId).add("repeated", result.repeated ? "yes" : "no").add("status", result.answer->status);
+    finish(id, result.repeated ? entry->request.cost() : base::Tokens(0));
+}
+
+bool GatewayCore::dispatch(CallerEntry& entry, const base::UpstreamId& upstream, const std::string& callDispatch)
+{
+    auto instances = m_node.instances();
+    const node::InstanceRow* row = instances->find(base::InstanceId(upstream.value()));
+    if (!row)
+        return false;
     auto configuration = m_node.configuration();
     const config::ClientAccount* account = configuration->findAccount(entry.request.account);
     ++entry.attempt;
@@ -300,9 +345,11 @@
     message.stream = entry.request.stream;
     message.fingerprint = entry.request.fingerprint;
     message.dispatchNumber = entry.dispatch.value();
+    message.callDispatch = callDispatch;
     message.body = entry.request.body;
     auto listener = std::make_shared<DispatchListener>(*this, entry.id, entry.attempt);
     entry.call = m_node.peers().call({ entry.target, peers::Method(std::string(peers::runMethod)), peers::encode(message), entry.request.deadline }, listener);
+    return true;
 }
 
 // The connection to the sidecar was lost in the middle of an answer. The sidecar keeps the answer; a new connection
@@ -342,6 +389,8 @@
         onAnswerEnd(*entry, *end);
     else if (auto* refused = std::get_if<peers::AnswerRefused>(&event->body))
         onRefused(*entry, *refused);
+    else if (auto* call = std::get_if<peers::AnswerCall>(&event->body))
+        m_onceCalls.onReply(call->reply);
 }
 
 void GatewayCore::onReport(const base::UpstreamId& upstream, const peers::SidecarReport& message, const std::string& model)
@@ -380,6 +429,10 @@
     // A chunk that was already passed on comes again after an attach; one from further on would leave a hole.
     if (chunk.index != entry.nextChunk)
         return;
+    if (m_node.recordsHistory())
+        entry.digest = base::sha256Hex(entry.digest + chunk.bytes);
+    if (!entry.nextChunk)
+        entry.firstChunkAt = now();
     if (!entry.nextChunk)
         m_node.metrics().observe("toucanstep_first_chunk_seconds", "", base::toSeconds(now() - entry.arrivedAt));
     ++entry.nextChunk;
@@ -402,6 +455,9 @@
         attachAgain(entry);
         return;
     }
+    m_node.record({ .kind = base::HistoryKind::Answered, .request = entry.id, .account = entry.request.account, .digest = entry.digest, .complete = true });
+    if (entry.request.target == peers::TargetKind::Model)
+        m_node.recordAt(entry.firstChunkAt, { .kind = base::HistoryKind::FirstToken, .request = entry.id, .model = base::ModelId(entry.request.targetId), .cold = end.cold });
     if (entry.request.stream)
         entry.exchange->finish();
     else
@@ -413,6 +469,17 @@
 
 void GatewayCore::onRefused(CallerEntry& entry, const peers::AnswerRefused& refused)
 {
+    if (!entry.request.idempotent) {
+        // Only the coordinator may say what became of a call that may run once.
+        calls::AttemptId attempt = entry.onceAttempt;
+        if (refused.ran == base::RanState::NotRun && refused.code != base::RefusalCode::Leaving && refused.code != base::RefusalCode::NoCapacity)
+            refuse(entry, peers::toRefusal(refused, now()));
+        else if (refused.ran == base::RanState::NotRun)
+            m_onceCalls.onNotSent(attempt);
+        else
+            m_onceCalls.onHopLost(attempt);
+        return;
+    }
     bool elsewhere = refused.code == base::RefusalCode::Leaving || refused.code == base::RefusalCode::NoCapacity || refused.code == base::RefusalCode::UpstreamFailed;
     if (elsewhere && tryElsewhere(entry, refused.ran))
         return;
@@ -436,8 +503,7 @@
     if (!decision.chosen)
         return false;
     m_node.metrics().count("toucanstep_retries_total");
-    dispatch(entry, *decision.chosen);
-    return true;
+    return dispatch(entry, *decision.chosen);
 }
 
 void GatewayCore::onDispatchEnd(const base::RequestId& id, int64_t attempt, const std::optional<base::Error>& error)
@@ -450,6 +516,14 @@
         return;
     }
     bool neverSent = error && error->kind == base::ErrorKind::Unavailable;
+    if (!entry->request.idempotent) {
+        // A reply that came has already ended the attempt; the coordinator leaves a late word about it aside.
+        if (neverSent && !entry->attaches)
+            m_onceCalls.onNotSent(entry->onceAttempt);
+        else if (error)
+            m_onceCalls.onHopLost(entry->onceAttempt);
+        return;
+    }
     if (neverSent && !entry->attaches) {
         if (tryElsewhere(*entry, base::RanState::NotRun))
             return;
@@ -469,6 +543,7 @@
 {
     m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal.code), "\""));
     base::LogLine("refused").add("request", entry.id).add("account", entry.request.account).add("target", entry.request.targetId).add("code", refusalCodeName(refusal.code)).add("ran", ranStateName(refusal.ran)).add("reason", refusal.message);
+    m_node.record({ .kind = base::HistoryKind::Refused, .request = entry.id, .account = entry.request.account, .code = refusal.code, .ran = refusal.ran });
     if (entry.started && entry.request.stream) {
         // The caller must not take the part it has for the whole answer: it gets the refusal, and no end mark.
         entry.exchange->write(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
@@ -498,8 +573,12 @@
     if (entry->request.target == peers::TargetKind::Model)
         m_demand[base::ModelId(entry->request.targetId)].busy += (now() - entry->arrivedAt).count();
     endDispatch(*entry);
-    if (entry->charged)
-        m_limits->settle(id, std::max(unused, base::Tokens(0)));
+    if (!entry->charged)
+        return;
+    base::Tokens refund = std::max(unused, base::Tokens(0));
+    if (refund > base::Tokens(0))
+        m_node.record({ .kind = base::HistoryKind::Refunded, .request = id, .account = entry->request.account, .tokens = refund });
+    m_limits->settle(id, refund);
 }
 
 void GatewayCore::callerGone(const base::RequestId& id)
@@ -517,6 +596,7 @@
 {
     // A listener may have stopped before its end; the deadline holds for every request whatever became of its calls.
     std::vector<base::RequestId> late;
+    m_onceCalls.tick();
     for (const auto& [id, entry] : m_entries) {
         if (now() >= entry->request.deadline)
             late.push_back(id);
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "LimitGate.h"
+#include "OnceCalls.h"
 #include "toucanstep/gateway/CallerRequest.h"
 #include "toucanstep/gateway/Gateway.h"
 #include "toucanstep/node/AssignmentAgent.h"
@@ -36,18 +37,23 @@
     routing::DispatchNumber dispatch;
     std::shared_ptr<peers::PeerCall> call;
     int attaches = 0;
+    // The current attempt of a call that may run only once; empty for others.
+    calls::AttemptId onceAttempt;
     // The answer towards the caller.
     bool started = false;
     peers::AnswerStart start;
     int64_t nextChunk = 0;
     std::string body;
     bool finished = false;
+    // For the history only: a digest chained over the chunks, and when the first was passed on.
+    std::string digest;
+    base::Instant firstChunkAt;
 };
 
-class GatewayCore {
+class GatewayCore final : private OnceCallHost {
 public:
     GatewayCore(node::Node&, GatewayOptions, std::unique_ptr<LimitGate>);
-    ~GatewayCore();
+    ~GatewayCore() override;
 
     void begin(CallerRequest, std::shared_ptr<platform::HttpExchange>);
     void onConfiguration(const std::shared_ptr<const config::Configuration>&);
@@ -67,6 +73,7 @@
     base::Instant now() const { return m_node.traffic().now(); }
     CallerEntry* find(const base::RequestId&);
 
+    void recordOffer(const CallerEntry&);
     void onCharged(const base::RequestId&, const std::optional<base::Refusal>&);
     void route(CallerEntry&);
     routing::RouteDecision chooseFor(const CallerEntry&, base::Instant now);
@@ -74,7 +81,10 @@
     std::vector<const node::InstanceRow*> readyInstances(const config::UpstreamPool&, const node::InstanceTable&);
     routing::Holder holderOn(const base::UpstreamId&, base::Epoch, const base::ModelId&, base::Instant now) const;
     void logDecision(const routing::RouteDecision&) const;
-    void dispatch(CallerEntry&, const base::UpstreamId&);
+    // False where the chosen upstream is not listed any more.
+    bool dispatch(CallerEntry&, const base::UpstreamId&, const std::string& callDispatch = {});
+    bool sendAttempt(const base::RequestId&, const calls::CallDispatch&, base::Instant deadline) override;
+    void finishCall(const base::RequestId&, const calls::CallResult&) override;
     void attachAgain(CallerEntry&);
 
     void onEvent(const base::RequestId&, int64_t attempt, const std::string& message);
@@ -93,6 +103,7 @@
     node::Node& m_node;
     GatewayOptions m_options;
     std::unique_ptr<LimitGate> m_limits;
+    OnceCalls m_onceCalls;
     std::unique_ptr<routing::Router> m_router;
     routing::UpstreamTable m_upstreams;
     routing::PrefixIndex m_prefixes;
--- a/packages/node/include/toucanstep/node/AssignmentAgent.h
+++ b/packages/node/include/toucanstep/node/AssignmentAgent.h
@@ -76,7 +76,8 @@
     void track(const base::InstanceId&, const std::string& listName, base::Instant now);
     // Gives up a row of this process. Its user must have stopped using it before.
     void release(const assignments::Row&, MoveCallback = {});
-    void handOver(const assignments::Row&, const base::InstanceId& to, MoveCallback = {});
+    // `to` names the process as well, so that it may use the row without adopting it.
+    void handOver(const assignments::Row&, const assignments::Holder& to, MoveCallback = {});
 
 private:
     class WatchRelay;
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include "toucanstep/base/History.h"
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/base/Result.h"
@@ -34,6 +35,9 @@
 
 namespace toucanstep::node {
 
+// Answers with the nonce of the process's start, which tells it apart from others on the same instance.
+inline constexpr std::string_view startNonceMethod = "start_nonce";
+
 struct NodeOptions {
     base::Duration tickInterval = std::chrono::milliseconds(50);
     base::Duration configurationPollInterval = std::chrono::seconds(2);
@@ -82,6 +86,11 @@
     std::shared_ptr<platform::HttpClient> http() { return m_http; }
     base::KeyValueStore& store() { return *m_store; }
     base::MetricsRegistry& metrics() { return m_metrics; }
+    // Whether a history is kept; what costs time only for its sake is then left out.
+    bool recordsHistory() const { return m_recordsHistory; }
+    // Fills in the time and this start of the process, and records.
+    void record(base::HistoryEvent);
+    void recordAt(base::Instant, base::HistoryEvent);
     std::shared_ptr<const config::Configuration> configuration() const { return m_configuration.load(); }
     std::shared_ptr<const InstanceTable> instances() const { return m_instances.load(); }
     base::Endpoint peerEndpoint() const { return m_peerEndpoint; }
@@ -108,6 +117,8 @@
     NodeOptions m_options;
     std::string m_startNonce;
     base::MetricsRegistry m_metrics;
+    bool m_recordsHistory = false;
+    std::unique_ptr<base::HistoryRecorder> m_history;
     std::shared_ptr<platform::HttpClient> m_http;
     std::shared_ptr<base::KeyValueStore> m_store;
     Snapshot<config::Configuration> m_configuration;
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -511,10 +511,10 @@
     submit(m_mover.release(row, m_holder), std::move(callback));
 }
 
-void AssignmentAgent::handOver(const Row& row, const base::InstanceId& to, MoveCallback callback)
+void AssignmentAgent::handOver(const Row& row, const Holder& to, MoveCallback callback)
 {
     m_givenUp.insert(row.key);
-    submit(m_mover.handOver(row, m_holder, { to, StartNonce() }, m_readRevision), std::move(callback));
+    submit(m_mover.handOver(row, m_holder, to, m_readRevision), std::move(callback));
 }
 
 void AssignmentAgent::submit(Move move, MoveCallback callback)
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -3,6 +3,8 @@
 #include "ConfigurationFollower.h"
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
+#include "toucanstep/base/Text.h"
+#include "toucanstep/node/HistoryFile.h"
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/platform/EtcdStore.h"
 #include "toucanstep/platform/InstanceList.h"
@@ -51,6 +53,7 @@
         m_node.m_configuration.publish(configuration);
         m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(published.version.value()));
         base::LogLine("configuration_in_force").add("version", published.version);
+        m_node.record({ .kind = base::HistoryKind::ConfigurationInForce, .version = published.version });
         for (const ConfigurationListener& listener : m_node.m_configurationListeners)
             listener(configuration);
     }
@@ -186,9 +189,18 @@
     , m_control(std::make_unique<peers::EventLoop>())
     , m_traffic(std::make_unique<peers::EventLoop>())
 {
+    m_recordsHistory = !m_settings.historyFile.empty();
+    if (m_recordsHistory)
+        m_history = std::make_unique<HistoryFile>(m_settings.historyFile);
+    else
+        m_history = std::make_unique<NoHistory>();
     m_store = platform::makeEtcdStore(m_settings.keyValueUrl, m_http);
     m_follower = std::make_shared<ConfigurationFollower>(*this);
     m_poller = std::make_shared<InstanceListPoller>(*this);
+    addMethod(peers::Method(std::string(startNonceMethod)), [this](const peers::IncomingCall&, const std::shared_ptr<peers::PeerResponder>& responder) {
+        responder->send(m_startNonce);
+        responder->finish();
+    });
 }
 
 Node::~Node()
@@ -268,6 +280,19 @@
     return {};
 }
 
+void Node::record(base::HistoryEvent event)
+{
+    if (m_recordsHistory)
+        recordAt(m_control->now(), std::move(event));
+}
+
+void Node::recordAt(base::Instant at, base::HistoryEvent event)
+{
+    event.at = at;
+    event.recorder = base::InstanceId(base::concat(m_settings.instance, "/", m_startNonce));
+    m_history->record(event);
+}
+
 uint16_t Node::operatorPort() const
 {
     return m_operator ? m_operator->port() : 0;
--- a/packages/sidecar/src/RequestTable.h
+++ b/packages/sidecar/src/RequestTable.h
@@ -47,6 +47,8 @@
     int resumes = 0;
     int64_t tokens = 0;
     base::Instant startedAt;
+    // For the history only: a digest chained over the chunks.
+    std::string digest;
 };
 
 class RequestTable {
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -129,8 +129,10 @@
             if (!ready.contains(row.key) || m_agent->busy(row.key) || !m_releasing.contains(row.key))
                 continue;
             m_agent->release(row, [this, key = row.key](assignments::MoveState state) {
-                if (state == assignments::MoveState::Committed)
-                    m_releasing.erase(key);
+                if (state != assignments::MoveState::Committed)
+                    return;
+                m_releasing.erase(key);
+                m_node.traffic().post([this, key] { m_core->onRowReleased(base::ModelId(key.subject)); });
             });
         }
     }
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -1,7 +1,9 @@
 #include "SidecarCore.h"
 
+#include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
+#include "toucanstep/node/CallCodec.h"
 #include "toucanstep/placement/Checkpoints.h"
 #include "toucanstep/routing/Admission.h"
 
@@ -149,6 +151,7 @@
     , m_engine(platform::makeEngineClient(node.settings().upstreamUrl, node.http()))
     , m_queue(makeQueue(m_options.queue))
     , m_solo(soloPatience)
+    , m_services(node)
 {
 }
 
@@ -365,6 +368,7 @@
         keeper = m_loadKeepers.erase(keeper);
     }
     m_quarantine.expire(at);
+    m_services.tick();
     pump();
 }
 
@@ -378,7 +382,7 @@
     runResidency(at);
     if (!m_pool)
         return;
-    while (static_cast<int64_t>(m_generations.size()) < m_pool->slots) {
+    while (inFlight() < m_pool->slots) {
         auto next = m_queue->pop(at, [&](const routing::QueuedRequest& queued) { return mayStart(queued, at); });
         if (!next)
             return;
@@ -396,10 +400,9 @@
     if (!queued.model.empty() && !m_residency->usable(queued.model))
         return false;
     auto state = m_quarantine.state(routing::RequestFingerprint(entry->message.fingerprint), now);
-    auto running = static_cast<int64_t>(m_generations.size());
     if (state == routing::QuarantineState::Alone)
         m_solo.aloneWaits(now);
-    return m_solo.mayStart(state, running, now);
+    return m_solo.mayStart(state, inFlight(), now);
 }
 
 void SidecarCore::startRun(RequestEntry& entry, base::Instant now)
@@ -423,7 +426,75 @@
     m_solo.started(base::RequestId(entry.key.value()), m_quarantine.state(fingerprint, now));
     m_node.metrics().count("toucanstep_runs_total", base::concat("cold=\"", entry.cold ? "true" : "false", "\""));
     logEntry("run_started", entry, entry.cold ? "cold" : "warm");
-    callEngine(entry);
+    recordRun(base::HistoryKind::WorkGiven, entry);
+    recordRun(base::HistoryKind::RunStarted, entry);
+    if (isModel)
+        callEngine(entry);
+    else
+        callService(entry);
+}
+
+void SidecarCore::recordRun(base::HistoryKind kind, const RequestEntry& entry)
+{
+    base::HistoryEvent event { .kind = kind, .request = entry.message.request, .account = entry.message.account, .upstream = base::UpstreamId(m_node.settings().instance.value()) };
+    if (entry.message.target == peers::TargetKind::Model)
+        event.model = base::ModelId(entry.message.targetId);
+    else
+        event.service = base::ServiceId(entry.message.targetId);
+    event.digest = entry.digest;
+    m_node.record(event);
+}
+
+void SidecarCore::callService(RequestEntry& entry)
+{
+    m_serviceRuns.insert(entry.key);
+    EntryKey key = entry.key;
+    if (entry.message.callDispatch.empty()) {
+        m_services.passThrough(entry.message, entry.deadline, [this, key](const platform::HttpReply& reply) { onServiceAnswer(key, reply); });
+        return;
+    }
+    base::Error error;
+    auto dispatch = base::valueOr(error, [&] { return node::decodeDispatch(entry.message.callDispatch); });
+    // The record's key decides what may run: it has to be that of the account whose key came with the request.
+    if (!dispatch || dispatch->key.account != entry.message.account || dispatch->key.service.value() != entry.message.targetId) {
+        refuse(entry, refusal(base::RefusalCode::BadRequest, base::RanState::NotRun, "the call does not name its own account and service"));
+        return;
+    }
+    m_services.runOnce(*dispatch, entry.message, entry.deadline, [this, key](const calls::CallReply& reply) { onCallReply(key, reply); });
+}
+
+void SidecarCore::onServiceAnswer(const EntryKey& key, const platform::HttpReply& reply)
+{
+    RequestEntry* entry = m_requests.find(key);
+    if (!entry || entry->state != RequestState::Running)
+        return;
+    if (reply.error) {
+        auto ran = reply.error->kind == base::ErrorKind::Unavailable ? base::RanState::NotRun : base::RanState::MayHaveRun;
+        refuse(*entry, refusal(base::RefusalCode::UpstreamFailed, ran, reply.error->message));
+        return;
+    }
+    entry->start = peers::AnswerStart { reply.status, std::string(platform::findHeader(reply.headers, "Content-Type")) };
+    send(*entry, *entry->start, false);
+    if (!reply.body.empty())
+        onChunk(key, reply.body);
+    peers::AnswerEnd ending;
+    ending.chunks = static_cast<int64_t>(entry->chunks.size());
+    ending.usedTokens = entry->message.promptTokens;
+    finishRun(*entry, ending);
+}
+
+void SidecarCore::onCallReply(const EntryKey& key, const calls::CallReply& reply)
+{
+    RequestEntry* entry = m_requests.find(key);
+    if (!entry || entry->state != RequestState::Running)
+        return;
+    finishRun(*entry, peers::AnswerCall { node::encodeReply(reply) });
+}
+
+void SidecarCore::onRowReleased(const base::ModelId& model)
+{
+    if (m_residency && !m_rows.contains(model))
+        m_residency->dropRow(model);
 }
 
 void SidecarCore::callEngine(RequestEntry& entry)
@@ -458,6 +529,8 @@
         refuse(*entry, refusal(base::RefusalCode::AnswerCut, base::RanState::Ran, "the answer is larger than a sidecar keeps"));
         return;
     }
+    if (m_node.recordsHistory())
+        entry->digest = base::sha256Hex(entry->digest + bytes);
     entry->chunks.push_back(std::move(bytes));
     send(*entry, peers::AnswerChunk { static_cast<int64_t>(entry->chunks.size()) - 1, entry->chunks.back() }, false);
 }
@@ -494,9 +567,11 @@
     base::Instant at = now();
     base::RequestId id(entry.key.value());
     if (entry.state == RequestState::Running) {
+        recordRun(base::HistoryKind::RunEnded, entry);
         if (entry.message.target == peers::TargetKind::Model)
             m_residency->endUse(base::ModelId(entry.message.targetId), at);
         m_solo.ended(id);
+        m_serviceRuns.erase(entry.key);
         if (auto generation = m_generations.find(entry.key); generation != m_generations.end()) {
             generation->second->detach();
             m_generations.erase(generation);
@@ -745,6 +820,12 @@
     return report;
 }
 
+void SidecarCore::setLeaving()
+{
+    m_leaving = true;
+    m_node.record({ .kind = base::HistoryKind::UpstreamLeaving, .upstream = base::UpstreamId(m_node.settings().instance.value()) });
+}
+
 bool SidecarCore::idle() const
 {
     return m_requests.countIn(RequestState::Queued) == 0 && m_requests.countIn(RequestState::Running) == 0;
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "RequestTable.h"
+#include "ServiceCalls.h"
 #include "toucanstep/node/Node.h"
 #include "toucanstep/placement/ResidencyManager.h"
 #include "toucanstep/platform/EngineClient.h"
@@ -32,9 +33,11 @@
     // The replica rows that name this instance, with their epochs.
     void onRows(const std::map<base::ModelId, base::Epoch>&);
     // Whether a withdrawn row's model is proved to be absent from the engine.
+    // The row of a withdrawn model was given back.
+    void onRowReleased(const base::ModelId&);
     bool mayRelease(const base::ModelId& model) const { return !m_residency || m_residency->mayRelease(model); }
     void tick();
-    void setLeaving() { m_leaving = true; }
+    void setLeaving();
     bool idle() const;
     nlohmann::json status() const;
 
@@ -48,11 +51,16 @@
     void enqueue(RequestEntry&, const config::ClientAccount&, base::Instant now);
     routing::QueuedRequest queuedForm(const RequestEntry&, const config::ClientAccount&) const;
     routing::UpstreamLoad load() const;
+    int64_t inFlight() const { return static_cast<int64_t>(m_generations.size() + m_serviceRuns.size()); }
 
     void pump();
     bool mayStart(const routing::QueuedRequest&, base::Instant now);
     void startRun(RequestEntry&, base::Instant now);
+    void recordRun(base::HistoryKind, const RequestEntry&);
     void callEngine(RequestEntry&);
+    void callService(RequestEntry&);
+    void onServiceAnswer(const EntryKey&, const platform::HttpReply&);
+    void onCallReply(const EntryKey&, const calls::CallReply&);
     void onChunk(const EntryKey&, std::string bytes);
     void onRunEnd(const EntryKey&, const platform::GenerationEnd&);
     void finishRun(RequestEntry&, peers::RunEventBody ending);
@@ -90,6 +98,8 @@
     std::map<base::RequestId, std::pair<base::ModelId, base::Instant>> m_loadKeepers;
     std::set<base::ModelId> m_cachedOnDisk;
     mutable int64_t m_reportSequence = 0;
+    ServiceCalls m_services;
+    std::set<EntryKey> m_serviceRuns;
     int64_t m_crashes = 0;
     bool m_crashProbeRunning = false;
     bool m_leaving = false;
