HTTP server: stops in order, and frees each connection that it breaks off

The watch's thread of ours could be the last to hold the watch and waited for itself. Change: an acceptor of ours listens, so that nothing has to be quiesced; the server shuts all sockets and waits for them to be closed before it stops the library; a broken stream ends by a failed write; the watch is stopped by the server.

--- a/packages/platform/src/CallerWatch.cpp
+++ b/packages/platform/src/CallerWatch.cpp
@@ -27,12 +27,19 @@
 
 CallerWatch::~CallerWatch()
 {
+    stop();
+    ::close(m_stopEvent);
+    ::close(m_epoll);
+}
+
+void CallerWatch::stop()
+{
+    if (!m_thread.joinable())
+        return;
     uint64_t one = 1;
     // An eventfd that is full is readable already, so a failed write loses nothing.
     [[maybe_unused]] auto written = ::write(m_stopEvent, &one, sizeof(one));
     m_thread.join();
-    ::close(m_stopEvent);
-    ::close(m_epoll);
 }
 
 uint64_t CallerWatch::add(int descriptor, std::function<void()> onGone)
--- a/packages/platform/src/CallerWatch.h
+++ b/packages/platform/src/CallerWatch.h
@@ -20,6 +20,10 @@
     CallerWatch(const CallerWatch&) = delete;
     CallerWatch& operator=(const CallerWatch&) = delete;
 
+    // Ends the thread; nothing is called afterwards. Not to be called from `onGone`. The owner calls it before it lets go of
+    // the watch: a callback may hold what holds the watch, and the thread cannot wait for itself.
+    void stop();
+
     // Calls `onGone` once, from the watch's thread, when the far side closes. Returns the number for remove().
     uint64_t add(int descriptor, std::function<void()> onGone);
     // Must come before the descriptor is closed. A call to `onGone` that has already begun may still be running.
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -1,12 +1,13 @@
 #include "toucanstep/platform/HttpServer.h"
 
+#include "Acceptor.h"
 #include "CallerWatch.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <atomic>
 #include <charconv>
+#include <condition_variable>
 #include <deque>
 #include <glog/logging.h>
 #include <microhttpd.h>
@@ -16,6 +17,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace toucanstep::platform {
 
@@ -34,9 +36,11 @@
 // it has sent all, sees the refusal and not a reset connection. Beyond that the connection is cut.
 constexpr size_t drainedBounds = 8;
 constexpr size_t streamBlockBytes = 16 * 1024;
-constexpr unsigned listenBacklog = 1024;
 constexpr size_t connectionMemory = 64 * 1024;
 
+// How long a stopping server waits for its connections to be closed in order.
+constexpr auto longestClosing = std::chrono::seconds(2);
+
 constexpr int contentTooLarge = 413;
 constexpr int internalServerError = 500;
 
@@ -52,6 +56,9 @@
     std::mutex mutex;
     bool stopping = false;
     std::unordered_map<Exchange*, std::shared_ptr<Exchange>> exchanges;
+    // The sockets of all connections that stand.
+    std::unordered_set<int> descriptors;
+    std::condition_variable connectionClosed;
 };
 
 // These headers describe the connection, which is the server's own affair.
@@ -198,8 +205,10 @@
     ssize_t read(char* buffer, size_t capacity)
     {
         std::lock_guard lock(m_mutex);
+        // libmicrohttpd 0.9.75 may keep a connection whose reader reported an error until the idle timeout. The socket was
+        // shut before, so that the end mark which follows an ordinary end cannot be sent: that failure closes it at once.
         if (m_ended)
-            return MHD_CONTENT_READER_END_WITH_ERROR;
+            return m_descriptor >= 0 ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
         if (m_pieces.empty()) {
             if (m_whole)
                 return MHD_CONTENT_READER_END_OF_STREAM;
@@ -470,6 +479,23 @@
     exchange->onCompleted(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
+void onConnection(void* context, MHD_Connection* connection, void**, MHD_ConnectionNotificationCode code)
+{
+    const auto& shared = *static_cast<std::shared_ptr<Shared>*>(context);
+    const auto* info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (!info)
+        return;
+    std::lock_guard lock(shared->mutex);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        shared->descriptors.erase(info->connect_fd);
+        shared->connectionClosed.notify_all();
+        return;
+    }
+    shared->descriptors.insert(info->connect_fd);
+    if (shared->stopping)
+        ::shutdown(info->connect_fd, SHUT_RDWR);
+}
+
 class MicroHttpServer final : public HttpServer {
 public:
     MicroHttpServer(const HttpServerOptions& options, Handler handler)
@@ -481,37 +507,36 @@
 
     ~MicroHttpServer() override
     {
-        abortAll();
-        if (m_daemon)
+        if (m_daemon) {
+            stopAccepting();
+            closeConnections();
             MHD_stop_daemon(m_daemon);
-        if (m_listener >= 0)
-            ::close(m_listener);
+        }
+        m_shared->callers.stop();
     }
 
     base::Result<void> open()
     {
         const auto& options = m_shared->options;
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(options.port);
-        if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1)
-            return base::fail(base::ErrorKind::Malformed, base::concat("not an IPv4 address: ", options.address));
+        BOOST_LEAF_ASSIGN(m_port, m_acceptor.listen(options.address, options.port));
         auto idleSeconds = std::chrono::ceil<std::chrono::seconds>(options.idleTimeout).count();
         unsigned threads = std::max(1U, options.threads);
-        unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+        unsigned flags = MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC | MHD_USE_NO_LISTEN_SOCKET;
         m_daemon = MHD_start_daemon(flags, 0, nullptr, nullptr, &onAccess, &m_shared,
-            MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
             MHD_OPTION_URI_LOG_CALLBACK, &onTarget, &m_shared,
             MHD_OPTION_NOTIFY_COMPLETED, &onRequestCompleted, &m_shared,
+            MHD_OPTION_NOTIFY_CONNECTION, &onConnection, &m_shared,
             MHD_OPTION_CONNECTION_LIMIT, static_cast<unsigned>(std::max<size_t>(options.maximumConnections, threads)),
             MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idleSeconds),
             MHD_OPTION_CONNECTION_MEMORY_LIMIT, connectionMemory,
-            MHD_OPTION_LISTEN_BACKLOG_SIZE, listenBacklog,
             threads > 1 ? MHD_OPTION_THREAD_POOL_SIZE : MHD_OPTION_END, threads,
             MHD_OPTION_END);
         if (!m_daemon)
-            return base::fail(base::ErrorKind::Unavailable, base::concat("cannot listen on ", options.address, ":", options.port));
-        m_port = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+            return base::fail(base::ErrorKind::Unavailable, "the HTTP server's threads could not be started");
+        m_acceptor.run([this](int descriptor, const sockaddr_in& caller) {
+            // On failure, for example above the bound on connections, libmicrohttpd closes the descriptor itself.
+            MHD_add_connection(m_daemon, descriptor, reinterpret_cast<const sockaddr*>(&caller), sizeof(caller));
+        });
         return {};
     }
 
@@ -519,12 +544,9 @@
 
     void stopAccepting() override
     {
-        if (!m_shared->accepting.exchange(false))
-            return;
-        // libmicrohttpd's threads may still look at the listening socket, so it is closed only after they have ended.
-        m_listener = MHD_quiesce_daemon(m_daemon);
-        if (m_listener >= 0)
-            ::shutdown(m_listener, SHUT_RDWR);
+        std::lock_guard lock(m_stopMutex);
+        m_shared->accepting = false;
+        m_acceptor.stop();
     }
 
     size_t openExchanges() const override
@@ -534,8 +556,9 @@
     }
 
 private:
-    // libmicrohttpd ends the process if a connection is still suspended when it stops.
-    void abortAll()
+    // Leaves libmicrohttpd nothing to do when it stops. It ends the process if a connection is still suspended then, and
+    // one of its versions (0.9.75) reads a null pointer if a request without a proper form arrives while it stops.
+    void closeConnections()
     {
         std::vector<std::shared_ptr<Exchange>> running;
         {
@@ -543,15 +566,20 @@
             m_shared->stopping = true;
             for (const auto& [raw, exchange] : m_shared->exchanges)
                 running.push_back(exchange);
+            for (int descriptor : m_shared->descriptors)
+                ::shutdown(descriptor, SHUT_RDWR);
         }
         for (const auto& exchange : running)
             exchange->abort();
+        std::unique_lock lock(m_shared->mutex);
+        m_shared->connectionClosed.wait_for(lock, longestClosing, [this] { return m_shared->descriptors.empty(); });
     }
 
     std::shared_ptr<Shared> m_shared;
     MHD_Daemon* m_daemon = nullptr;
     uint16_t m_port = 0;
-    int m_listener = -1;
+    std::mutex m_stopMutex;
+    internal::Acceptor m_acceptor;
 };
 
 } // namespace
--- a/packages/platform/test/HttpTest.cpp
+++ b/packages/platform/test/HttpTest.cpp
@@ -156,6 +156,29 @@
     CHECK_FALSE(exchange->write("more"));
 }
 
+TEST(Http, AnAbortedStreamFreesItsConnection)
+{
+    // New callers would be turned away. Streams are aborted or left by their callers while the server waits for the next
+    // piece; a connection that the library forgets to close counts against the bound until the idle timeout.
+    server.reset();
+    serve([this](ExchangePointer exchange) { requests.put(std::move(exchange)); }, { .maximumConnections = 8 });
+    for (int count = 0; count < 100; ++count) {
+        auto listener = std::make_shared<RecordingListener>();
+        auto handle = client.start({ .url = url(), .deadline = soon(), .freshConnection = true }, listener);
+        auto exchange = requests.take();
+        CHECK_TRUE(exchange.has_value());
+        (*exchange)->startStream(200, {});
+        (*exchange)->write("piece");
+        CHECK_TRUE(listener->pieces.take().has_value());
+        if (count % 2 == 0)
+            (*exchange)->abort();
+        else
+            handle.reset();
+        CHECK_TRUE(listener->ends.take()->has_value());
+        waitUntilIdle();
+    }
+}
+
 TEST(Http, ARefusedConnectionIsUnavailableAndALostAnswerIsTimeout)
 {
     serve([](const ExchangePointer& exchange) { exchange->abort(); });
