Assignments: histories, stories and unit tests; sources of the calls library

Histories over a model fleet (lost, late, doubled and crossed answers, lagging list that goes back, drifting clocks, crash, pause, restart, replace, cuts, outages) with one oracle: at most one process may use a row. 300 histories hold; each of seven seeded faults is found. The property on the table found a fault: a late event brought back a row that a read had already left out, because only listed keys had a floor; the floor is now kept for each prefix that was read.

--- a/packages/assignments/include/toucanstep/assignments/AbsenceTracker.h
+++ b/packages/assignments/include/toucanstep/assignments/AbsenceTracker.h
@@ -70,6 +70,8 @@
     std::optional<Clearance> clearance(const base::InstanceId&, base::Instant now) const;
 
     bool mayTake(const Row&, base::Instant now) const override;
+    // Whether the list has certainly dropped a watched instance, however long ago; when to choose another voter.
+    bool listHasDropped(const base::InstanceId&) const;
     // Whether a watched voter has been dropped for so long that it vouches for nobody any more.
     bool hasStoppedVouching(const base::InstanceId&, base::Instant now) const;
 
--- a/packages/assignments/include/toucanstep/assignments/AssignmentTable.h
+++ b/packages/assignments/include/toucanstep/assignments/AssignmentTable.h
@@ -46,12 +46,15 @@
 
     void apply(const RowKey&, std::optional<Row>, base::Revision);
     void forgetOldDeletions();
+    void noteReadUpTo(std::string_view prefix, base::Revision);
+    base::Revision readUpTo(const RowKey&) const;
     template <typename Predicate>
     std::vector<Row> select(Predicate&&) const;
 
     std::map<RowKey, Entry> m_entries;
-    // No information older than this is taken for keys that the table does not list.
-    base::Revision m_floor;
+    // For each prefix the revision up to which a key under it that the table does not list is known not to exist. Without
+    // it a late event would bring back a row whose deletion a read has already shown by leaving it out.
+    std::map<std::string, base::Revision, std::less<>> m_readUpTo;
     uint64_t m_changes = 0;
 };
 
--- a/packages/assignments/src/AbsenceTracker.cpp
+++ b/packages/assignments/src/AbsenceTracker.cpp
@@ -168,6 +168,12 @@
     return phase(row.holder.instance, now) == AbsencePhase::Cleared;
 }
 
+bool AbsenceTracker::listHasDropped(const base::InstanceId& instance) const
+{
+    auto found = m_watched.find(instance);
+    return found != m_watched.end() && isDropped(found->second);
+}
+
 bool AbsenceTracker::hasStoppedVouching(const base::InstanceId& instance, Instant now) const
 {
     auto found = m_watched.find(instance);
--- a/packages/assignments/src/AssignmentTable.cpp
+++ b/packages/assignments/src/AssignmentTable.cpp
@@ -31,6 +31,7 @@
         apply(key, std::nullopt, reply.revision);
     for (auto& [key, row] : read)
         apply(key, std::move(row), reply.revision);
+    noteReadUpTo(prefix, reply.revision);
     forgetOldDeletions();
     return malformed;
 }
@@ -73,7 +74,7 @@
 {
     auto found = m_entries.find(key);
     if (found == m_entries.end()) {
-        if (known < m_floor)
+        if (known < readUpTo(key))
             return;
         m_entries.emplace(key, Entry { std::move(row), known });
         ++m_changes;
@@ -101,11 +102,29 @@
     std::sort(deletions.begin(), deletions.end());
     deletions.resize(deletions.size() - rememberedDeletions / 2);
     for (const auto& [revision, key] : deletions) {
-        m_floor = std::max(m_floor, revision);
+        noteReadUpTo(allRowsPrefix, revision);
         m_entries.erase(key);
     }
 }
 
+void AssignmentTable::noteReadUpTo(std::string_view prefix, base::Revision revision)
+{
+    auto [found, isNew] = m_readUpTo.emplace(prefix, revision);
+    if (!isNew)
+        found->second = std::max(found->second, revision);
+}
+
+base::Revision AssignmentTable::readUpTo(const RowKey& key) const
+{
+    base::Revision latest;
+    std::string stored = storageKey(key);
+    for (const auto& [prefix, revision] : m_readUpTo) {
+        if (stored.compare(0, prefix.size(), prefix) == 0)
+            latest = std::max(latest, revision);
+    }
+    return latest;
+}
+
 const Row* AssignmentTable::find(const RowKey& key) const
 {
     auto found = m_entries.find(key);
--- /dev/null
+++ b/packages/assignments/test/HistoryTest.cpp
@@ -0,0 +1,276 @@
+#include "FleetModel.h"
+
+#include "toucanstep/testing/Property.h"
+
+using namespace toucanstep::assignments;
+using namespace toucanstep::assignments::test;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using toucanstep::base::Duration;
+using toucanstep::base::Instant;
+using toucanstep::testing::counterexample;
+using toucanstep::testing::PropertyOptions;
+
+namespace {
+
+// Clocks that differ by ten parts in a hundred, so that drift shows within a short history.
+Timing driftingTiming()
+{
+    Timing timing;
+    timing.driftPartsPerMillion = 50'000;
+    timing.voterLimit = seconds(30);
+    return timing;
+}
+
+struct History {
+    std::vector<FleetCommand> commands;
+    uint64_t seed = 1;
+    bool versionedList = true;
+};
+
+std::ostream& operator<<(std::ostream& stream, const History& history)
+{
+    stream << "seed " << history.seed << " versioned " << history.versionedList << ":";
+    for (const auto& command : history.commands)
+        stream << " {" << static_cast<int>(command.action) << ", " << command.slot << ", " << toucanstep::base::toMilliseconds(command.then) << "}";
+    return stream;
+}
+
+using Commands = std::vector<FleetCommand>;
+
+rc::Gen<Duration> quarterSeconds(int from, int to)
+{
+    return rc::gen::map(rc::gen::inRange(from * 4, to * 4), [](int quarters) -> Duration { return milliseconds(250 * quarters); });
+}
+
+rc::Gen<Commands> anyCommand()
+{
+    // Running is the most frequent, so that what a fault starts has time to show.
+    auto action = rc::gen::weightedOneOf<FleetAction>({
+        { 6, rc::gen::just(FleetAction::Run) },
+        { 2, rc::gen::element(FleetAction::Crash, FleetAction::Restart, FleetAction::Pause, FleetAction::Resume, FleetAction::Heal) },
+        { 4, rc::gen::element(FleetAction::Replace, FleetAction::ReplaceAndCut, FleetAction::ReplaceAndCut, FleetAction::Vanish) },
+        { 2, rc::gen::element(FleetAction::CutFromPeers, FleetAction::CutFromService, FleetAction::CutFromList) },
+        { 1, rc::gen::element(FleetAction::StartOutage, FleetAction::EndOutage, FleetAction::EndOutage) },
+        { 2, rc::gen::element(FleetAction::Release, FleetAction::HandOver) },
+    });
+    auto command = rc::gen::construct<FleetCommand>(action, rc::gen::inRange<size_t>(0, 5), quarterSeconds(0, 15));
+    return rc::gen::map(command, [](const FleetCommand& one) { return Commands { one }; });
+}
+
+// A dropped process that runs on, and a second fault about when its rows move.
+rc::Gen<Commands> droppedProcess()
+{
+    return rc::gen::exec([] {
+        size_t slot = *rc::gen::inRange<size_t>(0, 5);
+        auto fault = *rc::gen::element(FleetAction::StartOutage, FleetAction::CutFromService, FleetAction::Pause, FleetAction::Run);
+        auto mending = *rc::gen::element(FleetAction::Heal, FleetAction::Resume);
+        return Commands { { FleetAction::ReplaceAndCut, slot, *quarterSeconds(4, 24) }, { fault, slot, *quarterSeconds(0, 3) }, { mending, slot, *quarterSeconds(4, 14) }, { FleetAction::EndOutage, slot, *quarterSeconds(4, 14) } };
+    });
+}
+
+// A process that is dropped while only the service can be reached from it, and then not even that.
+rc::Gen<Commands> droppedWithServiceOnly()
+{
+    return rc::gen::exec([] {
+        size_t slot = *rc::gen::inRange<size_t>(0, 5);
+        return Commands { { FleetAction::CutFromList, slot, {} }, { FleetAction::CutFromPeers, slot, *quarterSeconds(0, 4) }, { FleetAction::Replace, slot, *quarterSeconds(15, 27) }, { FleetAction::CutFromService, slot, *quarterSeconds(8, 14) }, { FleetAction::Heal, slot, *quarterSeconds(0, 4) } };
+    });
+}
+
+// A release that may still lie on its way when a new process has started on the same instance.
+rc::Gen<Commands> restartAfterRelease()
+{
+    return rc::gen::exec([] {
+        size_t slot = *rc::gen::inRange<size_t>(0, 5);
+        return Commands { { FleetAction::Release, slot, {} }, { FleetAction::Restart, slot, *quarterSeconds(1, 5) }, { FleetAction::CutFromService, slot, *quarterSeconds(10, 40) }, { FleetAction::Heal, slot, *quarterSeconds(0, 4) } };
+    });
+}
+
+// A release that may still lie on its way while its sender cannot read the service.
+rc::Gen<Commands> releaseWhileCut()
+{
+    return rc::gen::exec([] {
+        size_t slot = *rc::gen::inRange<size_t>(0, 5);
+        return Commands { { FleetAction::Release, slot, *quarterSeconds(0, 2) }, { FleetAction::CutFromService, slot, *quarterSeconds(10, 40) }, { FleetAction::Heal, slot, *quarterSeconds(0, 4) } };
+    });
+}
+
+rc::Gen<History> historiesOf(const rc::Gen<Commands>& part)
+{
+    auto commands = rc::gen::map(rc::gen::container<std::vector<Commands>>(part), [](const std::vector<Commands>& parts) {
+        Commands all;
+        for (const auto& one : parts)
+            all.insert(all.end(), one.begin(), one.end());
+        return all;
+    });
+    return rc::gen::construct<History>(commands, rc::gen::inRange<uint64_t>(1, 1'000'000), rc::gen::arbitrary<bool>());
+}
+
+rc::Gen<Commands> anyPart()
+{
+    return rc::gen::weightedOneOf<Commands>({ { 8, anyCommand() }, { 1, droppedProcess() }, { 1, droppedWithServiceOnly() }, { 1, restartAfterRelease() }, { 1, releaseWhileCut() } });
+}
+
+FleetOptions optionsOf(const History& history, const PartsFactory* parts)
+{
+    FleetOptions options;
+    options.timing = driftingTiming();
+    options.seed = history.seed;
+    options.versionedList = history.versionedList;
+    options.parts = parts;
+    return options;
+}
+
+// Plays the history and returns its violation, or an empty string.
+std::string play(const History& history, const PartsFactory* parts, int* takeovers = nullptr)
+{
+    Fleet fleet(optionsOf(history, parts));
+    fleet.run(seconds(10));
+    for (const auto& command : history.commands)
+        fleet.perform(command);
+    fleet.run(seconds(60));
+    if (takeovers)
+        *takeovers += fleet.takeovers();
+    return fleet.violation();
+}
+
+// Looks for a violation by a fault, in histories of the parts that are made to bring it out.
+std::string findViolation(const PartsFactory& parts, const rc::Gen<Commands>& part)
+{
+    return counterexample(PropertyOptions { .seed = 5, .maxSuccess = 400, .maxSize = 20 }, [&] {
+        auto history = *rc::gen::noShrink(historiesOf(part));
+        RC_ASSERT(play(history, &parts).empty());
+    });
+}
+
+// The faults that the histories must show.
+
+class ServiceReadCounts final : public HolderState {
+public:
+    using HolderState::HolderState;
+
+protected:
+    std::optional<Instant> newestEvidence() const override { return std::max(HolderState::newestEvidence(), serviceEvidence()); }
+};
+
+class NeverStops final : public HolderState {
+public:
+    using HolderState::HolderState;
+
+protected:
+    std::optional<Instant> newestEvidence() const override { return HolderState::newestEvidence() ? std::optional(Instant::max() - timing().holderLimit) : std::nullopt; }
+};
+
+class KeepsReleasedRows final : public HolderState {
+public:
+    using HolderState::HolderState;
+    void relinquish(const Row&) override { }
+};
+
+class UsesPredecessorsRows final : public HolderState {
+public:
+    using HolderState::HolderState;
+    bool mayUse(const Row& row, Instant now) const override
+    {
+        Row own = row;
+        if (row.holder.instance == self().instance)
+            own.holder = self();
+        return HolderState::mayUse(own, now);
+    }
+};
+
+class IgnoresListLag final : public AbsenceTracker {
+public:
+    using AbsenceTracker::AbsenceTracker;
+
+protected:
+    bool absenceStood(const Watched& watched, Instant) const override { return watched.absentSince.has_value(); }
+};
+
+class NeedsNoPromise final : public AbsenceTracker {
+public:
+    using AbsenceTracker::AbsenceTracker;
+
+protected:
+    bool promisedByMajority(const Watched&, Instant) const override { return true; }
+};
+
+class TrustsOneAnswer final : public AbsenceTracker {
+public:
+    using AbsenceTracker::AbsenceTracker;
+
+protected:
+    bool isDropped(const Watched& watched) const override { return watched.absentSince.has_value(); }
+    bool absenceStood(const Watched& watched, Instant) const override { return watched.absentSince.has_value(); }
+    bool promisedByMajority(const Watched& watched, Instant) const override { return !watched.replies.empty(); }
+};
+
+template <typename FaultyHolder>
+class WithHolder : public PartsFactory {
+public:
+    std::unique_ptr<HolderState> makeHolder(const Holder& self, const Timing& timing) const override { return std::make_unique<FaultyHolder>(self, timing); }
+};
+
+template <typename FaultyTracker>
+class WithTracker final : public PartsFactory {
+public:
+    std::unique_ptr<AbsenceTracker> makeTracker(const Timing& timing) const override { return std::make_unique<FaultyTracker>(timing); }
+};
+
+class WithoutAdoption final : public WithHolder<UsesPredecessorsRows> {
+public:
+    bool adoptsRows() const override { return false; }
+};
+
+} // namespace
+
+TEST_GROUP(Histories) {};
+
+TEST(Histories, AtMostOneProcessUsesARow)
+{
+    int takeovers = 0;
+    CHECK_PROPERTY_WITH((PropertyOptions { .seed = 20261202, .maxSuccess = 300, .maxSize = 60 }), [&] {
+        auto history = *historiesOf(anyPart());
+        auto violation = play(history, nullptr, &takeovers);
+        if (!violation.empty())
+            RC_FAIL(violation);
+    });
+    // Without rows that move the property would say nothing.
+    CHECK_COMPARE(takeovers, >, 200);
+}
+
+TEST(Histories, AFaultWhereServiceReadsCountAsPresenceIsFound)
+{
+    CHECK_FALSE(findViolation(WithHolder<ServiceReadCounts>(), droppedWithServiceOnly()).empty());
+}
+
+TEST(Histories, AFaultWhereAHolderNeverStopsIsFound)
+{
+    CHECK_FALSE(findViolation(WithHolder<NeverStops>(), droppedProcess()).empty());
+}
+
+TEST(Histories, AFaultWhereReleasedRowsAreKeptIsFound)
+{
+    CHECK_FALSE(findViolation(WithHolder<KeepsReleasedRows>(), releaseWhileCut()).empty());
+}
+
+TEST(Histories, AFaultWhereARestartUsesRowsWithoutRewritingThemIsFound)
+{
+    CHECK_FALSE(findViolation(WithoutAdoption(), restartAfterRelease()).empty());
+}
+
+TEST(Histories, AFaultWhereTheListsLagIsIgnoredIsFound)
+{
+    CHECK_FALSE(findViolation(WithTracker<IgnoresListLag>(), droppedProcess()).empty());
+}
+
+TEST(Histories, AFaultWhereVotersNeedNotPromiseIsFound)
+{
+    CHECK_FALSE(findViolation(WithTracker<NeedsNoPromise>(), droppedProcess()).empty());
+}
+
+TEST(Histories, AFaultWhereOneAnswerOfTheListIsEnoughIsFound)
+{
+    CHECK_FALSE(findViolation(WithTracker<TrustsOneAnswer>(), anyPart()).empty());
+}
--- /dev/null
+++ b/packages/assignments/test/UnitTest.cpp
@@ -0,0 +1,278 @@
+#include "toucanstep/assignments/AssignmentTable.h"
+#include "toucanstep/assignments/Mover.h"
+#include "toucanstep/testing/Property.h"
+
+using namespace toucanstep::assignments;
+using namespace toucanstep::base;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const RowKey share { RowKind::LimitShare, "farm/one", 2 };
+const Holder self { InstanceId("a"), StartNonce("s1") };
+
+KeyValue entryOf(const Row& row)
+{
+    return KeyValue { storageKey(row.key), encodeRow(row), row.modified, row.modified };
+}
+
+Instant at(Duration time)
+{
+    return Instant(std::chrono::hours(1) + time);
+}
+
+Exchange sentAt(Duration time)
+{
+    return { at(time), at(time + seconds(1)) };
+}
+
+Electorates electoratesOf(const std::set<InstanceId>& members)
+{
+    return { { Generation(1), members }, std::nullopt, Revision(3) };
+}
+
+const std::set<InstanceId> threeVoters { InstanceId("x"), InstanceId("y"), InstanceId("z") };
+
+} // namespace
+
+TEST_GROUP(Rows) {};
+
+TEST(Rows, KeysAndValuesReadBackAsTheSameRow)
+{
+    CHECK_PROPERTY([](const std::string& subject, uint32_t slot, const std::string& payload) {
+        Row row { { RowKind::ReplicaSlot, subject, slot }, self, Epoch(7), WriteNonce("n"), payload, Revision(9) };
+        Error error;
+        auto decoded = valueOr(error, [&] { return decodeRow(entryOf(row)); });
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(*decoded == row);
+    });
+}
+
+TEST(Rows, TextThatIsNoRowIsRefused)
+{
+    CHECK_PROPERTY([](const std::string& key, const std::string& value) {
+        Error error;
+        RC_ASSERT(!valueOr(error, [&] { return parseStorageKey(key); }).has_value());
+        auto row = valueOr(error, [&] { return decodeRow(KeyValue { storageKey(share), value, {}, {} }); });
+        RC_ASSERT(!row.has_value());
+    });
+    Error error;
+    for (const char* key : { "/toucanstep/assignments/limit_share/a/01", "/toucanstep/assignments/limit_share/%61/1", "/toucanstep/assignments/limit_share/a/b/1", "/toucanstep/assignments/other/a/1" })
+        CHECK_FALSE(valueOr(error, [&] { return parseStorageKey(key); }).has_value());
+}
+
+TEST_GROUP(Tables) {};
+
+// Watch events and reads arrive crossed, one twice, from connections of different age. Whatever the order, the table
+// ends with what the newest of them said; an older row must not come back, because its holder may use it.
+TEST(Tables, OlderAnswersNeverReplaceNewerOnes)
+{
+    CHECK_PROPERTY([] {
+        struct Change {
+            bool deleted;
+            int slot;
+        };
+        auto changes = *rc::gen::container<std::vector<Change>>(rc::gen::construct<Change>(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 3)));
+        std::map<int, std::optional<Row>> truth;
+        std::vector<std::function<void(AssignmentTable&)>> news;
+        int64_t revision = 0;
+        for (const auto& change : changes) {
+            ++revision;
+            Row row { { RowKind::LimitShare, "a", static_cast<uint32_t>(change.slot) }, self, Epoch(revision), WriteNonce(std::to_string(revision)), "", Revision(revision) };
+            truth[change.slot] = change.deleted ? std::nullopt : std::optional(row);
+            WatchEvent event { entryOf(row), change.deleted };
+            Revision current(revision);
+            news.push_back([event, current](AssignmentTable& table) { table.applyEvents({ event }, current); });
+            RangeReply reply { {}, current };
+            for (const auto& [slot, known] : truth) {
+                if (known)
+                    reply.entries.push_back(entryOf(*known));
+            }
+            news.push_back([reply](AssignmentTable& table) { table.applyRange(allRowsPrefix, reply); });
+        }
+        auto order = *rc::gen::container<std::vector<size_t>>(news.size() * 2, rc::gen::inRange<size_t>(0, std::max<size_t>(1, news.size())));
+        AssignmentTable table;
+        if (!news.empty())
+            news.back()(table);
+        for (size_t index : order)
+            news[index](table);
+        for (const auto& [slot, expected] : truth) {
+            const Row* found = table.find({ RowKind::LimitShare, "a", static_cast<uint32_t>(slot) });
+            RC_ASSERT((found ? std::optional(*found) : std::nullopt) == expected);
+        }
+    });
+}
+
+TEST_GROUP(Moving) {};
+
+// The answer to a claim is lost, and so is every hint of whether it was carried out. Claimed again blindly, the row would
+// have two writers' views; read back, the nonce tells.
+TEST(Moving, ALostAnswerIsSettledByTheNonce)
+{
+    Mover mover(self);
+    Move move = mover.claim(share, "", Revision(5));
+    CHECK_TRUE(mover.onOutcome(move.id, Error { ErrorKind::Timeout, "" }) == MoveState::NeedsRead);
+    const auto& put = std::get<PutOperation>(move.transaction.operations[0]);
+    CHECK_TRUE(mover.onRead(move.id, RangeReply { { { put.key, put.value, Revision(6), Revision(6) } }, Revision(8) }) == MoveState::Committed);
+    CHECK_EQUAL(6, mover.written(move.id)->modified.value());
+    CHECK_EQUAL(6, mover.written(move.id)->epoch.value());
+}
+
+// The read that follows a lost answer overtakes the transaction, which lies on its way: the read shows nothing, a second
+// claim is sent, and then the first takes effect. Both compare the same revision, so one fails and the row is held once.
+TEST(Moving, AReadThatOvertakesTheTransactionSettlesNothing)
+{
+    Mover mover(self);
+    Move first = mover.claim(share, "", Revision(5));
+    mover.onOutcome(first.id, Error { ErrorKind::Timeout, "" });
+    CHECK_TRUE(mover.onRead(first.id, RangeReply { {}, Revision(5) }) == MoveState::Unsettled);
+    Move second = mover.claim(share, "", Revision(5));
+    const auto& put = std::get<PutOperation>(first.transaction.operations[0]);
+    CHECK_TRUE(mover.onOutcome(second.id, TransactionReply { false, Revision(6) }) == MoveState::Failed);
+    CHECK_TRUE(mover.onRead(first.id, RangeReply { { { put.key, put.value, Revision(6), Revision(6) } }, Revision(6) }) == MoveState::Committed);
+    CHECK_EQUAL(0, mover.unsettled());
+}
+
+// A release's answer is lost and a read still shows the row. Used again it would be freed under its user when the release
+// arrives, so it stays given up until a new revision names this process.
+TEST(Moving, AReleasedRowIsNotUsedAgainAtTheSameRevision)
+{
+    HolderState holder(self, Timing {});
+    Mover mover(self);
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, std::nullopt);
+    holder.onListAnswer(sentAt({}), at({}), 1, true);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(1))));
+    Move move = mover.release(row, holder);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    mover.onOutcome(move.id, Error { ErrorKind::Timeout, "" });
+    CHECK_TRUE(mover.onRead(move.id, RangeReply { { entryOf(row) }, Revision(4) }) == MoveState::Unsettled);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    row.modified = Revision(9);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(1))));
+}
+
+TEST_GROUP(Holding) {};
+
+// An answer of the list that was asked for long ago arrives after its deadline, for example because the process was
+// paused. It says where the instance stood then, and must not prolong the use of rows now.
+TEST(Holding, AnAnswerAfterItsDeadlineIsNotUsed)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, std::nullopt);
+    holder.onListAnswer(sentAt({}), at(seconds(2)), 1, true);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(2))));
+    holder.onListAnswer(sentAt(seconds(2)), at(seconds(3)), 1, true);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(7))));
+    CHECK_FALSE(holder.mayUse(row, at(seconds(7) + milliseconds(1))));
+}
+
+// Two voters of three vouch, one of them under a newer set than the holder knows. That one has promised to vouch under
+// the holder's set no more, so the two are no majority.
+TEST(Holding, AVoterOfANewerSetDoesNotCountForTheFormer)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, electoratesOf(threeVoters));
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("x"), Generation(1), true);
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("y"), Generation(2), true);
+    CHECK_FALSE(holder.mayUse(row, at({})));
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("z"), Generation(1), true);
+    CHECK_TRUE(holder.mayUse(row, at({})));
+}
+
+TEST(Holding, TheDefaultTimesLeaveRoomForDrift)
+{
+    Timing timing;
+    CHECK_TRUE(isSafe(timing));
+    timing.holderLimit = timing.absence;
+    CHECK_FALSE(isSafe(timing));
+}
+
+TEST_GROUP(Voting) {};
+
+// A gateway promises a taker, dies, and starts again while the service is down. Its predecessor's promise is forgotten;
+// were it to vouch, the former holder would use a row that has moved.
+TEST(Voting, AVoterThatHasNotReadTheMarksVouchesForNobody)
+{
+    VoterState voter(InstanceId("x"), Timing {}, at({}));
+    voter.onListed(at({}));
+    CHECK_FALSE(voter.vouchFor(InstanceId("a"), at(seconds(1))));
+    voter.onServiceRead(Revision(8), { { InstanceId("a"), Revision(7) } }, electoratesOf(threeVoters));
+    CHECK_FALSE(voter.vouchFor(InstanceId("a"), at(seconds(1))));
+    CHECK_TRUE(voter.vouchFor(InstanceId("b"), at(seconds(1))));
+}
+
+// A read of the service that began before the mark was written arrives after the promise. It does not undo the promise;
+// a read after the mark was lifted does.
+TEST(Voting, APromiseStandsUntilItsMarkIsKnownToBeLifted)
+{
+    VoterState voter(InstanceId("x"), Timing {}, at({}));
+    voter.onListed(at({}));
+    voter.onServiceRead(Revision(5), {}, electoratesOf(threeVoters));
+    CHECK_TRUE(voter.vouchFor(InstanceId("a"), at(seconds(1))));
+    VoterReply reply = voter.onQuestion(InstanceId("a"), Revision(7), at(seconds(3)));
+    CHECK_EQUAL(7, reply.promisedUnder.value());
+    CHECK_TRUE(reply.unheard == seconds(2));
+    voter.onServiceRead(Revision(6), {}, electoratesOf(threeVoters));
+    CHECK_FALSE(voter.vouchFor(InstanceId("a"), at(seconds(4))));
+    voter.onServiceRead(Revision(9), {}, electoratesOf(threeVoters));
+    CHECK_TRUE(voter.vouchFor(InstanceId("a"), at(seconds(5))));
+}
+
+TEST_GROUP(Absence) {};
+
+// The list's copies differ: one answer without the instance comes from a copy that has not seen it start. Without versions
+// only absence for longer than the lag says that it was dropped; an answer that shows it starts the time again.
+TEST(Absence, AnAnswerThatGoesBackIsNoProofThatAnInstanceWasDropped)
+{
+    AbsenceTracker tracker(Timing {});
+    InstanceId instance("a");
+    tracker.watch(instance, at({}));
+    for (int second = 0; second < 9; ++second)
+        tracker.onListAnswer(sentAt(seconds(second)), at(seconds(second)), std::nullopt, {});
+    tracker.onListAnswer(sentAt(seconds(9)), at(seconds(9)), std::nullopt, { instance });
+    for (int second = 10; second <= 20; ++second) {
+        tracker.onListAnswer(sentAt(seconds(second)), at(seconds(second)), std::nullopt, {});
+        CHECK_FALSE(tracker.listHasDropped(instance));
+    }
+    tracker.onListAnswer(sentAt(seconds(21)), at(seconds(21)), std::nullopt, {});
+    CHECK_TRUE(tracker.listHasDropped(instance));
+}
+
+// With versions an answer older than the one that showed the instance is left aside, however late it comes.
+TEST(Absence, AnOlderVersionIsLeftAside)
+{
+    AbsenceTracker tracker(Timing {});
+    InstanceId instance("a");
+    tracker.watch(instance, at({}));
+    tracker.onListAnswer(sentAt({}), at({}), 5, { instance });
+    tracker.onListAnswer(sentAt(seconds(1)), at(seconds(1)), 4, {});
+    CHECK_FALSE(tracker.listHasDropped(instance));
+    tracker.onListAnswer(sentAt(seconds(2)), at(seconds(2)), 6, {});
+    CHECK_TRUE(tracker.listHasDropped(instance));
+    CHECK_TRUE(tracker.phase(instance, at(seconds(2))) == AbsencePhase::Absent);
+}
+
+TEST_GROUP(Electing) {};
+
+// All gateways are replaced within minutes. Were the sets simply swapped, a holder that is cut off with the former
+// gateways and a taker that asks the new ones would each have a majority.
+TEST(Electing, AFormerSetIsKeptUntilItsMajorityHasPromised)
+{
+    Electorates known = electoratesOf(threeVoters);
+    std::set<InstanceId> next { InstanceId("p"), InstanceId("q"), InstanceId("r") };
+    auto change = changeElectorate(known, next);
+    CHECK_TRUE(change.has_value());
+    Error error;
+    const auto& put = std::get<PutOperation>(change->operations[0]);
+    auto changed = valueOr(error, [&] { return decodeElectorates(KeyValue { put.key, put.value, {}, Revision(4) }); });
+    CHECK_TRUE(changed && changed->current.members == next && changed->former == known.current);
+    CHECK_FALSE(isMajorityOfAll(*changed, next));
+    CHECK_TRUE(isMajorityOfAll(*changed, { InstanceId("x"), InstanceId("y"), InstanceId("p"), InstanceId("q") }));
+    CHECK_FALSE(changeElectorate(*changed, threeVoters).has_value());
+    CHECK_FALSE(retireFormer(*changed, { InstanceId("x") }).has_value());
+    CHECK_TRUE(retireFormer(*changed, { InstanceId("x"), InstanceId("z") }).has_value());
+}
--- a/packages/calls/include/toucanstep/calls/CallCoordinator.h
+++ b/packages/calls/include/toucanstep/calls/CallCoordinator.h
@@ -99,6 +99,8 @@
         bool notRun = true;
         Step step = Step::Dispatched;
         base::Instant wakeAt;
+        // Whether an operation's outcome is awaited.
+        bool busy = false;
     };
 
     // Seeded faults of the tests override these.
@@ -115,7 +117,7 @@
     CoordinatorActions onRecord(Call&, const std::optional<CallRecord>&, base::Instant now, UnixMilliseconds);
     CoordinatorActions read(Call&, base::Instant now);
     CoordinatorActions giveUp(Call&, base::Instant now);
-    CoordinatorActions wait(Call&, base::Instant now);
+    void waitUntilNextRead(Call&, Step, base::Instant now);
     Call* findAttempt(const AttemptId&);
 
     std::string m_process;
--- a/packages/calls/include/toucanstep/calls/CallExecutor.h
+++ b/packages/calls/include/toucanstep/calls/CallExecutor.h
@@ -94,7 +94,9 @@
         Running,
         Storing,
         ReadingOutcome,
-        // Replied to as not run; a claim that may stand has to be replaced by a tombstone.
+        // Certainly not run: a tombstone is written in the place of a claim that stands, or may still come to stand.
+        Tombstoning,
+        // Replied to as not run; the same goes on without anybody waiting for it.
         Abandoned,
         AbandonedReading,
         AbandonedWriting,
@@ -106,17 +108,24 @@
         Step step = Step::Claiming;
         RecordNonce claimNonce;
         RecordNonce outcomeNonce;
+        RecordNonce tombstoneNonce;
         // The revision of our standing claim.
         base::Revision claimed;
         std::optional<StoredAnswer> answer;
         bool replied = false;
+        // Whether Run was returned; never again after that.
+        bool started = false;
+        // Whether an operation's outcome is awaited. The next one starts only after it, so that outcomes are never mixed up.
+        bool busy = false;
         // When the next step is due, and until when settling goes on.
         base::Instant wakeAt;
         base::Instant settleUntil;
     };
 
     // Seeded faults of the tests override these.
-    virtual ExecutorActions onClaimLost(Call&, base::Instant now, UnixMilliseconds);
+    virtual ExecutorActions onClaimLost(Call&, base::Instant now);
+    // The read showed the record as the claim expected it: the claim may still take effect.
+    virtual ExecutorActions onClaimAbsent(Call&, base::Instant now, UnixMilliseconds);
     virtual ExecutorActions onClaimStands(Call&, base::Revision, base::Instant now, UnixMilliseconds);
     virtual ExecutorActions onOtherRecord(Call&, const CallRecord&, base::Instant now);
 
@@ -131,10 +140,14 @@
     ExecutorActions onAbandonedRead(Call&, const base::Outcome<base::RangeReply>&, base::Instant now, UnixMilliseconds);
     ExecutorActions storeOutcome(Call&, base::Instant now, UnixMilliseconds);
     ExecutorActions writeTombstone(Call&, base::Revision expected, base::Instant now, UnixMilliseconds);
-    ExecutorActions retryLater(Call&, Step, base::Instant now);
     ExecutorActions replyOnce(Call&, CallReply);
     ExecutorActions finish(Call&, CallReply);
-    ExecutorActions finish(Call&);
+    void end(Call&);
+    ExecutorActions onClaimWritten(Call&, const base::Outcome<base::TransactionReply>&, base::Instant now, UnixMilliseconds);
+    ExecutorActions onTombstoneWritten(Call&, const base::Outcome<base::TransactionReply>&, base::Instant now);
+    ExecutorActions onOutcomeWritten(Call&, const base::Outcome<base::TransactionReply>&, base::Instant now);
+    ExecutorActions submit(Call&, Step, RecordWrite, base::Instant now);
+    ExecutorActions wake(Call&, base::Instant now, UnixMilliseconds);
     RecordNonce nextNonce();
     CallRecord recordOf(const Call&, RecordState, UnixMilliseconds) const;
 
@@ -142,6 +155,8 @@
     ExecutorLimits m_limits;
     int64_t m_counter = 0;
     std::map<AttemptId, Call> m_calls;
+    // Attempts that have ended, so that a second delivery does not start them again; until when each is remembered.
+    std::map<AttemptId, base::Instant> m_ended;
 };
 
 } // namespace toucanstep::calls
--- a/packages/calls/include/toucanstep/calls/GroupCommit.h
+++ b/packages/calls/include/toucanstep/calls/GroupCommit.h
@@ -73,7 +73,8 @@
     void requeueInHalves(std::vector<Member>);
 
 private:
-    Batch makeBatch(std::vector<Member>);
+    Batch makeBatch(std::vector<Member>, base::Instant now);
+    std::vector<WriteResult> settle(const std::vector<Member>&, const base::Outcome<base::TransactionReply>&);
     std::vector<Member> gather();
 
     GroupLimits m_limits;
--- a/packages/calls/include/toucanstep/calls/Messages.h
+++ b/packages/calls/include/toucanstep/calls/Messages.h
@@ -43,6 +43,8 @@
     // Whether the answer was read from the record.
     bool repeated = false;
     base::Revision tombstone;
+    // With MayHaveRun: another attempt holds the record and may still store its answer.
+    bool mayFinish = false;
     // Why the attempt did not run.
     base::RefusalCode reason = base::RefusalCode::Internal;
 };
