Membership by anti-entropy: fresh changes pushed, digests of buckets, entries only where they differ

Cause: 1,550 nodes may spend 5 KB a second each on control, so neither a full mesh nor heartbeats through the table fit. Liveness costs no entries: an unanswered digest is repeated, then the peer is declared gone, and it contradicts that if it lives.

--- a/packages/membership/include/toucanstep/membership/Entry.h
+++ b/packages/membership/include/toucanstep/membership/Entry.h
@@ -80,26 +80,31 @@
 constexpr size_t maximumStrikes = 64;
 constexpr size_t maximumEntries = 256;
 constexpr size_t maximumMessageBytes = 64 * 1024;
+constexpr size_t maximumVersionItems = 4096;
+// The first half is for gateways, the second for sidecars.
 constexpr size_t digestBuckets = 64;
 
-// A fixed-size summary of a node's table: one hash for each bucket of instances.
+// A fixed-size summary of a node's table: one hash for each bucket of instances that are not gone.
 struct Digest {
     base::InstanceId from;
     base::Revision configuration;
     std::vector<uint32_t> buckets;
 };
 
-// What the sender knows about the buckets that differ: short ids of instances and their versions.
+// What the sender knows of the buckets that differ, as hashes of instances and of what was said about them. With no
+// buckets it only shows that the sender lives, or asks for the entries in `wanted`.
 struct Versions {
     struct Item {
         uint32_t instanceHash = 0;
         uint32_t versionHash = 0;
+
+        friend auto operator<=>(const Item&, const Item&) = default;
+        friend bool operator==(const Item&, const Item&) = default;
     };
     base::InstanceId from;
     std::vector<uint32_t> buckets;
     std::vector<Item> items;
-    // Set where the receiver should answer with its own versions of these buckets.
-    bool wantsReply = false;
+    std::vector<Item> wanted;
 };
 
 // Entries that the receiver lacks or has in an older version.
@@ -118,6 +123,7 @@
 
 // MessagePack. Decoding fails with ErrorKind::Malformed on anything outside the bounds above.
 std::string encodeMessage(const Message&);
+size_t encodedSize(const Entry&);
 base::Result<Message> decodeMessage(std::string_view);
 
 } // namespace toucanstep::membership
--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -1,7 +1,9 @@
 // Anti-entropy between nodes: who is there, in which state, with small hints.
 //
-// Each tick a node sends a digest of fixed size to a few random peers; where buckets differ, the two exchange versions of
-// those buckets and then only the entries that one of them lacks. Sidecars talk to a few gateways instead of to everybody.
+// A fresh change is pushed to a few random peers, who push it on; each tick also sends a digest of fixed size to a random
+// peer, and where buckets differ, the two exchange hashes of those buckets and then only the entries that one of them
+// lacks. Nothing is sent to say that nothing has changed: a peer that leaves digests unanswered is declared gone, and
+// raises its version if it still lives. Sidecars talk to a few gateways and keep entries of gateways alone.
 //
 //     for (auto& message : membership.tick(now, random))
 //         send(message);
@@ -12,10 +14,10 @@
 #include "toucanstep/membership/Entry.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <functional>
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace toucanstep::membership {
@@ -25,18 +27,29 @@
 struct MembershipOptions {
     // Peers that get a digest each tick.
     int fanOut = 1;
-    // Bytes that one node may send in answers and deltas between two ticks; what doesn't fit waits for later ticks.
-    size_t bytesPerTick = 4096;
-    // A member whose counter has not moved for this long is taken for gone.
-    base::Duration silenceLimit = std::chrono::seconds(90);
-    // How often a member raises its own counter though nothing has changed, to show that it lives.
-    base::Duration heartbeatInterval = std::chrono::seconds(30);
+    // Bytes that one node sends from one tick to the next; what doesn't fit waits for a later exchange.
+    size_t bytesPerTick = 3072;
+    // Differing buckets of which versions are exchanged at once.
+    size_t bucketsPerExchange = 8;
+    // How many ticks a fresh change is pushed on for.
+    int pushes = 3;
+    // A digest unanswered for this long is sent again; after this many the peer is declared gone.
+    base::Duration answerTimeout = std::chrono::milliseconds(1500);
+    int unansweredLimit = 3;
     // How long a gone member is remembered, so that an old message does not bring it back.
     base::Duration tombstoneLifetime = std::chrono::minutes(10);
     // Gateways with which a sidecar registers.
     int gatewaysPerSidecar = 3;
+    // A sidecar sends a digest each so many ticks.
+    int sidecarTickDivisor = 5;
+    // A sidecar whose digests stop coming for this long is asked whether it lives.
+    base::Duration sidecarSilence = std::chrono::seconds(45);
+    // Hints that aren't urgent are passed on this much later for each member known, so that the fleet as a whole passes on
+    // a constant number of them in a second.
+    base::Duration hintIntervalPerMember = std::chrono::milliseconds(200);
 };
 
+// The instance may be left empty for a seed of which only the address is known.
 struct Peer {
     base::InstanceId instance;
     std::string address;
@@ -49,12 +62,15 @@
     Membership(MembershipOptions, Entry self, std::vector<Peer> seeds, base::Instant now);
 
     std::vector<AddressedMessage> tick(base::Instant now, RandomGenerator&);
+    // The answers go to the sender of the message; their address is empty while the sender's entry is not known.
     std::vector<AddressedMessage> onMessage(const Message&, base::Instant now);
 
-    // Changes of the own entry raise its counter.
+    // Is told to others from the next tick on.
     void setState(MemberState, base::Instant now);
-    void setHints(Hints, base::Instant now);
-    // Messages that announce a change to all known gateways at once, for a planned stop.
+    // New strikes are told at once; the rest waits for the interval of the options.
+    void setHints(Hints);
+    // Messages that tell the own entry to up to `announcementLimit` gateways at once, for a planned stop.
+    static constexpr size_t announcementLimit = 64;
     std::vector<AddressedMessage> announce() const;
 
     const Entry& self() const;
@@ -67,36 +83,64 @@
 private:
     struct Known {
         Entry entry;
-        uint32_t instanceHash = 0;
-        uint32_t versionHash = 0;
-        // When this version arrived here.
+        Versions::Item item;
+        // When what is said here arrived.
         base::Instant changedAt;
+        int pushesLeft = 0;
     };
+    struct Probe {
+        base::Instant sentAt;
+        int unanswered = 0;
+    };
+    using Messages = std::vector<AddressedMessage>;
 
-    bool merge(const Entry&, base::Instant now);
+    bool isSidecar() const { return m_role == Role::Sidecar; }
+    bool keeps(const Entry&) const;
+    void merge(const Entry&, base::Instant now);
+    void mergeOwn(const Entry&, base::Instant now);
     void store(Entry, base::Instant now);
-    void touchSelf(base::Instant now);
-    void ageOut(base::Instant now);
-    std::vector<Peer> candidates() const;
-    Digest makeDigest() const;
-    Versions makeVersions(const std::vector<uint32_t>& buckets, bool wantsReply) const;
-    std::vector<AddressedMessage> onDigest(const Digest&);
-    std::vector<AddressedMessage> onVersions(const Versions&);
-    std::vector<AddressedMessage> onDelta(const Delta&, base::Instant now);
-    std::optional<Peer> peer(const base::InstanceId&) const;
-    bool spend(size_t bytes);
+    void changeSelf(Entry, base::Instant now);
+    void toggleHash(const Known&);
+    void applyHints(base::Instant now);
+    void dropTombstones(base::Instant now);
+    void probeSilentSidecar(base::Instant now, Messages&);
+    void checkProbes(base::Instant now, Messages&);
+    void declareGone(const base::InstanceId&, base::Instant now);
+    void noteProbe(bool answered);
+    bool othersAnswer() const;
+    void sendDigest(const Peer&, base::Instant now, Messages&);
+    void pushFresh(const Peer&, Messages&);
+    std::vector<Peer> choosePeers(RandomGenerator&);
+    std::vector<Peer> gatewaysOfSidecar() const;
+    std::vector<Peer> peersOfRole(Role) const;
+    std::vector<uint32_t> differingBuckets(const Digest&) const;
+    void answerDigest(const Digest&, Messages&);
+    void answerVersions(const Versions&, Messages&);
+    void sendEntries(const Peer& to, const std::vector<const Known*>&, Messages&);
+    bool send(const Peer& to, Message, Messages&);
+    std::string addressOf(const base::InstanceId&) const;
 
     MembershipOptions m_options;
     base::InstanceId m_self;
+    Role m_role;
     std::vector<Peer> m_seeds;
     // Ordered, so that equal inputs give equal outputs.
     std::map<base::InstanceId, Known> m_known;
     std::vector<uint32_t> m_buckets;
-    std::vector<std::vector<base::InstanceId>> m_bucketMembers;
+    std::vector<std::set<base::InstanceId>> m_bucketMembers;
+    std::map<base::InstanceId, Probe> m_probes;
     absl::flat_hash_map<base::InstanceId, base::Instant> m_heardAt;
-    base::Instant m_selfChangedAt;
+    // Sidecars, with the time of their latest digest.
+    std::map<base::InstanceId, base::Instant> m_registered;
+    std::optional<Hints> m_newHints;
+    base::Instant m_hintsToldAt;
+    // Outcomes of the latest probes, one bit each; set where the peer answered.
+    uint8_t m_probeResults = 0xff;
     size_t m_spent = 0;
-    size_t m_nextBucket = 0;
+    size_t m_firstBucket = 0;
+    int64_t m_ticks = 0;
+    // The latest exchange showed differences that it did not settle.
+    bool m_isBehind = false;
 };
 
 } // namespace toucanstep::membership
