--- a/packages/base/include/toucanstep/base/History.h
+++ b/packages/base/include/toucanstep/base/History.h
@@ -21,9 +21,9 @@
 enum class HistoryKind {
     // An account's limits from now on: account, tokens (a second), burst.
     LimitInForce,
-    // A caller sent a request: request, account, tokens (its whole cost), deadline, weight, key.
+    // A caller sent a request: request, account, tokens (its whole cost), deadline, weight, key, and idempotencyKey if any.
     Offered,
-    // A gateway let it in, with its whole cost charged: request, account, tokens, key.
+    // A gateway let it in, with its whole cost charged: request, account, tokens, key. `at` is when it was let in.
     Admitted,
     // Tokens of an admitted request were not used: request, account, tokens.
     Refunded,
