Keep-alive counts how many callers a cold start would have delayed

Cause: a gap's cost was one load time, though a burst that follows it makes several callers wait. Change: callers that arrive within a load time after a gap add the rest of that load to the gap's cost.

--- a/packages/placement/include/toucanstep/placement/KeepAlivePolicy.h
+++ b/packages/placement/include/toucanstep/placement/KeepAlivePolicy.h
@@ -23,8 +23,8 @@
     virtual ~KeepAlivePolicy() = default;
     // A request for the model arrived, whether it is loaded or not.
     virtual void onRequest(const base::ModelId&, base::Instant now) = 0;
-    // The model's last request ended.
-    virtual void onIdle(const base::ModelId&, base::Instant now) = 0;
+    // The model's last request ended. Said again while it stays idle it changes nothing.
+    virtual void onIdle(const IdleModel&) = 0;
     virtual void forget(const base::ModelId&) = 0;
     // When it is to be unloaded if no request comes before.
     virtual base::Instant keepUntil(const IdleModel&) const = 0;
--- a/packages/placement/src/KeepAlivePolicy.cpp
+++ b/packages/placement/src/KeepAlivePolicy.cpp
@@ -30,31 +30,46 @@
 // The idle gaps that one model has had, older ones counting less.
 class GapHistory {
 public:
-    void add(double seconds, double decay)
+    // Returns the bucket to which the callers that follow the gap are added.
+    size_t add(double seconds, double decay)
     {
-        for (auto& weight : m_weights)
-            weight *= decay;
-        m_weights[bucketOf(seconds)] += 1;
+        for (auto& bucket : m_buckets) {
+            bucket.gaps *= decay;
+            bucket.waits *= decay;
+        }
+        auto index = bucketOf(seconds);
+        m_buckets[index].gaps += 1;
+        m_buckets[index].waits += 1;
         ++m_count;
+        return index;
     }
 
+    // A further caller that would wait for this part of a load if the model had been unloaded in the gap.
+    void addWait(size_t bucket, double loadTimes) { m_buckets[bucket].waits += loadTimes; }
+
     int64_t count() const { return m_count; }
 
-    // The time to keep the model for which idle seconds plus `loadCost` for each gap that was longer are least.
+    // The time to keep the model for which the idle seconds, plus `loadCost` for each load time that callers would have
+    // waited after longer gaps, are least.
     double cheapestKeep(double loadCost) const
     {
-        double longer = total();
+        Bucket longer;
+        for (const auto& bucket : m_buckets) {
+            longer.gaps += bucket.gaps;
+            longer.waits += bucket.waits;
+        }
         double idleOfShorter = 0;
         double best = 0;
-        double bestCost = longer * loadCost;
-        for (size_t bucket = 0; bucket + 1 < bucketCount; ++bucket) {
-            longer -= m_weights[bucket];
-            idleOfShorter += m_weights[bucket] * boundOf(bucket);
-            auto cost = idleOfShorter + longer * (boundOf(bucket) + loadCost);
+        double bestCost = longer.waits * loadCost;
+        for (size_t index = 0; index + 1 < bucketCount; ++index) {
+            longer.gaps -= m_buckets[index].gaps;
+            longer.waits -= m_buckets[index].waits;
+            idleOfShorter += m_buckets[index].gaps * boundOf(index);
+            auto cost = idleOfShorter + longer.gaps * boundOf(index) + longer.waits * loadCost;
             if (cost >= bestCost)
                 continue;
             bestCost = cost;
-            best = boundOf(bucket);
+            best = boundOf(index);
         }
         return best;
     }
@@ -64,24 +79,22 @@
     {
         double longer = 0;
         double within = 0;
-        for (auto bucket = bucketOf(elapsed); bucket < bucketCount; ++bucket) {
-            longer += m_weights[bucket];
-            if (boundOf(bucket) <= elapsed + horizon)
-                within += m_weights[bucket];
+        for (auto index = bucketOf(elapsed); index < bucketCount; ++index) {
+            longer += m_buckets[index].gaps;
+            if (boundOf(index) <= elapsed + horizon)
+                within += m_buckets[index].gaps;
         }
         return longer > 0 ? within / longer : 0;
     }
 
 private:
-    double total() const
-    {
-        double sum = 0;
-        for (auto weight : m_weights)
-            sum += weight;
-        return sum;
-    }
+    struct Bucket {
+        double gaps = 0;
+        // Load times that callers after these gaps would have waited.
+        double waits = 0;
+    };
 
-    std::array<double, bucketCount> m_weights {};
+    std::array<Bucket, bucketCount> m_buckets {};
     int64_t m_count = 0;
 };
 
@@ -98,13 +111,24 @@
     void onRequest(const base::ModelId& model, base::Instant now) override
     {
         auto& known = m_models[model];
-        if (!known.idleSince)
+        if (known.idleSince) {
+            known.gapEnded = now;
+            known.gapBucket = known.gaps.add(base::toSeconds(now - *known.idleSince), m_settings.decay);
+            known.idleSince.reset();
             return;
-        known.gaps.add(base::toSeconds(now - *known.idleSince), m_settings.decay);
-        known.idleSince.reset();
+        }
+        // Had the gap before ended with a load, this caller would have waited for what is left of it.
+        if (known.gapEnded && now < *known.gapEnded + known.loadTime)
+            known.gaps.addWait(known.gapBucket, 1 - base::toSeconds(now - *known.gapEnded) / base::toSeconds(known.loadTime));
     }
 
-    void onIdle(const base::ModelId& model, base::Instant now) override { m_models[model].idleSince = now; }
+    void onIdle(const IdleModel& idle) override
+    {
+        auto& known = m_models[idle.model];
+        known.loadTime = idle.loadTime;
+        if (!known.idleSince)
+            known.idleSince = idle.idleSince;
+    }
 
     void forget(const base::ModelId& model) override { m_models.erase(model); }
 
@@ -131,6 +155,10 @@
     struct Known {
         GapHistory gaps;
         std::optional<base::Instant> idleSince;
+        base::Duration loadTime {};
+        // The last gap that ended, while callers that follow it are counted.
+        std::optional<base::Instant> gapEnded;
+        size_t gapBucket = 0;
     };
 
     const GapHistory* trusted(const base::ModelId& model) const
@@ -153,7 +181,7 @@
     }
 
     void onRequest(const base::ModelId&, base::Instant) override { }
-    void onIdle(const base::ModelId&, base::Instant) override { }
+    void onIdle(const IdleModel&) override { }
     void forget(const base::ModelId&) override { }
     base::Instant keepUntil(const IdleModel& idle) const override { return idle.idleSince + m_keep; }
 
--- a/packages/placement/src/ResidencyManager.cpp
+++ b/packages/placement/src/ResidencyManager.cpp
@@ -154,7 +154,7 @@
     known.state = ResidencyState::Loaded;
     known.idleSince = now;
     if (known.inUse == 0 && known.waiters.empty())
-        m_policy->onIdle(known.facts.model, now);
+        m_policy->onIdle(idleModel(known));
 }
 
 void ResidencyManager::onUpstreamCrashed(base::Instant now)
@@ -259,7 +259,7 @@
             return;
         used.idleSince = now;
         if (used.waiters.empty())
-            m_policy->onIdle(used.facts.model, now);
+            m_policy->onIdle(idleModel(used));
     };
     auto& used = entry(model);
     end(used);
--- a/packages/placement/test/KeepAlivePolicyTest.cpp
+++ b/packages/placement/test/KeepAlivePolicyTest.cpp
@@ -22,7 +22,7 @@
 
     void haveGap(base::Duration gap)
     {
-        policy->onIdle(model, now);
+        policy->onIdle(idleSince(now));
         now += gap;
         policy->onRequest(model, now);
     }
@@ -54,7 +54,7 @@
     base::ModelId rare("rare");
     for (int index = 0; index < 20; ++index) {
         haveGap(5s);
-        policy->onIdle(rare, now);
+        policy->onIdle(idleSince(now, rare));
         policy->onRequest(rare, now + 30min);
     }
     CHECK_TRUE(policy->evictionCost(idleSince(now, rare), now + 1s) < policy->evictionCost(idleSince(now), now + 1s));
@@ -73,7 +73,7 @@
         auto learnt = makeLearntKeepAlive({ .longest = 10min });
         auto time = at(0s);
         for (auto gap : gaps) {
-            learnt->onIdle(model, time);
+            learnt->onIdle(idleSince(time));
             time += std::chrono::milliseconds(gap) * 100;
             learnt->onRequest(model, time);
             auto until = learnt->keepUntil(idleSince(time));
