Keep-alive foresees models that are asked on a timer

Cause: a model asked every ten minutes is cold at every request, or idles for all of the ten minutes. Change: where a model's idle gaps are alike (deviation at most 5 % of the mean), it is loaded shortly before the next request is due, if memory is free, behind all loads that callers wait for, and unloaded if the request stays away.

--- a/bench/keepalive_replay.cpp
+++ b/bench/keepalive_replay.cpp
@@ -379,6 +379,9 @@
     for (auto price : { 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0 })
         report["runs"].push_back(
             describe("learnt", price, Replay(fleet, trace, [&] { return makeLearntKeepAlive({ .idleSecondsPerWaitSecond = price }); }).run()));
+    for (auto price : { 1.0, 2.0, 4.0, 8.0, 16.0, 32.0 })
+        report["runs"].push_back(describe("learnt_without_foresight", price,
+            Replay(fleet, trace, [&] { return makeLearntKeepAlive({ .idleSecondsPerWaitSecond = price, .regularity = 0 }); }).run()));
     std::cout << report.dump(1) << "\n";
     return 0;
 }
--- a/packages/placement/include/toucanstep/placement/KeepAlivePolicy.h
+++ b/packages/placement/include/toucanstep/placement/KeepAlivePolicy.h
@@ -6,6 +6,7 @@
 #include "toucanstep/base/Time.h"
 
 #include <memory>
+#include <optional>
 
 namespace toucanstep::placement {
 
@@ -18,6 +19,13 @@
     base::Bytes memory;
 };
 
+// When an idle model's next request is foreseen.
+struct ExpectedReturn {
+    base::Instant earliest;
+    // Past this point the foresight was wrong.
+    base::Instant latest;
+};
+
 class KeepAlivePolicy {
 public:
     virtual ~KeepAlivePolicy() = default;
@@ -28,6 +36,8 @@
     virtual void forget(const base::ModelId&) = 0;
     // When it is to be unloaded if no request comes before.
     virtual base::Instant keepUntil(const IdleModel&) const = 0;
+    // Set for a model whose idle gaps are so alike that loading it shortly before its next request pays.
+    virtual std::optional<ExpectedReturn> expectedReturn(const base::ModelId&) const = 0;
     // Under memory pressure the idle model with the least cost goes first. Comparable only within one policy.
     virtual double evictionCost(const IdleModel&, base::Instant now) const = 0;
 };
@@ -40,6 +50,8 @@
     // Weight of an older gap against the next newer one.
     double decay = 0.97;
     base::Duration longest = std::chrono::minutes(30);
+    // Gaps are alike if their standard deviation is at most this part of their mean; 0 foresees nothing.
+    double regularity = 0.05;
 };
 
 // Keeps the model for the time that would have cost least over its own past idle gaps; ski rental while there are few.
--- a/packages/placement/include/toucanstep/placement/ResidencyManager.h
+++ b/packages/placement/include/toucanstep/placement/ResidencyManager.h
@@ -99,7 +99,8 @@
     base::Duration unsettledIndexInterval = std::chrono::milliseconds(250);
 };
 
-// Asked once for each load that is ready to begin; false keeps it Reserved until a later tick.
+// Asked once for each load that is ready to begin; false keeps it Reserved until a later tick. A load for which nobody waits
+// yet has a deadline behind those of all callers.
 using LoadPermission = std::function<bool(const base::ModelId&, base::Instant earliestDeadline)>;
 
 class ResidencyManager {
@@ -159,6 +160,8 @@
         int64_t inUse = 0;
         base::Instant idleSince;
         std::map<base::RequestId, base::Instant> waiters;
+        // Set while a request is foreseen: the model is loaded for it if memory is free.
+        std::optional<base::Instant> foreseenUntil;
     };
     struct Pending {
         OrderKind kind = OrderKind::ReadIndex;
@@ -178,7 +181,8 @@
     std::vector<base::ModelId> residentAdapters(const base::ModelId&) const;
     bool evictable(const Entry&) const;
     std::optional<base::Instant> earliestWaiter(const Entry&) const;
-    std::vector<base::ModelId> byEarliestWaiter(ResidencyState) const;
+    std::optional<base::Instant> wantedBy(const Entry&) const;
+    std::vector<base::ModelId> byEarliestWish(ResidencyState) const;
     IdleModel idleModel(const Entry&) const;
     base::Bytes memoryOf(const Entry&) const;
     bool mayLoad(const Entry&) const;
@@ -191,6 +195,7 @@
     bool isPending(OrderKind) const;
     OrderId give(OrderKind, const base::ModelId&, base::Duration allowed, base::Instant now, Orders&);
     void unload(Entry&, base::Instant now, Orders&);
+    void foresee(base::Instant now);
     void cancelUnwanted();
     void raiseFenceIfDue(base::Instant now, Orders&);
     void reserveWanted(base::Instant now, Orders&);
--- a/packages/placement/src/KeepAlivePolicy.cpp
+++ b/packages/placement/src/KeepAlivePolicy.cpp
@@ -98,6 +98,32 @@
     int64_t m_count = 0;
 };
 
+// Mean and deviation of the idle gaps, older ones counting less.
+class GapSpread {
+public:
+    void add(double seconds, double decay)
+    {
+        m_weight = m_weight * decay + 1;
+        auto offset = seconds - m_mean;
+        m_mean += offset / m_weight;
+        m_squares = m_squares * decay + offset * (seconds - m_mean);
+    }
+
+    double mean() const { return m_mean; }
+    double deviation() const { return m_weight > 0 ? std::sqrt(m_squares / m_weight) : 0; }
+
+private:
+    double m_weight = 0;
+    double m_mean = 0;
+    double m_squares = 0;
+};
+
+// Deviations before and after the mean gap within which a return is foreseen.
+constexpr double deviationsBefore = 2;
+constexpr double deviationsAfter = 4;
+// Gaps that were all the same leave a window nevertheless, in seconds.
+constexpr double leastDeviation = 0.5;
+
 // Calls returns of a model within this many load times "soon".
 constexpr double soonLoadTimes = 4;
 
@@ -113,7 +139,9 @@
         auto& known = m_models[model];
         if (known.idleSince) {
             known.gapEnded = now;
-            known.gapBucket = known.gaps.add(base::toSeconds(now - *known.idleSince), m_settings.decay);
+            auto gap = base::toSeconds(now - *known.idleSince);
+            known.gapBucket = known.gaps.add(gap, m_settings.decay);
+            known.spread.add(gap, m_settings.decay);
             known.idleSince.reset();
             return;
         }
@@ -140,6 +168,22 @@
         return idle.idleSince + std::min(fromSeconds(seconds), m_settings.longest);
     }
 
+    std::optional<ExpectedReturn> expectedReturn(const base::ModelId& model) const override
+    {
+        auto place = m_models.find(model);
+        if (!trusted(model) || !place->second.idleSince)
+            return std::nullopt;
+        const auto& known = place->second;
+        auto mean = known.spread.mean();
+        auto deviation = known.spread.deviation();
+        auto margin = std::max(deviation, leastDeviation);
+        // A return that comes sooner than the load takes can't be prepared for.
+        if (deviation > m_settings.regularity * mean || mean < 2 * base::toSeconds(known.loadTime))
+            return std::nullopt;
+        auto earliest = *known.idleSince + fromSeconds(mean - deviationsBefore * margin);
+        return ExpectedReturn { earliest, *known.idleSince + fromSeconds(mean + deviationsAfter * margin) };
+    }
+
     // The wait that unloading now is expected to cause, for each byte that it frees.
     double evictionCost(const IdleModel& idle, base::Instant now) const override
     {
@@ -154,6 +198,7 @@
 private:
     struct Known {
         GapHistory gaps;
+        GapSpread spread;
         std::optional<base::Instant> idleSince;
         base::Duration loadTime {};
         // The last gap that ended, while callers that follow it are counted.
@@ -183,6 +228,7 @@
     void onRequest(const base::ModelId&, base::Instant) override { }
     void onIdle(const IdleModel&) override { }
     void forget(const base::ModelId&) override { }
+    std::optional<ExpectedReturn> expectedReturn(const base::ModelId&) const override { return std::nullopt; }
     base::Instant keepUntil(const IdleModel& idle) const override { return idle.idleSince + m_keep; }
 
     double evictionCost(const IdleModel& idle, base::Instant now) const override { return -base::toSeconds(now - idle.idleSince); }
--- a/packages/placement/src/ResidencyManager.cpp
+++ b/packages/placement/src/ResidencyManager.cpp
@@ -4,6 +4,13 @@
 
 namespace toucanstep::placement {
 
+namespace {
+
+// Puts a load that is only foreseen behind those that callers wait for.
+constexpr auto behindAllCallers = std::chrono::hours(1);
+
+} // namespace
+
 std::string_view residencyStateName(ResidencyState state)
 {
     switch (state) {
@@ -272,6 +279,7 @@
 std::vector<ResidencyOrder> ResidencyManager::tick(base::Instant now, const LoadPermission& permission)
 {
     Orders orders;
+    foresee(now);
     cancelUnwanted();
     raiseFenceIfDue(now, orders);
     // Until orders of an earlier process can land no longer, what the engine will hold is not known: nothing is ordered.
@@ -284,10 +292,30 @@
     return orders;
 }
 
+void ResidencyManager::foresee(base::Instant now)
+{
+    for (auto& [model, known] : m_entries) {
+        known.foreseenUntil.reset();
+        if (!mayLoad(known) || known.inUse > 0 || !known.waiters.empty())
+            continue;
+        auto expected = m_policy->expectedReturn(model);
+        if (expected && now >= expected->earliest - known.facts.loadTime && now < expected->latest)
+            known.foreseenUntil = expected->latest;
+    }
+}
+
+std::optional<base::Instant> ResidencyManager::wantedBy(const Entry& known) const
+{
+    auto earliest = earliestWaiter(known);
+    if (!earliest && known.foreseenUntil)
+        return *known.foreseenUntil + behindAllCallers;
+    return earliest;
+}
+
 void ResidencyManager::cancelUnwanted()
 {
     for (auto& [model, known] : m_entries)
-        if (known.state == ResidencyState::Reserved && (!earliestWaiter(known) || !mayLoad(known)))
+        if (known.state == ResidencyState::Reserved && (!wantedBy(known) || !mayLoad(known)))
             known.state = ResidencyState::Assigned;
 }
 
@@ -311,14 +339,14 @@
     return earliest;
 }
 
-std::vector<base::ModelId> ResidencyManager::byEarliestWaiter(ResidencyState state) const
+std::vector<base::ModelId> ResidencyManager::byEarliestWish(ResidencyState state) const
 {
     std::vector<std::pair<base::Instant, base::ModelId>> order;
     for (const auto& [model, known] : m_entries) {
         if (known.state != state || known.order || !mayLoad(known))
             continue;
-        if (auto earliest = earliestWaiter(known))
-            order.emplace_back(*earliest, model);
+        if (auto deadline = wantedBy(known))
+            order.emplace_back(*deadline, model);
     }
     std::sort(order.begin(), order.end());
     std::vector<base::ModelId> models;
@@ -331,7 +359,7 @@
 {
     // Memory that earlier ones in the order wait for is not given to later ones.
     base::Bytes promised;
-    for (const auto& model : byEarliestWaiter(ResidencyState::Assigned)) {
+    for (const auto& model : byEarliestWish(ResidencyState::Assigned)) {
         auto& wanted = entry(model);
         auto free = m_settings.capacity - taken() - promised;
         auto memory = memoryOf(wanted);
@@ -339,7 +367,8 @@
             wanted.state = ResidencyState::Reserved;
             continue;
         }
-        if (makeRoom(wanted, memory - free, now, orders))
+        // What is only foreseen displaces nothing.
+        if (earliestWaiter(wanted) && makeRoom(wanted, memory - free, now, orders))
             promised += memory;
     }
 }
@@ -411,11 +440,11 @@
 
 void ResidencyManager::beginLoads(base::Instant now, const LoadPermission& permission, Orders& orders)
 {
-    for (const auto& model : byEarliestWaiter(ResidencyState::Reserved)) {
+    for (const auto& model : byEarliestWish(ResidencyState::Reserved)) {
         auto& wanted = entry(model);
         if (wanted.facts.baseModel && !usable(*wanted.facts.baseModel))
             continue;
-        if (!permission(model, *earliestWaiter(wanted)))
+        if (!permission(model, *wantedBy(wanted)))
             continue;
         wanted.order = give(OrderKind::Load, model, 2 * wanted.facts.loadTime + m_settings.orderTimeout, now, orders);
         wanted.state = ResidencyState::Loading;
@@ -440,7 +469,7 @@
         auto isUnused = known.state == ResidencyState::Loaded && known.inUse == 0 && residentAdapters(model).empty();
         if (!isUnused)
             continue;
-        auto isIdle = !earliestWaiter(known) && m_policy->keepUntil(idleModel(known)) <= now;
+        auto isIdle = !wantedBy(known) && m_policy->keepUntil(idleModel(known)) <= now;
         if (hasNoRow || isIdle)
             unload(known, now, orders);
     }
--- a/packages/placement/test/KeepAlivePolicyTest.cpp
+++ b/packages/placement/test/KeepAlivePolicyTest.cpp
@@ -49,6 +49,21 @@
     CHECK_TRUE(kept <= 4s);
 }
 
+TEST(KeepAlivePolicy, AModelThatIsAskedOnATimerIsExpectedShortlyBeforeItsNextRequest)
+{
+    for (int index = 0; index < 20; ++index)
+        haveGap(600s + std::chrono::seconds(index % 3));
+    CHECK_FALSE(policy->expectedReturn(model).has_value());
+    policy->onIdle(idleSince(now));
+    auto expected = policy->expectedReturn(model);
+    CHECK_TRUE(expected->earliest > now + 590s);
+    CHECK_TRUE(expected->earliest <= now + 600s);
+    CHECK_TRUE(expected->latest >= now + 602s);
+    policy->onRequest(model, now + 20s);
+    policy->onIdle(idleSince(now + 20s));
+    CHECK_FALSE(policy->expectedReturn(model).has_value());
+}
+
 TEST(KeepAlivePolicy, UnderPressureTheModelThatIsLeastLikelyToReturnGoesFirst)
 {
     base::ModelId rare("rare");
--- a/packages/placement/test/ResidencyManagerTest.cpp
+++ b/packages/placement/test/ResidencyManagerTest.cpp
@@ -57,7 +57,7 @@
     {
         ++m_process;
         m_loading.clear();
-        manager = std::make_unique<ResidencyManager>(m_settings, makeFixedKeepAlive(20s), base::Epoch(m_process), now);
+        manager = std::make_unique<ResidencyManager>(m_settings, makeLearntKeepAlive({ .gapsBeforeTrust = 2, .regularity = 0.8 }), base::Epoch(m_process), now);
         manager->setFacts(someModels());
         for (const auto& model : rows)
             manager->grantRow(model, base::Epoch(1));
@@ -375,6 +375,26 @@
     CHECK_FALSE(host.engine.isResident(a));
 }
 
+TEST(ResidencyManager, AModelOnATimerIsLoadedBeforeItsRequestAndUnloadedIfItStaysAway)
+{
+    // A forecast is asked for every ten minutes. Kept loaded it idles for ten minutes, unloaded each caller waits for a load.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    for (int request = 0; request < 4; ++request) {
+        host.manager->addWaiter(c, base::RequestId(base::concat(request)), host.now + 60s, host.now);
+        host.settle(1500ms);
+        CHECK_TRUE(host.manager->beginUse(c, host.now));
+        host.manager->removeWaiter(c, base::RequestId(base::concat(request)), host.now);
+        host.manager->endUse(c, host.now);
+        host.settle(590s);
+        CHECK_FALSE(host.engine.isResident(c));
+        host.settle(9500ms);
+    }
+    CHECK_TRUE(host.manager->usable(c));
+    host.settle(600s);
+    CHECK_FALSE(host.engine.isResident(c));
+}
+
 TEST(ResidencyManager, AnAdapterBringsItsBaseModelAndLeavesBeforeIt)
 {
     Host host(settingsFor(true), true);
