--- a/packages/placement/test/EngineModel.h
+++ b/packages/placement/test/EngineModel.h
@@ -21,6 +21,8 @@
     std::optional<base::Duration> lands;
     std::optional<base::Duration> duplicateLands;
     bool answerLost = false;
+    // Time that an index takes to arrive after it was read.
+    base::Duration indexDelay {};
 };
 
 class EngineModel {
@@ -36,7 +38,7 @@
     // Carries the orders of one sidecar process, `sender`; answers go to the manager of the process that is alive.
     void give(int sender, const ResidencyOrder& order, const Fate& fate, base::Instant now)
     {
-        Flight flight { sender, order, now, fate.answerLost };
+        Flight flight { sender, order, now, fate.answerLost, fate.indexDelay };
         m_flights[++m_lastFlight] = flight;
         if (fate.lands)
             schedule(now + *fate.lands, [this, id = m_lastFlight] { land(id, true); });
@@ -99,6 +101,7 @@
         ResidencyOrder order;
         base::Instant sent;
         bool answerLost = false;
+        base::Duration indexDelay {};
         bool answered = false;
     };
 
@@ -118,10 +121,8 @@
     {
         const auto flight = m_flights[id];
         if (flight.order.kind == OrderKind::ReadIndex) {
-            if (isFirst && !flight.answered && onIndex) {
-                onIndex(flight.sender, index(), m_now);
-                answer(id, OrderOutcome::Done);
-            }
+            if (isFirst)
+                schedule(m_now + flight.indexDelay, [this, id, read = index()] { deliverIndex(id, read); });
             return;
         }
         std::pair fence(flight.order.epoch, flight.order.id);
@@ -135,6 +136,15 @@
         answer(id, OrderOutcome::Done);
     }
 
+    void deliverIndex(int64_t id, const EngineIndex& read)
+    {
+        const auto& flight = m_flights[id];
+        if (flight.answered || flight.answerLost || !onIndex)
+            return;
+        onIndex(flight.sender, read, m_now);
+        answer(id, OrderOutcome::Done);
+    }
+
     void load(int64_t id, const base::ModelId& model)
     {
         if (m_resident.emplace(model, false).second) {
--- a/packages/placement/test/ResidencyManagerTest.cpp
+++ b/packages/placement/test/ResidencyManagerTest.cpp
@@ -18,7 +18,7 @@
 std::vector<ModelFacts> someModels()
 {
     return { { base::ModelId("a"), base::Bytes(60), 2s, std::nullopt }, { base::ModelId("b"), base::Bytes(50), 3s, std::nullopt },
-        { base::ModelId("c"), base::Bytes(30), 1s, std::nullopt }, { base::ModelId("a-x"), base::Bytes(10), 500ms, base::ModelId("a") } };
+        { base::ModelId("c"), base::Bytes(30), 1s, std::nullopt }, { base::ModelId("d"), base::Bytes(90), 1s, std::nullopt }, { base::ModelId("a-x"), base::Bytes(10), 500ms, base::ModelId("a") } };
 }
 
 ResidencySettings settingsFor(bool fencing)
@@ -144,6 +144,7 @@
     }
     if (*rc::gen::weightedElement<bool>({ { 6, false }, { 1, true } }))
         fate.duplicateLands = delay();
+    fate.indexDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
     fate.answerLost = *rc::gen::weightedElement<bool>({ { 5, false }, { 1, true } });
     return fate;
 }
@@ -218,6 +219,7 @@
     const base::ModelId a { "a" };
     const base::ModelId b { "b" };
     const base::ModelId c { "c" };
+    const base::ModelId d { "d" };
     const base::ModelId adapter { "a-x" };
 };
 
@@ -395,6 +397,23 @@
     CHECK_FALSE(host.engine.isResident(c));
 }
 
+TEST(ResidencyManager, MemoryThatIsBeingFreedForOneIsNotTakenByALaterOne)
+{
+    // A large model waits for an idle one to be unloaded. Small ones that were asked for later took the free rest each
+    // time, and the large one's callers gave up.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    host.manager->addWaiter(a, base::RequestId("1"), host.now + 60s, host.now);
+    host.settle(3s);
+    host.manager->removeWaiter(a, base::RequestId("1"), host.now);
+    host.manager->addWaiter(d, base::RequestId("2"), host.now + 20s, host.now);
+    host.manager->addWaiter(c, base::RequestId("3"), host.now + 60s, host.now);
+    host.settle(100ms);
+    CHECK_TRUE(host.manager->state(c) == ResidencyState::Assigned);
+    host.settle(3s);
+    CHECK_TRUE(host.manager->usable(d));
+}
+
 TEST(ResidencyManager, AnAdapterBringsItsBaseModelAndLeavesBeforeIt)
 {
     Host host(settingsFor(true), true);
