--- /dev/null
+++ b/packages/fakes/src/EngineModels.cpp
@@ -0,0 +1,79 @@
+#include "EngineModels.h"
+
+#include <algorithm>
+
+namespace toucanstep::fakes::internal {
+
+bool EngineModels::takeFence(const std::string& name, base::Epoch fence)
+{
+    if (!isFenceCurrent(name, fence))
+        return false;
+    m_fences[name] = fence;
+    return true;
+}
+
+bool EngineModels::isFenceCurrent(const std::string& name, base::Epoch fence) const
+{
+    auto found = m_fences.find(name);
+    return found == m_fences.end() || fence >= found->second;
+}
+
+HeldModel& EngineModels::hold(const FakeCheckpoint& checkpoint)
+{
+    m_inUse += checkpoint.size;
+    m_peak = std::max(m_peak, m_inUse);
+    m_faults += m_inUse > m_memoryLimit ? 1 : 0;
+    HeldModel& model = m_held[checkpoint.name];
+    model = { .checkpoint = checkpoint, .loadNumber = m_nextLoad++ };
+    return model;
+}
+
+HeldModel* EngineModels::find(const std::string& name)
+{
+    auto found = m_held.find(name);
+    return found == m_held.end() ? nullptr : &found->second;
+}
+
+void EngineModels::release(const std::string& name)
+{
+    auto found = m_held.find(name);
+    if (found == m_held.end())
+        return;
+    m_inUse -= found->second.checkpoint.size;
+    m_held.erase(found);
+}
+
+void EngineModels::clear()
+{
+    m_held.clear();
+    m_fences.clear();
+    m_inUse = base::Bytes(0);
+}
+
+void EngineModels::account(base::Instant now)
+{
+    base::Duration passed = now - m_accounted;
+    m_accounted = now;
+    for (const auto& [name, model] : m_held) {
+        // An adapter uses its model's accelerator time, not its own.
+        if (model.phase == ModelPhase::Loading || !model.checkpoint.baseName.empty())
+            continue;
+        m_loadedTime += passed;
+        bool busy = std::any_of(m_held.begin(), m_held.end(), [&](const auto& other) {
+            bool same = other.first == name || other.second.checkpoint.baseName == name;
+            return same && other.second.requests > 0;
+        });
+        m_busyTime += busy ? passed : base::Duration::zero();
+    }
+}
+
+void EngineModels::addTo(FakeEngineCounters& counters) const
+{
+    counters.memoryFaults = m_faults;
+    counters.memoryInUse = m_inUse;
+    counters.peakMemory = m_peak;
+    counters.loadedTime = m_loadedTime;
+    counters.busyTime = m_busyTime;
+}
+
+} // namespace toucanstep::fakes::internal
