--- a/packages/fleet/src/Demo.cpp
+++ b/packages/fleet/src/Demo.cpp
@@ -44,7 +44,7 @@
         keyLine(smallKey), R"(] }
   },
   "pools": {
-    "language": { "kind": "engines", "listName": "language", "memory": "24GiB", "slots": 8, "tokensPerSecond": 500, "resume": true, "fencing": true },
+    "language": { "kind": "engines", "listName": "language", "memory": "24GiB", "slots": 8, "tokensPerSecond": 500, "capabilities": { "resume": true, "fencing": true } },
     "application": { "kind": "services", "listName": "application", "slots": 16 }
   },
   "models": {
@@ -235,7 +235,14 @@
     {
         FLAGS_logtostderr = true;
         FLAGS_minloglevel = arguments.flag("verbose") ? google::GLOG_INFO : google::GLOG_ERROR;
-        EmbeddedFleet fleet({});
+        FleetOptions options;
+        constexpr base::Bytes checkpointSize { 2'000'000'000 };
+        for (const char* name : { "clamp-narrative", "face-notes" })
+            options.engine.checkpoints.push_back({ .name = name, .size = checkpointSize });
+        options.engine.remoteRate = 4'000'000'000;
+        options.engine.honoursFencing = true;
+        options.engine.honoursResume = true;
+        EmbeddedFleet fleet(options);
         int status = DemoRun(streams.output, fleet).run();
         if (!arguments.flag("stay"))
             return status;
--- a/packages/fleet/src/EmbeddedFleet.cpp
+++ b/packages/fleet/src/EmbeddedFleet.cpp
@@ -35,6 +35,16 @@
     return base::concat(pool, "-", index);
 }
 
+// What the engines can load is what the store has.
+fakes::FakeWeightStoreOptions weightsOf(const fakes::FakeEngineOptions& engine)
+{
+    fakes::FakeWeightStoreOptions store;
+    store.rate = engine.remoteRate;
+    for (const fakes::FakeCheckpoint& checkpoint : engine.checkpoints)
+        store.weights[checkpoint.name] = { checkpoint.size, !checkpoint.baseName.empty() };
+    return store;
+}
+
 void readRefusal(CallerReply& reply)
 {
     constexpr bool throwing = false;
@@ -52,6 +62,7 @@
 
 EmbeddedFleet::EmbeddedFleet(FleetOptions options)
     : m_options(std::move(options))
+    , m_weights(weightsOf(m_options.engine))
     , m_client(std::make_shared<platform::HttpClient>())
 {
     m_gateways.resize(static_cast<size_t>(m_options.gateways));
