--- a/packages/fakes/src/EngineModels.cpp
+++ b/packages/fakes/src/EngineModels.cpp
@@ -4,20 +4,14 @@
 
 namespace toucanstep::fakes::internal {
 
-bool EngineModels::takeFence(const std::string& name, base::Epoch fence)
+bool EngineModels::takeFence(base::Epoch fence)
 {
-    if (!isFenceCurrent(name, fence))
+    if (!isFenceCurrent(fence))
         return false;
-    m_fences[name] = fence;
+    m_fence = fence;
     return true;
 }
 
-bool EngineModels::isFenceCurrent(const std::string& name, base::Epoch fence) const
-{
-    auto found = m_fences.find(name);
-    return found == m_fences.end() || fence >= found->second;
-}
-
 HeldModel& EngineModels::hold(const FakeCheckpoint& checkpoint)
 {
     m_inUse += checkpoint.size;
@@ -46,7 +40,7 @@
 void EngineModels::clear()
 {
     m_held.clear();
-    m_fences.clear();
+    m_fence = base::Epoch();
     m_inUse = base::Bytes(0);
 }
 
--- a/packages/fakes/src/EngineModels.h
+++ b/packages/fakes/src/EngineModels.h
@@ -31,8 +31,8 @@
     }
 
     // Notes the number, and says whether it is at least as great as any that was seen for that name.
-    bool takeFence(const std::string& name, base::Epoch);
-    bool isFenceCurrent(const std::string& name, base::Epoch) const;
+    bool takeFence(base::Epoch);
+    bool isFenceCurrent(base::Epoch fence) const { return fence >= m_fence; }
 
     HeldModel& hold(const FakeCheckpoint&);
     // Null where the name is not held.
@@ -49,7 +49,8 @@
 private:
     base::Bytes m_memoryLimit;
     std::map<std::string, HeldModel> m_held;
-    std::map<std::string, base::Epoch> m_fences;
+    // The newest fencing number of any order: it stands for who gives orders, not for a model.
+    base::Epoch m_fence;
     int64_t m_nextLoad = 1;
     base::Bytes m_inUse;
     base::Bytes m_peak;
--- a/packages/fakes/src/FakeEngine.cpp
+++ b/packages/fakes/src/FakeEngine.cpp
@@ -301,7 +301,7 @@
     // Refuses an order with an old fencing number, if this engine looks at them.
     bool admit(platform::HttpExchange& exchange, const Order& order)
     {
-        if (!m_options.honoursFencing || m_models.takeFence(order.name, order.fence))
+        if (!m_options.honoursFencing || m_models.takeFence(order.fence))
             return true;
         ++m_counters.refusedOrders;
         refuseOrder(exchange, 409, "the fencing number is old");
@@ -319,7 +319,7 @@
         }
         m_tasks.runAfter(m_orderDelay, [this, order] {
             std::lock_guard lock(m_mutex);
-            if (!m_options.honoursFencing || m_models.isFenceCurrent(order.name, order.fence))
+            if (!m_options.honoursFencing || m_models.isFenceCurrent(order.fence))
                 apply(nullptr, order);
         });
         if (m_orderAnswer == LateOrderAnswer::AtOnce)
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -27,6 +27,8 @@
 constexpr base::Duration probeTimeout = std::chrono::milliseconds(800);
 constexpr base::Duration pumpInterval = std::chrono::milliseconds(20);
 constexpr int maximumResumes = 3;
+// No model has this name: unloading it changes nothing but the newest fencing number that the engine has seen.
+constexpr std::string_view fenceName = "toucanstep-fence";
 constexpr size_t maximumKeptBytes = 16 * 1024 * 1024;
 
 int64_t wallClockNanoseconds()
@@ -684,7 +686,7 @@
         const config::Model* baseModel = model->baseModel ? m_configuration->findModel(*model->baseModel) : nullptr;
         engineOrder.baseName = baseModel ? baseModel->repositoryName : std::string();
     } else
-        engineOrder.name = order.model.value();
+        engineOrder.name = order.model.empty() ? std::string(fenceName) : order.model.value();
     base::LogLine("engine_order").add("kind", order.kind == placement::OrderKind::Load ? "load" : order.kind == placement::OrderKind::Unload ? "unload"
                                                                                                                                              : "raise_fence")
         .add("model", order.model)
@@ -697,7 +699,9 @@
             else if (order.kind == placement::OrderKind::Load)
                 m_cachedOnDisk.insert(order.model);
             m_residency->onOrderResult(order.id, toOutcome(error), now());
-            pump();
+            // After a failure the next tick decides, so that an engine that refuses everything is not asked in a loop.
+            if (!error)
+                pump();
         });
     };
     if (order.kind == placement::OrderKind::Load)
