--- a/packages/calls/include/toucanstep/calls/CallExecutor.h
+++ b/packages/calls/include/toucanstep/calls/CallExecutor.h
@@ -60,6 +60,9 @@
     base::Bytes storedAnswer { 64 * 1024 };
     // How long one call to the key-value service may take.
     base::Duration storeTimeout = std::chrono::milliseconds(500);
+    // How long a claim, or a tombstone that somebody waits for, is tried before the call is refused as not run. Well below
+    // the calls' time, so that the refusal reaches the gateway before it takes the hop for lost.
+    base::Duration claimWait = std::chrono::seconds(2);
     // How long the reply waits for the answer to be stored before it is sent without.
     base::Duration storeWait = std::chrono::seconds(1);
     // The wait before the next attempt to settle a record.
@@ -105,6 +108,8 @@
     struct Call {
         CallDispatch dispatch;
         base::Instant deadline;
+        // When a claim that cannot be settled is given up.
+        base::Instant claimUntil;
         Step step = Step::Claiming;
         RecordNonce claimNonce;
         RecordNonce outcomeNonce;
--- a/packages/calls/include/toucanstep/calls/GroupCommit.h
+++ b/packages/calls/include/toucanstep/calls/GroupCommit.h
@@ -31,8 +31,8 @@
     size_t members = 64;
     base::Bytes bytes { 512 * 1024 };
     size_t inFlight = 2;
-    // The shortest time between two batches while none is full; bounds the write rate.
-    base::Duration interval = std::chrono::milliseconds(5);
+    // The shortest time between two batches while none is full; bounds the write rate of one sidecar to 50 a second.
+    base::Duration interval = std::chrono::milliseconds(20);
 };
 
 struct Batch {
--- a/packages/calls/src/CallExecutor.cpp
+++ b/packages/calls/src/CallExecutor.cpp
@@ -55,6 +55,7 @@
     Call& call = m_calls[dispatch.attempt];
     call.dispatch = dispatch;
     call.deadline = deadline;
+    call.claimUntil = std::min(deadline, now + m_limits.claimWait);
     if (now >= deadline)
         return finish(call, CallReply { .kind = ReplyKind::NotRun, .reason = RefusalCode::DeadlineExceeded });
     CallRecord record = recordOf(call, RecordState::Claimed, unixNow);
@@ -241,6 +242,7 @@
     case RunOutcome::Unknown:
         return finish(call, CallReply { .kind = ReplyKind::MayHaveRun, .reason = RefusalCode::OutcomeUnknown });
     case RunOutcome::NotSent:
+        call.claimUntil = std::min(call.deadline, now + m_limits.claimWait);
         return writeTombstone(call, call.claimed, now, unixNow);
     case RunOutcome::Answered:
         break;
@@ -302,7 +304,7 @@
     case Step::Claiming:
     case Step::ReadingClaim:
     case Step::Tombstoning:
-        if (now >= call.deadline)
+        if (now >= call.claimUntil)
             return abandon(call, RefusalCode::StoreUnavailable, now);
         if (!call.busy && now >= call.wakeAt)
             return readRecord(call, Step::ReadingClaim, now);
--- a/packages/calls/test/CallModel.cpp
+++ b/packages/calls/test/CallModel.cpp
@@ -180,7 +180,7 @@
     });
 }
 
-void CallModel::perform(const std::shared_ptr<Sidecar>& sidecar, ExecutorActions actions)
+void CallModel::perform(std::shared_ptr<Sidecar> sidecar, ExecutorActions actions)
 {
     std::weak_ptr<Sidecar> weak = sidecar;
     for (auto& action : actions) {
@@ -193,12 +193,10 @@
         } else if (auto* reading = std::get_if<ReadRecord>(&action)) {
             AttemptId attempt = reading->attempt;
             read(reading->key, [this, weak, attempt](const auto& outcome) {
-                deliver(weak, m_now, [this, attempt, outcome](Sidecar& self) {
+                deliver(weak, m_now, [this, weak, attempt, outcome](Sidecar& self) {
                     auto more = self.executor->onRead(attempt, outcome, local(), unixNow());
-                    for (auto& each : m_sidecars) {
-                        if (each.get() == &self)
-                            perform(each, std::move(more));
-                    }
+                    if (auto shared = weak.lock())
+                        perform(shared, std::move(more));
                 });
             });
         } else if (auto* running = std::get_if<RunCall>(&action))
@@ -261,7 +259,7 @@
     });
 }
 
-void CallModel::perform(const std::shared_ptr<Gateway>& gateway, CoordinatorActions actions)
+void CallModel::perform(std::shared_ptr<Gateway> gateway, CoordinatorActions actions)
 {
     std::weak_ptr<Gateway> weak = gateway;
     for (auto& action : actions) {
--- a/packages/calls/test/CallModel.h
+++ b/packages/calls/test/CallModel.h
@@ -117,8 +117,8 @@
     UnixMilliseconds unixNow() const { return UnixMilliseconds(base::toMilliseconds(m_now)); }
     void at(base::Duration, std::function<void()>);
     void deliver(const std::weak_ptr<Sidecar>&, base::Duration at, std::function<void(Sidecar&)>);
-    void perform(const std::shared_ptr<Sidecar>&, ExecutorActions);
-    void perform(const std::shared_ptr<Gateway>&, CoordinatorActions);
+    void perform(std::shared_ptr<Sidecar>, ExecutorActions);
+    void perform(std::shared_ptr<Gateway>, CoordinatorActions);
     void sendAttempt(const std::shared_ptr<Gateway>&, const SendAttempt&);
     void runCall(const std::shared_ptr<Sidecar>&, const RunCall&);
     void commitBatches(const std::shared_ptr<Sidecar>&);
