--- a/packages/limits/include/toucanstep/limits/AdmissionPolicy.h
+++ b/packages/limits/include/toucanstep/limits/AdmissionPolicy.h
@@ -90,8 +90,8 @@
     LeasePolicy(LeaseAuthority&, int64_t blocksPerBurst);
     void setLimits(const base::ClientAccountId&, BucketLimits whole, base::Instant now) override;
     PolicyDecision admit(const ChargeOrder&, base::Instant now) override;
-    // Unused tokens are not given back: they would outlive their lease.
-    void settle(const base::RequestId&, base::Tokens, base::Instant) override { }
+    // Unused tokens come back into the lease, as long as it runs.
+    void settle(const base::RequestId&, base::Tokens unused, base::Instant now) override;
 
 private:
     struct Leased {
@@ -103,6 +103,7 @@
     LeaseAuthority& m_authority;
     int64_t m_blocksPerBurst;
     absl::flat_hash_map<base::ClientAccountId, Leased> m_leased;
+    absl::flat_hash_map<base::RequestId, base::ClientAccountId> m_admitted;
 };
 
 // One account's bucket in the key-value service.
@@ -127,13 +128,15 @@
     CentralPolicy(CounterStore&, int attempts);
     void setLimits(const base::ClientAccountId&, BucketLimits whole, base::Instant now) override;
     PolicyDecision admit(const ChargeOrder&, base::Instant now) override;
-    // Unused tokens are not given back: a capped addition could hand out an account's burst twice.
-    void settle(const base::RequestId&, base::Tokens, base::Instant) override { }
+    // Adds what was not used, up to the burst, by another compare-and-swap. Unlike a share this keeps no record of how
+    // full the bucket was in between, so an account can get more than its bound.
+    void settle(const base::RequestId&, base::Tokens unused, base::Instant now) override;
 
 private:
     CounterStore& m_store;
     int m_attempts;
     absl::flat_hash_map<base::ClientAccountId, BucketLimits> m_limits;
+    absl::flat_hash_map<base::RequestId, base::ClientAccountId> m_admitted;
 };
 
 } // namespace toucanstep::limits
--- a/packages/limits/src/CentralPolicy.cpp
+++ b/packages/limits/src/CentralPolicy.cpp
@@ -32,10 +32,32 @@
         // A write whose answer was lost may have taken the tokens; they count as spent.
         if (!written)
             return { .code = base::RefusalCode::StoreUnavailable };
-        if (*written)
+        if (*written) {
+            m_admitted[order.request] = order.account;
             return { .admitted = true };
+        }
     }
     return { .code = base::RefusalCode::RateLimited, .retryAt = now };
 }
 
+void CentralPolicy::settle(const base::RequestId& request, base::Tokens unused, base::Instant now)
+{
+    auto found = m_admitted.find(request);
+    if (found == m_admitted.end())
+        return;
+    base::ClientAccountId account = found->second;
+    m_admitted.erase(found);
+    for (int attempt = 0; attempt < m_attempts; ++attempt) {
+        std::optional<CounterStore::Value> value = m_store.read(account);
+        if (!value)
+            return;
+        TokenBucket bucket(m_limits.at(account), value->stock, value->updatedAt);
+        bucket.add(toNanos(unused), now);
+        base::Instant updatedAt = std::max(now, value->updatedAt);
+        // A lost answer is not tried again: the tokens might be added twice.
+        if (m_store.compareAndSwap(account, { value->revision, bucket.stockAt(updatedAt), updatedAt }).value_or(true))
+            return;
+    }
+}
+
 } // namespace toucanstep::limits
--- a/packages/limits/src/LeasePolicy.cpp
+++ b/packages/limits/src/LeasePolicy.cpp
@@ -37,7 +37,19 @@
     if (leased.amount < order.cost)
         return { .retryAt = m_authority.availableAt(order.account, order.cost - leased.amount, now) };
     leased.amount -= order.cost;
+    m_admitted[order.request] = order.account;
     return { .admitted = true };
 }
 
+void LeasePolicy::settle(const base::RequestId& request, base::Tokens unused, base::Instant now)
+{
+    auto found = m_admitted.find(request);
+    if (found == m_admitted.end())
+        return;
+    Leased& leased = m_leased.at(found->second);
+    if (now < leased.expiresAt)
+        leased.amount += unused;
+    m_admitted.erase(found);
+}
+
 } // namespace toucanstep::limits
