--- a/bench/limits_policies.cpp
+++ b/bench/limits_policies.cpp
@@ -107,6 +107,18 @@
         }
     }
 
+    // The process of a dead gateway starts again, with an empty bucket.
+    void restart(int gateway)
+    {
+        ++m_epoch;
+        m_tables[gateway].take({ account, gateway }, Epoch(m_epoch), splitLimits(limits, gatewayCount)[gateway], m_surroundings.now);
+        for (auto& hints : m_hints) {
+            hints[gateway].hint.epoch = Epoch(m_epoch);
+            hints[gateway].hint.stock = TokenNanos(0);
+            hints[gateway].observedAt = m_surroundings.now;
+        }
+    }
+
     class Exchange final : public ChargeExchange {
     public:
         Exchange(Shares& shares, int self)
@@ -154,6 +166,7 @@
 
 private:
     Surroundings& m_surroundings;
+    int64_t m_epoch = 1;
     ShareTable m_tables[gatewayCount];
     ShareView m_hints[gatewayCount][gatewayCount];
 };
@@ -223,6 +236,7 @@
 
     AdmissionPolicy& at(int gateway) { return *m_policies[gateway]; }
     Surroundings& surroundings() { return m_surroundings; }
+    Shares& shares() { return m_shares; }
 
 private:
     std::unique_ptr<AdmissionPolicy> make(const std::string& policy, int gateway, int64_t ownShareMargin)
@@ -296,7 +310,10 @@
         surroundings.now = now;
         bool inOutage = now >= start + outageFrom && now < start + outageUntil;
         surroundings.serviceUp = !(m_pattern.outage && inOutage);
+        bool wasUp = surroundings.up[gatewayCount - 1];
         surroundings.up[gatewayCount - 1] = !(m_pattern.death && inOutage);
+        if (!wasUp && surroundings.up[gatewayCount - 1])
+            m_fleet.shares().restart(gatewayCount - 1);
     }
 
     void settleUntil(Instant now)
--- a/packages/placement/test/KeepAlivePolicyTest.cpp
+++ b/packages/placement/test/KeepAlivePolicyTest.cpp
@@ -22,7 +22,7 @@
 
     void haveGap(base::Duration gap)
     {
-        policy->onIdle(model, now);
+        policy->onIdle(idleSince(now));
         now += gap;
         policy->onRequest(model, now);
     }
@@ -49,12 +49,27 @@
     CHECK_TRUE(kept <= 4s);
 }
 
+TEST(KeepAlivePolicy, AModelThatIsAskedOnATimerIsExpectedShortlyBeforeItsNextRequest)
+{
+    for (int index = 0; index < 20; ++index)
+        haveGap(600s + std::chrono::seconds(index % 3));
+    CHECK_FALSE(policy->expectedReturn(model).has_value());
+    policy->onIdle(idleSince(now));
+    auto expected = policy->expectedReturn(model);
+    CHECK_TRUE(expected->earliest > now + 590s);
+    CHECK_TRUE(expected->earliest <= now + 600s);
+    CHECK_TRUE(expected->latest >= now + 602s);
+    policy->onRequest(model, now + 20s);
+    policy->onIdle(idleSince(now + 20s));
+    CHECK_FALSE(policy->expectedReturn(model).has_value());
+}
+
 TEST(KeepAlivePolicy, UnderPressureTheModelThatIsLeastLikelyToReturnGoesFirst)
 {
     base::ModelId rare("rare");
     for (int index = 0; index < 20; ++index) {
         haveGap(5s);
-        policy->onIdle(rare, now);
+        policy->onIdle(idleSince(now, rare));
         policy->onRequest(rare, now + 30min);
     }
     CHECK_TRUE(policy->evictionCost(idleSince(now, rare), now + 1s) < policy->evictionCost(idleSince(now), now + 1s));
@@ -73,7 +88,7 @@
         auto learnt = makeLearntKeepAlive({ .longest = 10min });
         auto time = at(0s);
         for (auto gap : gaps) {
-            learnt->onIdle(model, time);
+            learnt->onIdle(idleSince(time));
             time += std::chrono::milliseconds(gap) * 100;
             learnt->onRequest(model, time);
             auto until = learnt->keepUntil(idleSince(time));
--- a/packages/placement/test/ResidencyManagerTest.cpp
+++ b/packages/placement/test/ResidencyManagerTest.cpp
@@ -18,7 +18,7 @@
 std::vector<ModelFacts> someModels()
 {
     return { { base::ModelId("a"), base::Bytes(60), 2s, std::nullopt }, { base::ModelId("b"), base::Bytes(50), 3s, std::nullopt },
-        { base::ModelId("c"), base::Bytes(30), 1s, std::nullopt }, { base::ModelId("a-x"), base::Bytes(10), 500ms, base::ModelId("a") } };
+        { base::ModelId("c"), base::Bytes(30), 1s, std::nullopt }, { base::ModelId("d"), base::Bytes(90), 1s, std::nullopt }, { base::ModelId("a-x"), base::Bytes(10), 500ms, base::ModelId("a") } };
 }
 
 ResidencySettings settingsFor(bool fencing)
@@ -57,7 +57,7 @@
     {
         ++m_process;
         m_loading.clear();
-        manager = std::make_unique<ResidencyManager>(m_settings, makeFixedKeepAlive(20s), base::Epoch(m_process), now);
+        manager = std::make_unique<ResidencyManager>(m_settings, makeLearntKeepAlive({ .gapsBeforeTrust = 2, .regularity = 0.8 }), base::Epoch(m_process), now);
         manager->setFacts(someModels());
         for (const auto& model : rows)
             manager->grantRow(model, base::Epoch(1));
@@ -144,6 +144,7 @@
     }
     if (*rc::gen::weightedElement<bool>({ { 6, false }, { 1, true } }))
         fate.duplicateLands = delay();
+    fate.indexDelay = std::chrono::milliseconds(*rc::gen::inRange(0, 1500));
     fate.answerLost = *rc::gen::weightedElement<bool>({ { 5, false }, { 1, true } });
     return fate;
 }
@@ -218,6 +219,7 @@
     const base::ModelId a { "a" };
     const base::ModelId b { "b" };
     const base::ModelId c { "c" };
+    const base::ModelId d { "d" };
     const base::ModelId adapter { "a-x" };
 };
 
@@ -375,6 +377,43 @@
     CHECK_FALSE(host.engine.isResident(a));
 }
 
+TEST(ResidencyManager, AModelOnATimerIsLoadedBeforeItsRequestAndUnloadedIfItStaysAway)
+{
+    // A forecast is asked for every ten minutes. Kept loaded it idles for ten minutes, unloaded each caller waits for a load.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    for (int request = 0; request < 4; ++request) {
+        host.manager->addWaiter(c, base::RequestId(base::concat(request)), host.now + 60s, host.now);
+        host.settle(1500ms);
+        CHECK_TRUE(host.manager->beginUse(c, host.now));
+        host.manager->removeWaiter(c, base::RequestId(base::concat(request)), host.now);
+        host.manager->endUse(c, host.now);
+        host.settle(590s);
+        CHECK_FALSE(host.engine.isResident(c));
+        host.settle(9500ms);
+    }
+    CHECK_TRUE(host.manager->usable(c));
+    host.settle(600s);
+    CHECK_FALSE(host.engine.isResident(c));
+}
+
+TEST(ResidencyManager, MemoryThatIsBeingFreedForOneIsNotTakenByALaterOne)
+{
+    // A large model waits for an idle one to be unloaded. Small ones that were asked for later took the free rest each
+    // time, and the large one's callers gave up.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    host.manager->addWaiter(a, base::RequestId("1"), host.now + 60s, host.now);
+    host.settle(3s);
+    host.manager->removeWaiter(a, base::RequestId("1"), host.now);
+    host.manager->addWaiter(d, base::RequestId("2"), host.now + 20s, host.now);
+    host.manager->addWaiter(c, base::RequestId("3"), host.now + 60s, host.now);
+    host.settle(100ms);
+    CHECK_TRUE(host.manager->state(c) == ResidencyState::Assigned);
+    host.settle(3s);
+    CHECK_TRUE(host.manager->usable(d));
+}
+
 TEST(ResidencyManager, AnAdapterBringsItsBaseModelAndLeavesBeforeIt)
 {
     Host host(settingsFor(true), true);
