Fair queue: a flow may fall into debt by its last request

Change: a flow is served in its turn while its deficit is above zero and pays its debt in later rounds, also while it has nothing queued. Stricter tests: merging of strikes in two orders and twice, one row of a model for each holder, 3,000 routing cases. The flooding account itself is refused late for a third of its requests: the estimate counts on speed that the others take back.

--- a/packages/placement/test/ReplicaPlanTest.cpp
+++ b/packages/placement/test/ReplicaPlanTest.cpp
@@ -379,6 +379,11 @@
             auto isKept = std::any_of(rows.begin(), rows.end(), [&](const auto& row) { return row.slot == old.slot && row.holder == old.holder; });
             RC_ASSERT(isKept || old.released || cluster.presenceOf(old) == HolderPresence::Gone);
         }
+        for (const auto& model : cluster.configuration.models) {
+            std::set<base::UpstreamId> holders;
+            for (const auto& row : cluster.store.rowsOf(model.id))
+                RC_ASSERT(row.released || holders.insert(row.holder).second);
+        }
     }
     cluster.instances.push_back(makeInstance(1000, "d0"));
     cluster.instances.push_back(makeInstance(1001, "d1"));
--- a/packages/routing/src/DeficitRoundRobin.h
+++ b/packages/routing/src/DeficitRoundRobin.h
@@ -1,5 +1,9 @@
 // Deficit round robin over named flows whose next costs are known only when asked.
 //
+// A flow is served in its turn while its deficit is above zero, and may fall into debt by its last cost, which later rounds
+// pay off, also while it has nothing queued. So a large request of a small flow waits for one turn and not for many, and a
+// flow that sends one large request after the other gains nothing by it.
+//
 // choose() and serve() are apart, so that a choice nested in another's can be looked at without being taken. Empty rounds
 // are counted, not walked through, so a cost of many quanta takes no more time than a small one.
 
@@ -23,7 +27,7 @@
 
 struct FlowChoice {
     size_t offer = 0;
-    // Times that the turn comes to the chosen flow before it can pay; 0 if it still has enough from its present turn.
+    // Times that the turn comes to the chosen flow before it is served; 0 if its present turn goes on.
     int64_t rounds = 0;
 };
 
@@ -48,36 +52,64 @@
 
     void serve(const FlowChoice& choice, const std::vector<FlowOffer>& offers)
     {
+        payDebts(choice.rounds, offers);
         bool beforeOrAtChosen = true;
         for (auto index : turnOrder(offers)) {
-            // The flow whose turn it is has had its quantum of the first round; turnOrder puts it last once it can't pay.
             auto turns = beforeOrAtChosen ? choice.rounds : choice.rounds - 1;
-            m_deficits[offers[index].flow] += std::max<int64_t>(0, turns) * gain(offers[index]);
+            auto& state = m_states[offers[index].flow];
+            state.gain = gain(offers[index]);
+            state.deficit += std::max<int64_t>(0, turns) * state.gain;
             if (index == choice.offer)
                 beforeOrAtChosen = false;
         }
-        m_deficits[offers[choice.offer].flow] -= offers[choice.offer].cost;
+        m_states[offers[choice.offer].flow].deficit -= offers[choice.offer].cost;
         m_current = offers[choice.offer].flow;
     }
 
-    // A flow with nothing queued saves nothing.
-    void drop(const std::string& flow) { m_deficits.erase(flow); }
+    // A flow with nothing queued saves nothing, and keeps its debt.
+    void drop(const std::string& flow)
+    {
+        auto place = m_states.find(flow);
+        if (place != m_states.end() && place->second.deficit >= 0)
+            m_states.erase(place);
+    }
+
+    // Nothing is queued at all: nobody was kept waiting by what was served.
+    void clear() { m_states.clear(); }
 
 private:
+    struct State {
+        int64_t deficit = 0;
+        int64_t gain = 1;
+    };
+
     int64_t gain(const FlowOffer& offer) const { return m_quantum * std::max<int64_t>(1, offer.weight); }
 
     int64_t deficit(const std::string& flow) const
     {
-        auto place = m_deficits.find(flow);
-        return place == m_deficits.end() ? 0 : place->second;
+        auto place = m_states.find(flow);
+        return place == m_states.end() ? 0 : place->second.deficit;
     }
 
     int64_t roundsNeeded(const FlowOffer& offer) const
     {
-        auto missing = offer.cost - deficit(offer.flow);
-        if (offer.flow == m_current && missing <= 0)
-            return 0;
-        return std::max<int64_t>(1, (missing + gain(offer) - 1) / gain(offer));
+        auto saved = deficit(offer.flow);
+        if (saved > 0)
+            return offer.flow == m_current ? 0 : 1;
+        return -saved / gain(offer) + 1;
+    }
+
+    void payDebts(int64_t rounds, const std::vector<FlowOffer>& offers)
+    {
+        for (auto place = m_states.begin(); place != m_states.end();) {
+            auto current = place++;
+            auto isOffered = std::any_of(offers.begin(), offers.end(), [&](const auto& offer) { return offer.flow == current->first; });
+            if (isOffered || current->second.deficit >= 0)
+                continue;
+            current->second.deficit += rounds * current->second.gain;
+            if (current->second.deficit >= 0)
+                m_states.erase(current);
+        }
     }
 
     // The present flow first while it can pay, then the flows after it, the present one last.
@@ -94,7 +126,7 @@
 
     int64_t m_quantum;
     std::string m_current;
-    std::map<std::string, int64_t> m_deficits;
+    std::map<std::string, State> m_states;
 };
 
 } // namespace toucanstep::routing::internal
--- a/packages/routing/src/RequestQueue.cpp
+++ b/packages/routing/src/RequestQueue.cpp
@@ -270,6 +270,8 @@
             m_accounts.drop(flow->first.value());
             flow = m_flows.erase(flow);
         }
+        if (m_flows.empty())
+            m_accounts.clear();
     }
 
     int64_t m_quantum;
--- a/packages/routing/test/QuarantineTest.cpp
+++ b/packages/routing/test/QuarantineTest.cpp
@@ -209,14 +209,19 @@
         std::shuffle(order.begin(), order.end(), std::mt19937_64(*rc::gen::arbitrary<uint64_t>()));
         Quarantine left({});
         Quarantine right({});
+        Quarantine twice({});
         left.merge(strikes, at(0s));
         right.merge(order, at(0s));
-        right.merge(strikes, at(0s));
+        twice.merge(strikes, at(0s));
+        twice.merge(order, at(0s));
         RC_ASSERT(left.size() == right.size());
+        RC_ASSERT(left.size() == twice.size());
         for (int seconds = 0; seconds < 20; ++seconds)
             for (int index = 0; index < 3; ++index) {
                 RequestFingerprint fingerprint(base::concat(index));
-                RC_ASSERT(left.state(fingerprint, at(std::chrono::seconds(seconds))) == right.state(fingerprint, at(std::chrono::seconds(seconds))));
+                auto when = at(std::chrono::seconds(seconds));
+                RC_ASSERT(left.state(fingerprint, when) == right.state(fingerprint, when));
+                RC_ASSERT(left.state(fingerprint, when) == twice.state(fingerprint, when));
             }
     });
 }
--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -82,6 +82,26 @@
     CHECK_TRUE(position <= 2);
 }
 
+TEST(RequestQueue, ALargeRequestOfASmallAccountWaitsForOneTurnAndIsPaidForAfterwards)
+{
+    // The farm's rare long prompts were refused in a flood of short ones although the farm was far below its share: each
+    // had to save up for its cost over sixteen rounds, past its deadline.
+    for (int64_t number = 0; number < 500; ++number)
+        queue->push(makeRequest(number, "ferry", 1, quantum), 0s, at(0s));
+    queue->pop(at(0s), everything);
+    auto turnsUntilTheFarm = [&](int64_t number) {
+        queue->push(makeRequest(number, "farm", 1, 16 * quantum), 0s, at(0s));
+        int turns = 1;
+        while (queue->pop(at(0s), everything)->account.value() != "farm")
+            ++turns;
+        return turns;
+    };
+    CHECK_TRUE(turnsUntilTheFarm(1000) <= 2);
+    auto second = turnsUntilTheFarm(1001);
+    CHECK_TRUE(second >= 14);
+    CHECK_TRUE(second <= 18);
+}
+
 TEST(RequestQueue, ServiceIsProportionalToTheAccountsWeights)
 {
     CHECK_PROPERTY([] { checkShares(*makeFairQueue({ base::Tokens(quantum) })); });
--- a/packages/routing/test/RouterTest.cpp
+++ b/packages/routing/test/RouterTest.cpp
@@ -158,7 +158,7 @@
 
 TEST(Router, AChoiceIsAlwaysReachableInTimeAndNeverMadeBesideARefusal)
 {
-    CHECK_PROPERTY([] {
+    CHECK_PROPERTY_WITH(testing::PropertyOptions { .maxSuccess = 3000 }, [] {
         UpstreamTable upstreams;
         std::vector<Holder> holders;
         auto count = *rc::gen::inRange(0, 5);
