--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -5,9 +5,11 @@
 #pragma once
 
 #include "LimitGate.h"
+#include "OnceCalls.h"
 #include "toucanstep/gateway/CallerRequest.h"
 #include "toucanstep/gateway/Gateway.h"
-#include "toucanstep/node/Node.h"
+#include "toucanstep/node/AssignmentAgent.h"
+#include "toucanstep/placement/ReplicaPlan.h"
 #include "toucanstep/routing/RetryBudget.h"
 #include "toucanstep/routing/Router.h"
 
@@ -35,18 +37,23 @@
     routing::DispatchNumber dispatch;
     std::shared_ptr<peers::PeerCall> call;
     int attaches = 0;
+    // The current attempt of a call that may run only once; empty for others.
+    calls::AttemptId onceAttempt;
     // The answer towards the caller.
     bool started = false;
     peers::AnswerStart start;
     int64_t nextChunk = 0;
     std::string body;
     bool finished = false;
+    // For the history only: a digest chained over the chunks, and when the first was passed on.
+    std::string digest;
+    base::Instant firstChunkAt;
 };
 
-class GatewayCore {
+class GatewayCore final : private OnceCallHost {
 public:
     GatewayCore(node::Node&, GatewayOptions, std::unique_ptr<LimitGate>);
-    ~GatewayCore();
+    ~GatewayCore() override;
 
     void begin(CallerRequest, std::shared_ptr<platform::HttpExchange>);
     void onConfiguration(const std::shared_ptr<const config::Configuration>&);
@@ -54,19 +61,30 @@
     void setLeaving() { m_leaving = true; }
     bool idle() const { return m_entries.empty(); }
     nlohmann::json status() const;
+    // The replica rows of each model, by which requests find its holders.
+    void onRows(const node::AssignmentView&);
+    // What was asked of each model since the last call.
+    std::vector<placement::ModelDemand> takeDemand();
 
 private:
     class DispatchListener;
+    using HolderRows = std::map<base::ModelId, std::vector<assignments::Row>>;
 
     base::Instant now() const { return m_node.traffic().now(); }
     CallerEntry* find(const base::RequestId&);
 
+    void recordOffer(const CallerEntry&);
     void onCharged(const base::RequestId&, const std::optional<base::Refusal>&);
     void route(CallerEntry&);
     routing::RouteDecision chooseFor(const CallerEntry&, base::Instant now);
     std::vector<routing::Holder> holdersOf(const CallerEntry&, base::Instant now);
+    std::vector<const node::InstanceRow*> readyInstances(const config::UpstreamPool&, const node::InstanceTable&);
+    routing::Holder holderOn(const base::UpstreamId&, base::Epoch, const base::ModelId&, base::Instant now) const;
     void logDecision(const routing::RouteDecision&) const;
-    void dispatch(CallerEntry&, const base::UpstreamId&);
+    // False where the chosen upstream is not listed any more.
+    bool dispatch(CallerEntry&, const base::UpstreamId&, const std::string& callDispatch = {});
+    bool sendAttempt(const base::RequestId&, const calls::CallDispatch&, base::Instant deadline) override;
+    void finishCall(const base::RequestId&, const calls::CallResult&) override;
     void attachAgain(CallerEntry&);
 
     void onEvent(const base::RequestId&, int64_t attempt, const std::string& message);
@@ -85,6 +103,7 @@
     node::Node& m_node;
     GatewayOptions m_options;
     std::unique_ptr<LimitGate> m_limits;
+    OnceCalls m_onceCalls;
     std::unique_ptr<routing::Router> m_router;
     routing::UpstreamTable m_upstreams;
     routing::PrefixIndex m_prefixes;
@@ -97,6 +116,14 @@
         std::optional<base::Instant> loadEnd;
     };
     std::map<std::pair<base::UpstreamId, base::ModelId>, ModelOnUpstream> m_phases;
+    HolderRows m_rows;
+    struct Demand {
+        // Integral of running and waiting requests over time, in request-nanoseconds.
+        int64_t busy = 0;
+        int64_t misses = 0;
+    };
+    std::map<base::ModelId, Demand> m_demand;
+    base::Instant m_demandSince;
     int64_t m_counter = 0;
     bool m_leaving = false;
 };
