--- a/packages/placement/test/ResidencyManagerTest.cpp
+++ b/packages/placement/test/ResidencyManagerTest.cpp
@@ -345,6 +345,37 @@
     CHECK_EQUAL(2, host.engine.loadsBegun);
 }
 
+TEST(ResidencyManager, AnIndexFromBeforeACrashDoesNotMakeAModelUsable)
+{
+    // The index was read while the model was loaded, and arrives after the engine died: requests went to an empty engine.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    host.manager->addWaiter(a, base::RequestId("1"), host.now + 60s, host.now);
+    host.settle(5s);
+    auto read = host.engine.index();
+    read.readBegan = host.now + 1ms;
+    host.manager->onUpstreamCrashed(host.now + 2ms);
+    host.manager->onIndex(read, host.now + 3ms);
+    CHECK_FALSE(host.manager->usable(a));
+}
+
+TEST(ResidencyManager, AnIndexFromBeforeAnUnloadEndedDoesNotMakeAModelUsable)
+{
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    host.manager->addWaiter(a, base::RequestId("1"), host.now + 60s, host.now);
+    host.settle(5s);
+    auto read = host.engine.index();
+    read.readBegan = host.now + 2ms;
+    host.manager->removeWaiter(a, base::RequestId("1"), host.now);
+    host.manager->withdrawRow(a);
+    auto orders = host.manager->tick(host.now + 1ms, always);
+    CHECK_TRUE(orders.at(0).kind == OrderKind::Unload);
+    host.manager->onOrderResult(orders.at(0).id, OrderOutcome::Done, host.now + 3ms);
+    host.manager->onIndex(read, host.now + 4ms);
+    CHECK_TRUE(host.manager->state(a) == ResidencyState::Unloading);
+}
+
 TEST(ResidencyManager, ALoadWhoseCallersLeftIsCancelledBeforeItBegins)
 {
     Host host(settingsFor(true), true);
--- a/packages/routing/include/toucanstep/routing/ExpectedWait.h
+++ b/packages/routing/include/toucanstep/routing/ExpectedWait.h
@@ -11,11 +11,13 @@
 
 namespace toucanstep::routing {
 
-// What one client account has queued at an upstream.
+// What one client account has queued at an upstream, and what it has lately been served there.
 struct AccountBacklog {
     base::ClientAccountId account;
     int64_t weight = 1;
     base::Tokens queued;
+    // Tokens a second over about the last ten seconds: it is expected to ask for as much in the next ones.
+    base::Tokens servedPerSecond;
 };
 
 // Exact figures of a sidecar about its own upstream.
@@ -26,7 +28,7 @@
     int64_t inFlight = 0;
     // Tokens that the requests in flight are still expected to take.
     base::Tokens inFlightTokens;
-    // Only accounts that have something queued.
+    // Only accounts that have something queued or were served lately.
     std::vector<AccountBacklog> backlog;
 };
 
@@ -37,9 +39,10 @@
     base::Tokens cost;
 };
 
-// Tokens of the backlog that a fair queue serves before a new request: those of its own account, and of every other
-// account at most as much as its own and the request, scaled by the weights. So another's long queue is not waited for.
-base::Tokens tokensAhead(const std::vector<AccountBacklog>&, const NewRequest&);
+// Tokens that a fair queue serves before a new request that waits for `wait`: those of its own account, and of every other
+// account what it has queued, but at most as much as its own and the request, scaled by the weights. So another's long queue
+// is not waited for. An account that was lately served more than its fair part also waits for what the others go on to ask for.
+base::Tokens tokensAhead(const std::vector<AccountBacklog>&, const NewRequest&, base::Duration wait);
 
 // Zero while a slot is free: what is queued then waits for something else, for example for a model's load.
 base::Duration expectedWait(const UpstreamLoad&, const NewRequest&);
--- a/packages/routing/include/toucanstep/routing/RequestQueue.h
+++ b/packages/routing/include/toucanstep/routing/RequestQueue.h
@@ -57,6 +57,7 @@
     virtual std::vector<RefusedRequest> removeKey(const base::KeyFingerprint&) = 0;
     virtual std::vector<RefusedRequest> removeAccount(const base::ClientAccountId&) = 0;
     virtual size_t size() const = 0;
+    // Accounts with queued requests, and those that were served lately, as of the last start.
     virtual std::vector<AccountBacklog> backlog() const = 0;
 };
 
--- a/packages/routing/src/RequestQueue.cpp
+++ b/packages/routing/src/RequestQueue.cpp
@@ -3,6 +3,7 @@
 #include "DeficitRoundRobin.h"
 
 #include <algorithm>
+#include <cmath>
 #include <list>
 #include <map>
 
@@ -29,9 +30,67 @@
 
 bool inTime(const QueuedRequest& request, base::Instant now) { return now <= request.latestStart; }
 
+// Tokens a second that each account was lately served, as an average that fades over ten seconds.
+class ServiceRates {
+public:
+    void served(const QueuedRequest& request, base::Instant now)
+    {
+        auto& rate = m_rates[request.account];
+        rate.weight = request.accountWeight;
+        rate.perSecond = faded(rate, now) + static_cast<double>(request.cost.value()) / fadeSeconds;
+        rate.at = now;
+        m_latest = std::max(m_latest, now);
+    }
+
+    // Adds the rates to the backlog as of the last service; what has faded is forgotten.
+    std::vector<AccountBacklog> withRates(std::map<base::ClientAccountId, AccountBacklog> parts) const
+    {
+        for (const auto& [account, rate] : m_rates) {
+            base::Tokens perSecond(static_cast<int64_t>(faded(rate, m_latest)));
+            if (perSecond.value() == 0)
+                continue;
+            auto& part = parts.try_emplace(account, AccountBacklog { account, rate.weight, {}, {} }).first->second;
+            part.servedPerSecond = perSecond;
+        }
+        std::vector<AccountBacklog> backlog;
+        for (auto& [account, part] : parts)
+            backlog.push_back(std::move(part));
+        return backlog;
+    }
+
+    void forgetFaded()
+    {
+        std::erase_if(m_rates, [&](const auto& entry) { return faded(entry.second, m_latest) < 1; });
+    }
+
+private:
+    static constexpr double fadeSeconds = 10;
+    struct Rate {
+        int64_t weight = 1;
+        double perSecond = 0;
+        base::Instant at;
+    };
+
+    static double faded(const Rate& rate, base::Instant now) { return rate.perSecond * std::exp(-base::toSeconds(now - rate.at) / fadeSeconds); }
+
+    std::map<base::ClientAccountId, Rate> m_rates;
+    base::Instant m_latest;
+};
+
 // What both queues share: everything but the order.
 class ListedQueue : public RequestQueue {
 public:
+    std::optional<QueuedRequest> pop(base::Instant now, const Eligible& eligible) override
+    {
+        auto request = next(now, eligible);
+        if (request)
+            m_rates.served(*request, now);
+        m_rates.forgetFaded();
+        return request;
+    }
+
+    std::vector<AccountBacklog> backlog() const override { return m_rates.withRates(queued()); }
+
     std::vector<RefusedRequest> takeExpired(base::Instant now) override
     {
         return takeIf([&](const auto& request) { return !inTime(request, now); },
@@ -55,7 +114,10 @@
 
 protected:
     using Predicate = std::function<bool(const QueuedRequest&)>;
+    using Parts = std::map<base::ClientAccountId, AccountBacklog>;
     virtual std::vector<QueuedRequest> extractIf(const Predicate&) = 0;
+    virtual std::optional<QueuedRequest> next(base::Instant now, const Eligible&) = 0;
+    virtual Parts queued() const = 0;
 
 private:
     std::vector<RefusedRequest> takeIf(const Predicate& predicate, const base::Refusal& refusal)
@@ -65,6 +127,8 @@
             refused.push_back({ std::move(request), refusal });
         return refused;
     }
+
+    ServiceRates m_rates;
 };
 
 std::vector<QueuedRequest> extractFrom(std::list<QueuedRequest>& requests, const std::function<bool(const QueuedRequest&)>& predicate)
@@ -95,7 +159,10 @@
         return refusal;
     }
 
-    std::optional<QueuedRequest> pop(base::Instant now, const Eligible& eligible) override
+    size_t size() const override { return m_requests.size(); }
+
+private:
+    std::optional<QueuedRequest> next(base::Instant now, const Eligible& eligible) override
     {
         auto place = firstStartable(m_requests, now, eligible);
         if (place == m_requests.end())
@@ -105,24 +172,18 @@
         return request;
     }
 
-    size_t size() const override { return m_requests.size(); }
-
-    std::vector<AccountBacklog> backlog() const override
+    Parts queued() const override
     {
-        std::map<base::ClientAccountId, AccountBacklog> parts;
+        Parts parts;
         for (const auto& request : m_requests) {
             auto& part = parts[request.account];
             part.account = request.account;
             part.weight = request.accountWeight;
             part.queued += request.cost;
         }
-        std::vector<AccountBacklog> backlog;
-        for (auto& [account, part] : parts)
-            backlog.push_back(std::move(part));
-        return backlog;
+        return parts;
     }
 
-private:
     std::vector<QueuedRequest> extractIf(const Predicate& predicate) override { return extractFrom(m_requests, predicate); }
 
     std::list<QueuedRequest> m_requests;
@@ -151,7 +212,10 @@
         return std::nullopt;
     }
 
-    std::optional<QueuedRequest> pop(base::Instant now, const Eligible& eligible) override
+    size_t size() const override { return m_size; }
+
+private:
+    std::optional<QueuedRequest> next(base::Instant now, const Eligible& eligible) override
     {
         std::vector<FlowOffer> offers;
         std::vector<KindOffers> inner;
@@ -172,17 +236,14 @@
         return take(inner[choice->offer]);
     }
 
-    size_t size() const override { return m_size; }
-
-    std::vector<AccountBacklog> backlog() const override
+    Parts queued() const override
     {
-        std::vector<AccountBacklog> backlog;
+        Parts parts;
         for (const auto& [id, account] : m_flows)
-            backlog.push_back({ id, account.weight, account.queued });
-        return backlog;
+            parts.emplace(id, AccountBacklog { id, account.weight, account.queued, {} });
+        return parts;
     }
 
-private:
     struct Kind {
         int64_t weight = 1;
         std::list<QueuedRequest> requests;
--- a/packages/routing/src/UpstreamTable.cpp
+++ b/packages/routing/src/UpstreamTable.cpp
@@ -12,7 +12,7 @@
 {
     auto place = std::find_if(backlog.begin(), backlog.end(), [&](const auto& part) { return part.account == request.account; });
     if (place == backlog.end())
-        backlog.push_back({ request.account, request.accountWeight, request.cost });
+        backlog.push_back({ request.account, request.accountWeight, request.cost, base::Tokens() });
     else
         place->queued += request.cost;
 }
--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -169,6 +169,20 @@
     CHECK_TRUE(queue->backlog().empty());
 }
 
+TEST(RequestQueue, AnAccountsRecentServiceIsToldAndFades)
+{
+    queue->push(makeRequest(1, "farm", 1, 1000), 0s, at(0s));
+    queue->pop(at(0s), everything);
+    CHECK_EQUAL(1, queue->backlog().size());
+    CHECK_EQUAL(0, queue->backlog()[0].queued.value());
+    CHECK_EQUAL(100, queue->backlog()[0].servedPerSecond.value());
+    queue->pop(at(60s), everything);
+    queue->push(makeRequest(2, "ferry", 1, 1000), 0s, at(60s));
+    queue->pop(at(60s), everything);
+    CHECK_EQUAL(1, queue->backlog().size());
+    STRCMP_EQUAL("ferry", queue->backlog()[0].account.value().c_str());
+}
+
 TEST(RequestQueue, EveryRequestLeavesOnceAndAnEligibleOneIsNeverHeldBack)
 {
     for (bool fair : { true, false }) {
--- a/packages/routing/test/RouterTest.cpp
+++ b/packages/routing/test/RouterTest.cpp
@@ -83,6 +83,20 @@
     CHECK_TRUE(decision.expectedWait < 2s);
 }
 
+TEST(Router, ALongQueueOfOnesOwnDoesNotCountOnSpeedThatOthersTakeBack)
+{
+    // An account floods an upstream while four others send a little now and then. Its requests were queued as if it had the
+    // whole upstream, and a third of them were refused only at their deadline.
+    UpstreamLoad load { .slots = 4, .tokensPerSecond = 50, .inFlight = 4, .inFlightTokens = base::Tokens(400) };
+    load.backlog = { { base::ClientAccountId("ferry"), 1, base::Tokens(1800), base::Tokens(120) } };
+    NewRequest flood { base::ClientAccountId("ferry"), 1, base::Tokens(200) };
+    CHECK_TRUE(expectedWait(load, flood) < 10s);
+    load.backlog.push_back({ base::ClientAccountId("farm"), 1, base::Tokens(0), base::Tokens(80) });
+    CHECK_TRUE(expectedWait(load, flood) > 14s);
+    NewRequest small { base::ClientAccountId("farm"), 1, base::Tokens(200) };
+    CHECK_TRUE(expectedWait(load, small) < 2s);
+}
+
 TEST(Router, NobodyInTimeIsRefusedWithTheTimeThatWouldDo)
 {
     connect(first, 4, 16000);
