--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -82,6 +82,26 @@
     CHECK_TRUE(position <= 2);
 }
 
+TEST(RequestQueue, ALargeRequestOfASmallAccountWaitsForOneTurnAndIsPaidForAfterwards)
+{
+    // The farm's rare long prompts were refused in a flood of short ones although the farm was far below its share: each
+    // had to save up for its cost over sixteen rounds, past its deadline.
+    for (int64_t number = 0; number < 500; ++number)
+        queue->push(makeRequest(number, "ferry", 1, quantum), 0s, at(0s));
+    queue->pop(at(0s), everything);
+    auto turnsUntilTheFarm = [&](int64_t number) {
+        queue->push(makeRequest(number, "farm", 1, 16 * quantum), 0s, at(0s));
+        int turns = 1;
+        while (queue->pop(at(0s), everything)->account.value() != "farm")
+            ++turns;
+        return turns;
+    };
+    CHECK_TRUE(turnsUntilTheFarm(1000) <= 2);
+    auto second = turnsUntilTheFarm(1001);
+    CHECK_TRUE(second >= 14);
+    CHECK_TRUE(second <= 18);
+}
+
 TEST(RequestQueue, ServiceIsProportionalToTheAccountsWeights)
 {
     CHECK_PROPERTY([] { checkShares(*makeFairQueue({ base::Tokens(quantum) })); });
@@ -149,6 +169,20 @@
     CHECK_TRUE(queue->backlog().empty());
 }
 
+TEST(RequestQueue, AnAccountsRecentServiceIsToldAndFades)
+{
+    queue->push(makeRequest(1, "farm", 1, 1000), 0s, at(0s));
+    queue->pop(at(0s), everything);
+    CHECK_EQUAL(1, queue->backlog().size());
+    CHECK_EQUAL(0, queue->backlog()[0].queued.value());
+    CHECK_EQUAL(100, queue->backlog()[0].servedPerSecond.value());
+    queue->pop(at(60s), everything);
+    queue->push(makeRequest(2, "ferry", 1, 1000), 0s, at(60s));
+    queue->pop(at(60s), everything);
+    CHECK_EQUAL(1, queue->backlog().size());
+    STRCMP_EQUAL("ferry", queue->backlog()[0].account.value().c_str());
+}
+
 TEST(RequestQueue, EveryRequestLeavesOnceAndAnEligibleOneIsNeverHeldBack)
 {
     for (bool fair : { true, false }) {
