--- a/packages/placement/test/ResidencyManagerTest.cpp
+++ b/packages/placement/test/ResidencyManagerTest.cpp
@@ -359,6 +359,19 @@
     CHECK_FALSE(host.manager->usable(a));
 }
 
+TEST(ResidencyManager, AnAnswerOfAnEngineThatDiedSinceDoesNotMakeAModelUsable)
+{
+    // The engine answers that the model is loaded and dies; the crash is noticed first, the answer arrives after it.
+    Host host(settingsFor(true), true);
+    host.settle(1s);
+    host.manager->addWaiter(a, base::RequestId("1"), host.now + 60s, host.now);
+    auto orders = host.manager->tick(host.now, always);
+    CHECK_TRUE(orders.at(0).kind == OrderKind::Load);
+    host.manager->onUpstreamCrashed(host.now + 1ms);
+    host.manager->onOrderResult(orders.at(0).id, OrderOutcome::Done, host.now + 2ms);
+    CHECK_TRUE(host.manager->state(a) == ResidencyState::Unknown);
+}
+
 TEST(ResidencyManager, AnIndexFromBeforeAnUnloadEndedDoesNotMakeAModelUsable)
 {
     Host host(settingsFor(true), true);
--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -102,6 +102,33 @@
     CHECK_TRUE(second <= 18);
 }
 
+TEST(RequestQueue, ADebtIsPaidWhileNothingIsQueued)
+{
+    // The farm sends a long prompt now and then. The debt of the first one must not hold up the next one an hour later.
+    for (int64_t number = 0; number < 100; ++number)
+        queue->push(makeRequest(number, "ferry", 1, quantum), 0s, at(0s));
+    queue->push(makeRequest(1000, "farm", 1, 16 * quantum), 0s, at(0s));
+    for (int turn = 0; turn < 50; ++turn)
+        queue->pop(at(0s), everything);
+    queue->push(makeRequest(1001, "farm", 1, quantum), 0s, at(0s));
+    auto first = queue->pop(at(0s), everything)->account.value();
+    auto second = queue->pop(at(0s), everything)->account.value();
+    CHECK_TRUE(first == "farm" || second == "farm");
+}
+
+TEST(RequestQueue, EqualFlowsTakeTurns)
+{
+    for (int64_t number = 0; number < 10; ++number)
+        for (const auto* account : { "farm", "ferry" })
+            queue->push(makeRequest(number * 2 + (account[1] == 'e'), account, 1, quantum), 0s, at(0s));
+    auto last = queue->pop(at(0s), everything)->account;
+    for (int turn = 1; turn < 20; ++turn) {
+        auto account = queue->pop(at(0s), everything)->account;
+        CHECK_TRUE(account != last);
+        last = account;
+    }
+}
+
 TEST(RequestQueue, ServiceIsProportionalToTheAccountsWeights)
 {
     CHECK_PROPERTY([] { checkShares(*makeFairQueue({ base::Tokens(quantum) })); });
