--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -219,7 +219,7 @@
             int64_t number = 0;
             auto steps = *rc::gen::inRange(0, 60);
             for (int step = 0; step < steps; ++step) {
-                switch (*rc::gen::inRange(0, 4)) {
+                switch (*rc::gen::inRange(0, 5)) {
                 case 0:
                 case 1: {
                     auto request = makeRequest(++number, base::concat("a", *rc::gen::inRange(0, 3)), 1, *rc::gen::inRange(0, 500),
@@ -235,6 +235,17 @@
                     RC_ASSERT(tested->cancel(base::RequestId(id)) == (oracle.erase(id) == 1));
                     break;
                 }
+                case 3: {
+                    // Whoever can no longer start in time is told so, once, and nobody else is.
+                    auto now = at(std::chrono::seconds(step));
+                    for (const auto& expired : tested->takeExpired(now)) {
+                        RC_ASSERT(expired.refusal.ran == base::RanState::NotRun);
+                        RC_ASSERT(expired.request.latestStart < now);
+                        RC_ASSERT(oracle.erase(expired.request.id.value()) == 1U);
+                    }
+                    RC_ASSERT(std::none_of(oracle.begin(), oracle.end(), [&](const auto& entry) { return entry.second.latestStart < now; }));
+                    break;
+                }
                 default: {
                     auto now = at(std::chrono::seconds(step));
                     Eligible onlyFirst = [](const QueuedRequest& request) { return request.model.value() == "m0"; };
