Configuration from peers, membership and strikes wired into both daemons

Change: config::InForce drives watch, polls and fetches from peers that are ahead; versions ride on run messages, reports and membership hints; strikes ride on membership hints.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -6,6 +6,8 @@
 #include "ShareLimitGate.h"
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
+#include "toucanstep/node/MembershipAgent.h"
+#include "toucanstep/node/StrikeText.h"
 
 namespace toucanstep::gateway {
 
@@ -21,6 +23,7 @@
         : m_node(std::move(settings), options.node)
         , m_options(options)
         , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
+        , m_members(std::make_unique<node::MembershipAgent>(m_node))
     {
         std::unique_ptr<internal::LimitGate> gate;
         if (options.limits == LimitMode::Shares) {
@@ -36,6 +39,7 @@
     ~RunningGateway() override
     {
         m_callers.reset();
+        m_members->stop();
         m_agent->stop();
         m_node.stop();
     }
@@ -43,6 +47,9 @@
     base::Result<void> start()
     {
         m_agent->install();
+        m_members->install();
+        m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
+        m_node.addSystem([this](base::Instant) { tellStrikes(); });
         m_agent->onRows([this](const node::AssignmentView& view) {
             m_node.traffic().post([this, view] { m_core->onRows(view); });
         });
@@ -83,6 +90,7 @@
         m_leaving = true;
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
+        m_node.control().post([this] { m_members->setLeaving(); });
         if (m_departure)
             m_node.control().post([this] { m_departure->begin(m_node.control().now()); });
     }
@@ -114,6 +122,32 @@
         m_node.traffic().post([this, request = std::move(std::get<CallerRequest>(parsed)), exchange]() mutable { m_core->begin(std::move(request), exchange); });
     }
 
+    void onMember(const membership::Entry& entry)
+    {
+        m_node.versionSeen(entry.instance, entry.hints.configuration);
+        std::vector<routing::StrikeMessage> strikes;
+        for (const std::string& text : entry.hints.strikes) {
+            if (auto strike = node::parseStrike(text))
+                strikes.push_back(*strike);
+        }
+        if (!strikes.empty())
+            m_node.traffic().post([this, strikes] { m_core->mergeStrikes(strikes); });
+    }
+
+    // Passes on what was learnt, so that strikes of one sidecar reach every gateway and every other sidecar.
+    void tellStrikes()
+    {
+        m_node.traffic().post([this] {
+            auto strikes = m_core->takeChangedStrikes();
+            if (!strikes)
+                return;
+            std::vector<std::string> texts;
+            for (const routing::StrikeMessage& strike : *strikes)
+                texts.push_back(node::strikeText(strike));
+            m_node.control().post([this, texts] { m_members->setStrikes(texts); });
+        });
+    }
+
     // The last demand that traffic has handed over; a control loop must not wait for traffic.
     std::vector<placement::ModelDemand> takeDemand()
     {
@@ -133,6 +167,7 @@
     mutable node::Node m_node;
     GatewayOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
+    std::unique_ptr<node::MembershipAgent> m_members;
     std::unique_ptr<internal::ShareDeparture> m_departure;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -122,6 +122,11 @@
         refuse(added, { base::RefusalCode::Leaving, base::RanState::NotRun, "this gateway is leaving; ask again", now() });
         return;
     }
+    // A request that has crashed upstreams is refused before it costs its account anything.
+    if (auto quarantined = m_quarantine.refusal(routing::RequestFingerprint(added.request.fingerprint), now())) {
+        refuse(added, *quarantined);
+        return;
+    }
     limits::ChargeOrder order { id, added.request.account, added.request.cost(), added.request.deadline };
     m_limits->charge(order, [this, id](const std::optional<base::Refusal>& refusal) { onCharged(id, refusal); });
 }
@@ -223,6 +228,20 @@
     }
 }
 
+void GatewayCore::mergeStrikes(const std::vector<routing::StrikeMessage>& strikes)
+{
+    size_t before = m_quarantine.size();
+    m_quarantine.merge(strikes, now());
+    m_strikesChanged = m_strikesChanged || m_quarantine.size() != before;
+}
+
+std::optional<std::vector<routing::StrikeMessage>> GatewayCore::takeChangedStrikes()
+{
+    if (!std::exchange(m_strikesChanged, false))
+        return std::nullopt;
+    return m_quarantine.exportStrikes(now());
+}
+
 std::vector<placement::ModelDemand> GatewayCore::takeDemand()
 {
     base::Instant at = now();
@@ -395,6 +414,7 @@
 
 void GatewayCore::onReport(const base::UpstreamId& upstream, const peers::SidecarReport& message, const std::string& model)
 {
+    m_node.versionSeen(base::InstanceId(upstream.value()), message.configuration);
     routing::UpstreamReport report;
     report.incarnation = message.incarnation;
     report.sequence = message.sequence;
@@ -594,6 +614,7 @@
 
 void GatewayCore::tick()
 {
+    m_quarantine.expire(now());
     // A listener may have stopped before its end; the deadline holds for every request whatever became of its calls.
     std::vector<base::RequestId> late;
     m_onceCalls.tick();
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -10,6 +10,7 @@
 #include "toucanstep/gateway/Gateway.h"
 #include "toucanstep/node/AssignmentAgent.h"
 #include "toucanstep/placement/ReplicaPlan.h"
+#include "toucanstep/routing/Quarantine.h"
 #include "toucanstep/routing/RetryBudget.h"
 #include "toucanstep/routing/Router.h"
 
@@ -63,6 +64,9 @@
     nlohmann::json status() const;
     // The replica rows of each model, by which requests find its holders.
     void onRows(const node::AssignmentView&);
+    void mergeStrikes(const std::vector<routing::StrikeMessage>&);
+    // All living strikes, if some were learnt since the last call.
+    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes();
     // What was asked of each model since the last call.
     std::vector<placement::ModelDemand> takeDemand();
 
@@ -124,6 +128,8 @@
     };
     std::map<base::ModelId, Demand> m_demand;
     base::Instant m_demandSince;
+    routing::Quarantine m_quarantine { {} };
+    bool m_strikesChanged = false;
     int64_t m_counter = 0;
     bool m_leaving = false;
 };
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -102,6 +102,9 @@
     void setReady(bool ready) { m_ready = ready; }
     bool ready() const { return m_ready; }
 
+    // A message of a peer carried the version that it has in force. Safe from any thread.
+    void versionSeen(const base::InstanceId& peer, base::Revision version);
+
     // Calls a peer from the control loop, and calls back there.
     void callFromControl(peers::OutgoingCall, std::function<void(base::Outcome<std::string>)>);
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -1,14 +1,17 @@
 #include "toucanstep/node/Node.h"
 
-#include "ConfigurationFollower.h"
+#include "PublishedText.h"
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
+#include "toucanstep/config/InForce.h"
 #include "toucanstep/node/HistoryFile.h"
 #include "toucanstep/node/Keys.h"
+#include "toucanstep/peers/Codec.h"
 #include "toucanstep/platform/EtcdStore.h"
 #include "toucanstep/platform/InstanceList.h"
 
+#include <absl/hash/hash.h>
 #include <glog/logging.h>
 #include <set>
 
@@ -17,45 +20,48 @@
 namespace {
 
 constexpr size_t startNonceBytes = 6;
+// Answers with the text in force and its version, if it is newer than the version in the call.
+constexpr std::string_view configurationMethod = "configuration";
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
 } // namespace
 
-// Watches the text's key, and reads it from time to time on a connection of its own: a watch can go silent for good
-// while it looks open, and then only the poll shows a new version.
+// Keeps the configuration in force up to date. config::InForce decides what to fetch from whom and what to install; this
+// carries it out: a watch and reads of the service, and fetches from peers that are ahead.
 class Node::ConfigurationFollower : public std::enable_shared_from_this<ConfigurationFollower> {
 public:
     explicit ConfigurationFollower(Node& node)
         : m_node(node)
+        , m_inForce(inForceOptions(node.m_options), absl::HashOf(node.m_startNonce), node.m_control->now())
     {
+        for (const base::Endpoint& endpoint : node.m_settings.peers)
+            m_inForce.addPeer(base::InstanceId(endpoint.text()), node.m_control->now());
     }
 
     void tick(base::Instant now)
     {
-        if (!m_watch) {
+        if (!m_watch && now >= m_nextWatch) {
+            // A service that refuses watches is not asked for one at every tick.
+            m_nextWatch = now + m_node.m_options.configurationPollInterval / 4;
             openWatch();
-            poll(now);
-        } else if (now >= m_nextPoll)
-            poll(now);
+        }
+        addListedPeers(now);
+        act(m_inForce.tick(now));
     }
 
-    void install(const internal::PublishedText& published)
+    void versionSeen(const base::InstanceId& peer, base::Revision version)
     {
-        // A version only ever moves up: an answer that was overtaken is older than what is in force.
-        if (published.version <= m_installed)
-            return;
-        auto configuration = internal::parsePublished(published);
-        if (!configuration)
-            return;
-        m_installed = published.version;
-        m_node.m_configuration.publish(configuration);
-        m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(published.version.value()));
-        base::LogLine("configuration_in_force").add("version", published.version);
-        m_node.record({ .kind = base::HistoryKind::ConfigurationInForce, .version = published.version });
-        for (const ConfigurationListener& listener : m_node.m_configurationListeners)
-            listener(configuration);
+        act(m_inForce.onVersionSeen(peer, version, now()));
+    }
+
+    // The text in force, for a peer that asks; nothing where the peer has it already.
+    std::string answerPeer(base::Revision known) const
+    {
+        if (m_installed.version <= known)
+            return {};
+        return peers::FieldWriter().add(m_installed.version.value()).addBytes(m_installed.text).finish();
     }
 
 private:
@@ -70,8 +76,7 @@
         void onEvents(std::vector<base::WatchEvent> events, base::Revision) override
         {
             m_loop.post([follower = m_follower, events = std::move(events)] {
-                auto alive = follower.lock();
-                if (alive)
+                if (auto alive = follower.lock())
                     alive->onEvents(events);
             });
         }
@@ -89,37 +94,156 @@
         std::weak_ptr<ConfigurationFollower> m_follower;
     };
 
+    static config::InForceOptions inForceOptions(const NodeOptions& options)
+    {
+        config::InForceOptions chosen;
+        chosen.pollInterval = options.configurationPollInterval;
+        return chosen;
+    }
+
+    base::Instant now() const { return m_node.m_control->now(); }
+
+    // Gateways of the platform's list can be asked at the start, when the service may be down.
+    void addListedPeers(base::Instant now)
+    {
+        if (m_installed.version.value())
+            return;
+        auto instances = m_node.m_instances.load();
+        for (const InstanceRow* row : instances->inList(gatewayListName)) {
+            if (row->instance != m_node.m_settings.instance && m_listedPeers.insert(row->instance).second)
+                m_inForce.addPeer(row->instance, now);
+        }
+    }
+
     void openWatch()
     {
-        m_watch = m_node.m_store->watch(std::string(configurationKey), base::Revision(m_installed.value() + 1), std::make_shared<Listener>(*this));
+        m_watch = m_node.m_store->watch(std::string(configurationKey), base::Revision(m_installed.version.value() + 1), std::make_shared<Listener>(*this));
     }
 
     void onEvents(const std::vector<base::WatchEvent>& events)
     {
         for (const base::WatchEvent& event : events) {
-            if (!event.deleted && event.entry.key == configurationKey)
-                install({ event.entry.modified, event.entry.value });
+            if (event.deleted || event.entry.key != configurationKey)
+                continue;
+            bool usable = keep({ event.entry.modified, event.entry.value });
+            act(m_inForce.onWatchEvent(event.entry.modified, usable, now()));
         }
     }
 
-    void poll(base::Instant now)
+    // Parses a text and keeps it until it is installed. False where this process cannot use it.
+    bool keep(const internal::PublishedText& published)
     {
-        m_nextPoll = now + m_node.m_options.configurationPollInterval;
-        m_node.m_store->get(std::string(configurationKey), now + m_node.m_options.storeTimeout, [loop = m_node.m_control.get(), weak = weak_from_this()](base::Outcome<base::RangeReply> outcome) {
-            auto* reply = std::get_if<base::RangeReply>(&outcome);
-            if (!reply || reply->entries.empty())
-                return;
-            internal::PublishedText published { reply->entries.front().modified, std::move(reply->entries.front().value) };
-            loop->post([weak, published = std::move(published)] {
-                if (auto follower = weak.lock())
-                    follower->install(published);
+        if (published.version <= m_installed.version || (m_candidate && m_candidate->version >= published.version))
+            return true;
+        auto configuration = internal::parsePublished(published);
+        if (!configuration)
+            return false;
+        m_candidate = configuration;
+        m_candidateText = published;
+        return true;
+    }
+
+    void act(const config::InForceActions& actions)
+    {
+        for (const config::InForceAction& action : actions) {
+            if (auto* fetch = std::get_if<config::FetchAction>(&action))
+                this->fetch(*fetch);
+            else
+                install(std::get<config::InstallAction>(action).version);
+        }
+    }
+
+    void install(base::Revision version)
+    {
+        if (!m_candidate || m_candidate->version < version || m_candidate->version <= m_installed.version)
+            return;
+        m_installed = std::move(m_candidateText);
+        m_node.m_configuration.publish(m_candidate);
+        m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(m_installed.version.value()));
+        base::LogLine("configuration_in_force").add("version", m_installed.version);
+        m_node.record({ .kind = base::HistoryKind::ConfigurationInForce, .version = m_installed.version });
+        std::shared_ptr<const config::Configuration> installed = std::move(m_candidate);
+        m_candidate = nullptr;
+        for (const ConfigurationListener& listener : m_node.m_configurationListeners)
+            listener(installed);
+    }
+
+    void fetch(const config::FetchAction& fetch)
+    {
+        if (fetch.source.peer)
+            fetchFromPeer(fetch);
+        else
+            fetchFromService(fetch);
+    }
+
+    void fetchFromService(const config::FetchAction& fetch)
+    {
+        m_node.m_store->get(std::string(configurationKey), fetch.deadline, [loop = m_node.m_control.get(), weak = weak_from_this(), source = fetch.source](base::Outcome<base::RangeReply> outcome) {
+            loop->post([weak, source, outcome = std::move(outcome)] {
+                auto follower = weak.lock();
+                auto* reply = std::get_if<base::RangeReply>(&outcome);
+                if (!follower)
+                    return;
+                if (!reply)
+                    follower->fetched(source, {}, config::FetchOutcome::Failed);
+                else if (reply->entries.empty())
+                    follower->fetched(source, {}, config::FetchOutcome::NothingNewer);
+                else
+                    follower->fetchedText(source, { reply->entries.front().modified, reply->entries.front().value });
             });
         });
     }
 
+    void fetchFromPeer(const config::FetchAction& fetch)
+    {
+        auto instances = m_node.m_instances.load();
+        const InstanceRow* row = instances->find(*fetch.source.peer);
+        auto target = row ? std::optional(row->peer) : base::parseEndpoint(fetch.source.peer->value());
+        if (!target) {
+            fetched(fetch.source, {}, config::FetchOutcome::Failed);
+            return;
+        }
+        std::string body = peers::FieldWriter().add(fetch.known.value()).finish();
+        m_node.callFromControl({ *target, peers::Method(std::string(configurationMethod)), body, fetch.deadline }, [weak = weak_from_this(), source = fetch.source](const base::Outcome<std::string>& outcome) {
+            auto follower = weak.lock();
+            if (!follower)
+                return;
+            auto* reply = std::get_if<std::string>(&outcome);
+            if (!reply) {
+                follower->fetched(source, {}, config::FetchOutcome::Failed);
+                return;
+            }
+            if (reply->empty()) {
+                follower->fetched(source, {}, config::FetchOutcome::NothingNewer);
+                return;
+            }
+            peers::FieldReader reader(*reply);
+            internal::PublishedText published { base::Revision(reader.number()), reader.bytes() };
+            if (reader.complete())
+                follower->fetchedText(source, published);
+            else
+                follower->fetched(source, {}, config::FetchOutcome::Failed);
+        });
+    }
+
+    void fetchedText(const config::ConfigurationSource& source, const internal::PublishedText& published)
+    {
+        bool usable = keep(published);
+        fetched(source, published.version, usable ? config::FetchOutcome::Text : config::FetchOutcome::Unusable);
+    }
+
+    void fetched(const config::ConfigurationSource& source, base::Revision version, config::FetchOutcome outcome)
+    {
+        act(m_inForce.onFetched(source, version, outcome, now()));
+    }
+
     Node& m_node;
-    base::Revision m_installed;
-    base::Instant m_nextPoll;
+    config::InForce m_inForce;
+    internal::PublishedText m_installed;
+    std::shared_ptr<const config::Configuration> m_candidate;
+    internal::PublishedText m_candidateText;
+    std::set<base::InstanceId> m_listedPeers;
+    base::Instant m_nextWatch;
     std::unique_ptr<base::WatchHandle> m_watch;
 };
 
@@ -197,6 +321,18 @@
     m_store = platform::makeEtcdStore(m_settings.keyValueUrl, m_http);
     m_follower = std::make_shared<ConfigurationFollower>(*this);
     m_poller = std::make_shared<InstanceListPoller>(*this);
+    addMethod(peers::Method(std::string(configurationMethod)), [this](const peers::IncomingCall& call, std::shared_ptr<peers::PeerResponder> responder) {
+        peers::FieldReader reader(call.body);
+        base::Revision known(reader.number());
+        m_control->post([this, known, follower = std::weak_ptr(m_follower), responder = std::move(responder)] {
+            auto alive = follower.lock();
+            std::string answer = alive ? alive->answerPeer(known) : std::string();
+            m_traffic->post([responder, answer = std::move(answer)] {
+                responder->send(answer);
+                responder->finish();
+            });
+        });
+    });
     addMethod(peers::Method(std::string(startNonceMethod)), [this](const peers::IncomingCall&, const std::shared_ptr<peers::PeerResponder>& responder) {
         responder->send(m_startNonce);
         responder->finish();
@@ -280,6 +416,17 @@
     return {};
 }
 
+void Node::versionSeen(const base::InstanceId& peer, base::Revision version)
+{
+    // Most messages carry the version in force; only news is worth a task.
+    if (version <= m_configuration.load()->version)
+        return;
+    m_control->post([follower = std::weak_ptr(m_follower), peer, version] {
+        if (auto alive = follower.lock())
+            alive->versionSeen(peer, version);
+    });
+}
+
 void Node::record(base::HistoryEvent event)
 {
     if (m_recordsHistory)
--- a/packages/node/src/ConfigurationFollower.cpp
+++ b/packages/node/src/PublishedText.cpp
@@ -1,4 +1,4 @@
-#include "ConfigurationFollower.h"
+#include "PublishedText.h"
 
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/config/Parser.h"
--- a/packages/node/src/ConfigurationFollower.h
+++ b/packages/node/src/PublishedText.h
@@ -1,4 +1,4 @@
-// Keeps the configuration in force up to date from the key-value service: a watch, and a slow poll beside it.
+// Versions of the operators' text as they are published.
 
 #pragma once
 
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -2,6 +2,8 @@
 
 #include "SidecarCore.h"
 #include "toucanstep/node/AssignmentAgent.h"
+#include "toucanstep/node/MembershipAgent.h"
+#include "toucanstep/node/StrikeText.h"
 #include "toucanstep/peers/Codec.h"
 
 #include <set>
@@ -18,18 +20,23 @@
         : m_node(std::move(settings), options.node)
         , m_options(options)
         , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
+        , m_members(std::make_unique<node::MembershipAgent>(m_node))
         , m_core(std::make_unique<internal::SidecarCore>(m_node, options))
     {
     }
 
     ~RunningSidecar() override
     {
+        m_members->stop();
         m_agent->stop();
         m_node.stop();
     }
 
     base::Result<void> start()
     {
+        m_members->install();
+        m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
+        m_node.addSystem([this](base::Instant) { tellStrikes(); });
         if (m_options.placement == PlacementMode::Rows) {
             m_agent->install();
             m_node.addSystem([this](base::Instant now) { handOutRows(now); });
@@ -60,6 +67,7 @@
         m_leaving = true;
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
+        m_node.control().post([this] { m_members->setLeaving(); });
     }
 
     bool drained() const override
@@ -70,6 +78,31 @@
     }
 
 private:
+    void onMember(const membership::Entry& entry)
+    {
+        m_node.versionSeen(entry.instance, entry.hints.configuration);
+        std::vector<routing::StrikeMessage> strikes;
+        for (const std::string& text : entry.hints.strikes) {
+            if (auto strike = node::parseStrike(text))
+                strikes.push_back(*strike);
+        }
+        if (!strikes.empty())
+            m_node.traffic().post([this, strikes] { m_core->mergeStrikes(strikes); });
+    }
+
+    void tellStrikes()
+    {
+        m_node.traffic().post([this] {
+            auto strikes = m_core->takeChangedStrikes();
+            if (!strikes)
+                return;
+            std::vector<std::string> texts;
+            for (const routing::StrikeMessage& strike : *strikes)
+                texts.push_back(node::strikeText(strike));
+            m_node.control().post([this, texts] { m_members->setStrikes(texts); });
+        });
+    }
+
     // Gives the core the rows that may be used at this moment. A sidecar that was cut off from everyone must have
     // unloaded what it held before another loads it: its rows then count as withdrawn.
     void handOutRows(base::Instant now)
@@ -146,6 +179,7 @@
     mutable node::Node m_node;
     SidecarOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
+    std::unique_ptr<node::MembershipAgent> m_members;
     std::unique_ptr<internal::SidecarCore> m_core;
     // On the control loop: rows as last given to the core, and rows that are being given back.
     std::map<base::ModelId, base::Epoch> m_handedOut;
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -27,6 +27,7 @@
 constexpr base::Duration probeTimeout = std::chrono::milliseconds(800);
 constexpr base::Duration pumpInterval = std::chrono::milliseconds(20);
 constexpr int maximumResumes = 3;
+constexpr size_t crashIdLength = 16;
 // No model has this name: unloading it changes nothing but the newest fencing number that the engine has seen.
 constexpr std::string_view fenceName = "toucanstep-fence";
 constexpr size_t maximumKeptBytes = 16 * 1024 * 1024;
@@ -262,6 +263,7 @@
         return;
     }
     base::Instant arrived = now();
+    m_node.versionSeen(call.from, message->configuration);
     m_lastDispatch[call.from] = std::max(m_lastDispatch[call.from], message->dispatchNumber);
     RequestEntry entry;
     entry.key = key;
@@ -652,8 +654,11 @@
     if (alive)
         return;
     ++m_crashes;
-    routing::CrashId crash(base::concat(m_node.settings().instance, "/", m_node.startNonce(), "/", m_crashes));
+    std::string name = base::concat(m_node.settings().instance, "/", m_node.startNonce(), "/", m_crashes);
+    // Shortened to a digest, so that a strike fits into the bounded hints of the membership messages.
+    routing::CrashId crash(base::sha256Hex(name).substr(0, crashIdLength));
     m_quarantine.onCrash(crash, suspects, now());
+    m_strikesChanged = true;
     m_residency->onUpstreamCrashed(now());
     m_node.metrics().count("toucanstep_upstream_crashes_total");
     base::LogLine("upstream_crashed").add("crash", crash).add("suspects", static_cast<int64_t>(suspects.size()));
@@ -830,6 +835,18 @@
     m_node.record({ .kind = base::HistoryKind::UpstreamLeaving, .upstream = base::UpstreamId(m_node.settings().instance.value()) });
 }
 
+void SidecarCore::mergeStrikes(const std::vector<routing::StrikeMessage>& strikes)
+{
+    m_quarantine.merge(strikes, now());
+}
+
+std::optional<std::vector<routing::StrikeMessage>> SidecarCore::takeChangedStrikes()
+{
+    if (!std::exchange(m_strikesChanged, false))
+        return std::nullopt;
+    return m_quarantine.exportStrikes(now());
+}
+
 bool SidecarCore::idle() const
 {
     return m_requests.countIn(RequestState::Queued) == 0 && m_requests.countIn(RequestState::Running) == 0;
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -38,6 +38,9 @@
     bool mayRelease(const base::ModelId& model) const { return !m_residency || m_residency->mayRelease(model); }
     void tick();
     void setLeaving();
+    void mergeStrikes(const std::vector<routing::StrikeMessage>&);
+    // All living strikes, if some were added here since the last call.
+    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes();
     bool idle() const;
     nlohmann::json status() const;
 
@@ -101,6 +104,7 @@
     ServiceCalls m_services;
     std::set<EntryKey> m_serviceRuns;
     int64_t m_crashes = 0;
+    bool m_strikesChanged = false;
     bool m_crashProbeRunning = false;
     bool m_leaving = false;
     bool m_pumpPosted = false;
