--- a/cmake/Toucanstep.cmake
+++ b/cmake/Toucanstep.cmake
@@ -20,6 +20,10 @@
     target_compile_options(toucanstep_options INTERFACE -fsanitize=${TOUCANSTEP_SANITIZER} -fno-omit-frame-pointer -fno-sanitize-recover=all)
     target_link_options(toucanstep_options INTERFACE -fsanitize=${TOUCANSTEP_SANITIZER})
 endif()
+if(TOUCANSTEP_FUZZERS)
+    # Without this the fuzzers would see no coverage of the libraries, and try inputs blindly.
+    target_compile_options(toucanstep_options INTERFACE -fsanitize=fuzzer-no-link -fsanitize-ignorelist=${CMAKE_SOURCE_DIR}/tools/ubsan.ignore)
+endif()
 
 # toucanstep_library(NAME DEPENDS a b LINK target ...)
 # Builds packages/NAME/src into a library, and packages/NAME/test into its one test program.
