--- a/packages/calls/include/toucanstep/calls/GroupCommit.h
+++ b/packages/calls/include/toucanstep/calls/GroupCommit.h
@@ -31,8 +31,8 @@
     size_t members = 64;
     base::Bytes bytes { 512 * 1024 };
     size_t inFlight = 2;
-    // The shortest time between two batches while none is full; bounds the write rate.
-    base::Duration interval = std::chrono::milliseconds(5);
+    // The shortest time between two batches while none is full; bounds the write rate of one sidecar to 50 a second.
+    base::Duration interval = std::chrono::milliseconds(20);
 };
 
 struct Batch {
@@ -73,7 +73,8 @@
     void requeueInHalves(std::vector<Member>);
 
 private:
-    Batch makeBatch(std::vector<Member>);
+    Batch makeBatch(std::vector<Member>, base::Instant now);
+    std::vector<WriteResult> settle(const std::vector<Member>&, const base::Outcome<base::TransactionReply>&);
     std::vector<Member> gather();
 
     GroupLimits m_limits;
--- /dev/null
+++ b/packages/gateway/src/Gateway.cpp
@@ -0,0 +1,188 @@
+#include "toucanstep/gateway/Gateway.h"
+
+#include "FleetPlanner.h"
+#include "GatewayCore.h"
+#include "ShareDeparture.h"
+#include "ShareLimitGate.h"
+#include "StaticLimitGate.h"
+#include "toucanstep/base/Text.h"
+#include "toucanstep/node/MembershipAgent.h"
+#include "toucanstep/node/StrikeText.h"
+
+namespace toucanstep::gateway {
+
+namespace {
+
+constexpr base::Duration coreTickInterval = std::chrono::milliseconds(20);
+constexpr int statusOk = 200;
+constexpr unsigned callerThreads = 2;
+
+class RunningGateway final : public Gateway {
+public:
+    RunningGateway(config::ProcessSettings settings, const GatewayOptions& options)
+        : m_node(std::move(settings), options.node)
+        , m_options(options)
+        , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
+        , m_members(std::make_unique<node::MembershipAgent>(m_node))
+    {
+        std::unique_ptr<internal::LimitGate> gate;
+        if (options.limits == LimitMode::Shares) {
+            auto shares = std::make_unique<internal::ShareLimitGate>(m_node, *m_agent);
+            shares->install();
+            m_departure = std::make_unique<internal::ShareDeparture>(m_node, *m_agent, *shares);
+            gate = std::move(shares);
+        } else
+            gate = std::make_unique<internal::StaticLimitGate>(m_node);
+        m_core = std::make_unique<internal::GatewayCore>(m_node, options, std::move(gate));
+    }
+
+    ~RunningGateway() override
+    {
+        m_callers.reset();
+        m_members->stop();
+        m_agent->stop();
+        m_node.stop();
+    }
+
+    base::Result<void> start()
+    {
+        m_agent->install();
+        m_members->install();
+        m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
+        m_node.addSystem([this](base::Instant) { tellStrikes(); });
+        m_agent->onRows([this](const node::AssignmentView& view) {
+            m_node.traffic().post([this, view] { m_core->onRows(view); });
+        });
+        if (m_options.homes == HomeMode::Rows || m_options.limits == LimitMode::Shares) {
+            m_planner = std::make_unique<internal::FleetPlanner>(m_node, *m_agent, [this] { return takeDemand(); });
+            m_planner->install();
+        }
+        if (m_departure)
+            m_node.addSystem([this](base::Instant now) { m_departure->tick(now); });
+        m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
+            m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
+            m_node.setReady(!m_leaving);
+        });
+        m_node.setStatus([this] {
+            nlohmann::json status;
+            m_node.traffic().runAndWait([&] { status = m_core->status(); });
+            return status;
+        });
+        BOOST_LEAF_CHECK(m_node.start());
+        m_node.traffic().post([this] { tick(); });
+
+        platform::HttpServerOptions options;
+        options.address = m_node.settings().callerListen.address;
+        options.port = m_node.settings().callerListen.port;
+        options.threads = callerThreads;
+        base::Refusal tooLarge { base::RefusalCode::BodyTooLarge, base::RanState::NotRun, "the body is larger than this system takes", std::nullopt };
+        options.bodyTooLargeAnswer = refusalBody(tooLarge, {});
+        BOOST_LEAF_ASSIGN(m_callers, platform::HttpServer::start(options, [this](const std::shared_ptr<platform::HttpExchange>& exchange) { onCaller(exchange); }));
+        return {};
+    }
+
+    uint16_t callerPort() const override { return m_callers->port(); }
+    base::Endpoint peerEndpoint() const override { return m_node.peerEndpoint(); }
+    uint16_t operatorPort() const override { return m_node.operatorPort(); }
+
+    void leave() override
+    {
+        m_leaving = true;
+        m_node.setReady(false);
+        m_node.traffic().post([this] { m_core->setLeaving(); });
+        m_node.control().post([this] { m_members->setLeaving(); });
+        if (m_departure)
+            m_node.control().post([this] { m_departure->begin(m_node.control().now()); });
+    }
+
+    bool drained() const override
+    {
+        bool idle = false;
+        m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
+        bool sharesLeft = m_departure && !m_departure->done();
+        return m_leaving && idle && !sharesLeft && !m_callers->openExchanges();
+    }
+
+private:
+    // Runs on the callers' threads: parsing and hashing keep off the traffic loop.
+    void onCaller(const std::shared_ptr<platform::HttpExchange>& exchange)
+    {
+        base::Instant now = m_node.traffic().now();
+        auto configuration = m_node.configuration();
+        ParsedCallerRequest parsed = parseCallerRequest(exchange->request(), *configuration, now);
+        if (auto* refusal = std::get_if<base::Refusal>(&parsed)) {
+            m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal->code), "\""));
+            exchange->respond(httpStatus(refusal->code), refusalHeaders(*refusal, now), refusalBody(*refusal, now));
+            return;
+        }
+        if (std::holds_alternative<ModelListRequest>(parsed)) {
+            exchange->respond(statusOk, { { "Content-Type", "application/json" } }, modelListBody(*configuration));
+            return;
+        }
+        m_node.traffic().post([this, request = std::move(std::get<CallerRequest>(parsed)), exchange]() mutable { m_core->begin(std::move(request), exchange); });
+    }
+
+    void onMember(const membership::Entry& entry)
+    {
+        m_node.versionSeen(entry.instance, entry.hints.configuration);
+        std::vector<routing::StrikeMessage> strikes;
+        for (const std::string& text : entry.hints.strikes) {
+            if (auto strike = node::parseStrike(text))
+                strikes.push_back(*strike);
+        }
+        if (!strikes.empty())
+            m_node.traffic().post([this, strikes] { m_core->mergeStrikes(strikes); });
+    }
+
+    // Passes on what was learnt, so that strikes of one sidecar reach every gateway and every other sidecar.
+    void tellStrikes()
+    {
+        m_node.traffic().post([this] {
+            auto strikes = m_core->takeChangedStrikes();
+            if (!strikes)
+                return;
+            std::vector<std::string> texts;
+            for (const routing::StrikeMessage& strike : *strikes)
+                texts.push_back(node::strikeText(strike));
+            m_node.control().post([this, texts] { m_members->setStrikes(texts); });
+        });
+    }
+
+    // The last demand that traffic has handed over; a control loop must not wait for traffic.
+    std::vector<placement::ModelDemand> takeDemand()
+    {
+        m_node.traffic().post([this] {
+            auto demand = m_core->takeDemand();
+            m_node.control().post([this, demand = std::move(demand)] { m_demand = demand; });
+        });
+        return m_demand;
+    }
+
+    void tick()
+    {
+        m_core->tick();
+        m_node.traffic().at(m_node.traffic().now() + coreTickInterval, [this] { tick(); });
+    }
+
+    mutable node::Node m_node;
+    GatewayOptions m_options;
+    std::unique_ptr<node::AssignmentAgent> m_agent;
+    std::unique_ptr<node::MembershipAgent> m_members;
+    std::unique_ptr<internal::ShareDeparture> m_departure;
+    std::unique_ptr<internal::GatewayCore> m_core;
+    std::unique_ptr<internal::FleetPlanner> m_planner;
+    std::vector<placement::ModelDemand> m_demand;
+    std::unique_ptr<platform::HttpServer> m_callers;
+    std::atomic<bool> m_leaving { false };
+};
+
+} // namespace
+
+base::Result<std::unique_ptr<Gateway>> Gateway::start(config::ProcessSettings settings, GatewayOptions options)
+{
+    auto gateway = std::make_unique<RunningGateway>(std::move(settings), options);
+    BOOST_LEAF_CHECK(gateway->start());
+    return std::unique_ptr<Gateway>(std::move(gateway));
+}
+
+} // namespace toucanstep::gateway
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -11,6 +11,7 @@
 
 #pragma once
 
+#include "toucanstep/base/History.h"
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/base/Result.h"
@@ -23,7 +24,9 @@
 #include "toucanstep/peers/PeerServer.h"
 #include "toucanstep/platform/HttpClient.h"
 #include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/platform/InstanceList.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -32,6 +35,9 @@
 
 namespace toucanstep::node {
 
+// Answers with the nonce of the process's start, which tells it apart from others on the same instance.
+inline constexpr std::string_view startNonceMethod = "start_nonce";
+
 struct NodeOptions {
     base::Duration tickInterval = std::chrono::milliseconds(50);
     base::Duration configurationPollInterval = std::chrono::seconds(2);
@@ -39,8 +45,16 @@
     base::Duration storeTimeout = std::chrono::milliseconds(800);
 };
 
+// One answer of the platform's list, as the parts that prove presence and absence need it.
+struct ListingAnswer {
+    std::string listName;
+    platform::InstanceListing listing;
+    base::Instant sentAt;
+};
+
 class Node {
 public:
+    using ListingListener = std::function<void(const ListingAnswer&)>;
     using System = std::function<void(base::Instant now)>;
     using ConfigurationListener = std::function<void(std::shared_ptr<const config::Configuration>)>;
 
@@ -55,6 +69,8 @@
     void addSystem(System);
     // Called on the control loop, after a newer version was published to readers.
     void onConfiguration(ConfigurationListener);
+    // Called on the control loop for every answer of the platform's list.
+    void onListing(ListingListener);
     void setStatus(std::function<nlohmann::json()>);
 
     base::Result<void> start();
@@ -70,6 +86,11 @@
     std::shared_ptr<platform::HttpClient> http() { return m_http; }
     base::KeyValueStore& store() { return *m_store; }
     base::MetricsRegistry& metrics() { return m_metrics; }
+    // Whether a history is kept; what costs time only for its sake is then left out.
+    bool recordsHistory() const { return m_recordsHistory; }
+    // Fills in the time and this start of the process, and records.
+    void record(base::HistoryEvent);
+    void recordAt(base::Instant, base::HistoryEvent);
     std::shared_ptr<const config::Configuration> configuration() const { return m_configuration.load(); }
     std::shared_ptr<const InstanceTable> instances() const { return m_instances.load(); }
     base::Endpoint peerEndpoint() const { return m_peerEndpoint; }
@@ -81,6 +102,9 @@
     void setReady(bool ready) { m_ready = ready; }
     bool ready() const { return m_ready; }
 
+    // A message of a peer carried the version that it has in force. Safe from any thread.
+    void versionSeen(const base::InstanceId& peer, base::Revision version);
+
     // Calls a peer from the control loop, and calls back there.
     void callFromControl(peers::OutgoingCall, std::function<void(base::Outcome<std::string>)>);
 
@@ -96,6 +120,8 @@
     NodeOptions m_options;
     std::string m_startNonce;
     base::MetricsRegistry m_metrics;
+    bool m_recordsHistory = false;
+    std::unique_ptr<base::HistoryRecorder> m_history;
     std::shared_ptr<platform::HttpClient> m_http;
     std::shared_ptr<base::KeyValueStore> m_store;
     Snapshot<config::Configuration> m_configuration;
@@ -104,6 +130,7 @@
     base::Endpoint m_peerEndpoint;
     std::vector<System> m_systems;
     std::vector<ConfigurationListener> m_configurationListeners;
+    std::vector<ListingListener> m_listingListeners;
     std::function<nlohmann::json()> m_status;
     absl::flat_hash_map<peers::Method, peers::PeerServer::Handler> m_methods;
     std::unique_ptr<peers::EventLoop> m_control;
@@ -111,7 +138,7 @@
     std::unique_ptr<peers::PeerServer> m_server;
     std::unique_ptr<peers::PeerClient> m_peers;
     std::shared_ptr<ConfigurationFollower> m_follower;
-    std::unique_ptr<InstanceListPoller> m_poller;
+    std::shared_ptr<InstanceListPoller> m_poller;
     std::unique_ptr<platform::HttpServer> m_operator;
     bool m_stopped = false;
 };
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "RequestTable.h"
+#include "ServiceCalls.h"
 #include "toucanstep/node/Node.h"
 #include "toucanstep/placement/ResidencyManager.h"
 #include "toucanstep/platform/EngineClient.h"
@@ -31,8 +32,15 @@
     void onConfiguration(std::shared_ptr<const config::Configuration>);
     // The replica rows that name this instance, with their epochs.
     void onRows(const std::map<base::ModelId, base::Epoch>&);
+    // Whether a withdrawn row's model is proved to be absent from the engine.
+    // The row of a withdrawn model was given back.
+    void onRowReleased(const base::ModelId&);
+    bool mayRelease(const base::ModelId& model) const { return !m_residency || m_residency->mayRelease(model); }
     void tick();
-    void setLeaving() { m_leaving = true; }
+    void setLeaving();
+    void mergeStrikes(const std::vector<routing::StrikeMessage>&);
+    // All living strikes, if some were added here since the last call.
+    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes();
     bool idle() const;
     nlohmann::json status() const;
 
@@ -46,11 +54,16 @@
     void enqueue(RequestEntry&, const config::ClientAccount&, base::Instant now);
     routing::QueuedRequest queuedForm(const RequestEntry&, const config::ClientAccount&) const;
     routing::UpstreamLoad load() const;
+    int64_t inFlight() const { return static_cast<int64_t>(m_generations.size() + m_serviceRuns.size()); }
 
     void pump();
     bool mayStart(const routing::QueuedRequest&, base::Instant now);
     void startRun(RequestEntry&, base::Instant now);
+    void recordRun(base::HistoryKind, const RequestEntry&);
     void callEngine(RequestEntry&);
+    void callService(RequestEntry&);
+    void onServiceAnswer(const EntryKey&, const platform::HttpReply&);
+    void onCallReply(const EntryKey&, const calls::CallReply&);
     void onChunk(const EntryKey&, std::string bytes);
     void onRunEnd(const EntryKey&, const platform::GenerationEnd&);
     void finishRun(RequestEntry&, peers::RunEventBody ending);
@@ -88,7 +101,10 @@
     std::map<base::RequestId, std::pair<base::ModelId, base::Instant>> m_loadKeepers;
     std::set<base::ModelId> m_cachedOnDisk;
     mutable int64_t m_reportSequence = 0;
+    ServiceCalls m_services;
+    std::set<EntryKey> m_serviceRuns;
     int64_t m_crashes = 0;
+    bool m_strikesChanged = false;
     bool m_crashProbeRunning = false;
     bool m_leaving = false;
     bool m_pumpPosted = false;
