Engine stand-in: priority is tested; clang reads it; silence is looked for at fixed steps

Change: a function of its own says whether a model is busy; the client looks every 20 ms; a test of priorities.

--- a/packages/fakes/src/EngineModels.cpp
+++ b/packages/fakes/src/EngineModels.cpp
@@ -59,14 +59,18 @@
         if (model.phase == ModelPhase::Loading || !model.checkpoint.baseName.empty())
             continue;
         m_loadedTime += passed;
-        bool busy = std::any_of(m_held.begin(), m_held.end(), [&](const auto& other) {
-            bool same = other.first == name || other.second.checkpoint.baseName == name;
-            return same && other.second.requests > 0;
-        });
-        m_busyTime += busy ? passed : base::Duration::zero();
+        m_busyTime += isBusy(name) ? passed : base::Duration::zero();
     }
 }
 
+bool EngineModels::isBusy(const std::string& name) const
+{
+    return std::any_of(m_held.begin(), m_held.end(), [&](const auto& entry) {
+        const HeldModel& model = entry.second;
+        return model.requests > 0 && (entry.first == name || model.checkpoint.baseName == name);
+    });
+}
+
 void EngineModels::addTo(FakeEngineCounters& counters) const
 {
     counters.memoryFaults = m_faults;
--- a/packages/fakes/src/EngineModels.h
+++ b/packages/fakes/src/EngineModels.h
@@ -47,6 +47,9 @@
     void addTo(FakeEngineCounters&) const;
 
 private:
+    // Whether the model, or one of its adapters, has a request.
+    bool isBusy(const std::string& name) const;
+
     base::Bytes m_memoryLimit;
     std::map<std::string, HeldModel> m_held;
     std::map<std::string, base::Epoch> m_fences;
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/platform/src/HttpClient.cpp
@@ -446,9 +446,10 @@
 
     void endSilentTransfers()
     {
-        if (m_silenceLimits == 0)
-            return;
         auto time = now();
+        if (m_silenceLimits == 0 || time < m_nextSilenceCheck)
+            return;
+        m_nextSilenceCheck = time + std::chrono::milliseconds(silenceCheckMilliseconds);
         for (auto position = m_transfers.begin(); position != m_transfers.end();) {
             auto next = std::next(position);
             if (position->second->silentTooLong(time))
@@ -462,6 +463,7 @@
     // The client's thread alone uses these.
     Transfers m_transfers;
     int m_silenceLimits = 0;
+    base::Instant m_nextSilenceCheck;
 
     std::mutex m_mutex;
     std::vector<std::unique_ptr<Transfer>> m_added;
--- a/packages/platform/test/EngineClientTest.cpp
+++ b/packages/platform/test/EngineClientTest.cpp
@@ -265,6 +265,28 @@
         std::this_thread::yield();
 }
 
+TEST(EngineClient, AnEngineThatHonoursPriorityTakesTheMoreUrgentFirst)
+{
+    auto options = defaultOptions();
+    options.maximumRunning = 1;
+    start(options);
+    engine->holdNow("m");
+    auto running = std::make_shared<RecordingGeneration>();
+    auto handle = generate(running, { .body = bodyFor("first", endless) });
+    CHECK_TRUE(running->pieces.take().has_value());
+    auto ordinary = std::make_shared<RecordingGeneration>();
+    auto ordinaryHandle = generate(ordinary, { .body = bodyFor("ordinary", endless), .priority = 1 });
+    while (engine->counters().requests < 2)
+        std::this_thread::yield();
+    auto urgent = std::make_shared<RecordingGeneration>();
+    auto urgentHandle = generate(urgent, { .body = bodyFor("urgent", endless), .priority = 2 });
+    while (engine->counters().requests < 3)
+        std::this_thread::yield();
+    handle.reset();
+    CHECK_TRUE(urgent->pieces.take().has_value());
+    CHECK_TRUE(ordinary->text().empty());
+}
+
 TEST(EngineClient, TheLoadFiguresLag)
 {
     auto options = defaultOptions();
