Watches tell a refusal of the moment from a compacted revision

Cause: an answer of 503 to a watch, or an error line in its stream, ended it as Rejected or Malformed; Rejected means that the keys must be listed again. Change: both end it as Unavailable; the body of a refusal is not read as events. Conclusion: the listener can now tell whether to watch again or to list.

--- a/packages/platform/include/toucanstep/platform/EtcdStore.h
+++ b/packages/platform/include/toucanstep/platform/EtcdStore.h
@@ -5,7 +5,8 @@
 // What the errors say: Unavailable, the service never got the call; Rejected, it refused the call and did nothing; Timeout,
 // the call may have taken effect, which includes every answer of the 500s, since a member may pass a write on and lose sight of it.
 // A lease that has expired is Rejected. A watch delivers events from the revision `from` on, that one included; 0 stands for
-// "from now". It ends with Rejected when that revision was compacted away; the keys must then be listed again.
+// "from now". It ends with Rejected when that revision was compacted away; the keys must then be listed again. Where the
+// service refuses to watch just now it ends with Unavailable, and may be begun again from the same revision.
 // Callbacks run on the client's thread. Once the handle of a watch is destroyed its listener hears nothing more.
 
 #pragma once
--- a/packages/platform/src/EtcdStore.cpp
+++ b/packages/platform/src/EtcdStore.cpp
@@ -21,7 +21,9 @@
 constexpr Duration watchLifetime = std::chrono::hours(24 * 365);
 // One event line holds at most what one transaction may write, which etcd bounds far below this.
 constexpr size_t longestEventLine = 16 * 1024 * 1024;
+constexpr int httpOk = 200;
 constexpr int firstServerErrorStatus = 500;
+constexpr size_t quotedBytes = 200;
 
 // The first key after all those with the prefix; a lone zero byte stands for "to the end" in etcd.
 std::string endOfPrefix(std::string prefix)
@@ -100,7 +102,7 @@
         return reply.error;
     if (reply.ok())
         return std::nullopt;
-    std::string message = concat("the key-value service answered ", reply.status, ": ", std::string_view(reply.body).substr(0, 200));
+    std::string message = concat("the key-value service answered ", reply.status, ": ", std::string_view(reply.body).substr(0, quotedBytes));
     bool mayHaveTakenEffect = reply.status >= firstServerErrorStatus;
     return Error { mayHaveTakenEffect ? ErrorKind::Timeout : ErrorKind::Rejected, std::move(message) };
 }
@@ -132,19 +134,22 @@
 
     void onEnd(std::optional<Error> error) override
     {
-        if (!error && m_status != 200)
-            error = Error { ErrorKind::Rejected, concat("the watch was answered with ", m_status) };
+        if (!error && m_status != httpOk)
+            error = Error { m_status >= firstServerErrorStatus ? ErrorKind::Unavailable : ErrorKind::Rejected, concat("the watch was answered with ", m_status) };
         end(error ? std::move(*error) : Error { ErrorKind::Timeout, "the service ended the watch" });
     }
 
 private:
     void takeLine(std::string_view line)
     {
-        if (line.empty() || m_closed || m_ended)
+        // The body of a refusal is not a stream of results; onEnd tells of it.
+        if (line.empty() || m_closed || m_ended || m_status != httpOk)
             return;
         auto json = parseJson(line);
         const Json& result = json ? member(*json, "result") : member({}, "");
-        if (!result.is_object())
+        if (json && json->contains("error"))
+            end({ ErrorKind::Unavailable, concat("the service broke the watch off: ", line.substr(0, quotedBytes)) });
+        else if (!result.is_object())
             end(malformed());
         else if (flagMember(result, "canceled"))
             end({ ErrorKind::Rejected, concat("the watch was cancelled; compacted up to ", numberMember(result, "compact_revision")) });
--- a/packages/platform/test/EtcdStoreTest.cpp
+++ b/packages/platform/test/EtcdStoreTest.cpp
@@ -221,6 +221,32 @@
     STRCMP_EQUAL("w/b", watch->events.take()->entry.key.c_str());
 }
 
+TEST(EtcdStore, WhyAWatchEndedShowsInItsError)
+{
+    struct Case {
+        int status;
+        std::string body;
+        ErrorKind kind;
+    };
+    for (const auto& [status, body, kind] : std::vector<Case> {
+             { 503, "{\"error\":\"no leader\",\"code\":14}\n", ErrorKind::Unavailable },
+             { 403, "{}\n", ErrorKind::Rejected },
+             { 200, "{\"error\":{\"grpc_code\":14}}\n", ErrorKind::Unavailable },
+             { 200, "{\"result\":{\"canceled\":true}}\n", ErrorKind::Rejected },
+             { 200, "{\"result\":{\"events\":[{\"kv\":{\"key\":\"!\"}}]}}\n", ErrorKind::Malformed },
+             { 200, "nonsense\n", ErrorKind::Malformed },
+             { 200, "{\"result\":{\"created\":true}}\n", ErrorKind::Timeout },
+         }) {
+        Error error;
+        auto answer = [status = status, body = body](const std::shared_ptr<HttpExchange>& exchange) { exchange->respond(status, {}, body); };
+        auto server = valueOr(error, [&] { return HttpServer::start({}, answer); });
+        auto other = makeEtcdStore("http://127.0.0.1:" + std::to_string((*server)->port()), client);
+        auto watch = std::make_shared<RecordingWatch>();
+        auto handle = other->watch("w/", Revision(0), watch);
+        CHECK_TRUE_TEXT(watch->ends.take()->kind == kind, body.c_str());
+    }
+}
+
 TEST(EtcdStore, AWatchFromACompactedRevisionIsRejected)
 {
     auto old = service.put("w/a", "1");
