Assignments: a voter's word counts only under the very set that both know

Review of the wiring showed two gaps: marks and electorates may come from two reads, so a voter could join a set without knowing a mark that preceded it; and a holder that hears of a newer set by word of mouth counted members that do not know it yet. HolderState::hasGivenUp tells a relinquished revision from a later one.

--- a/packages/assignments/include/toucanstep/assignments/VoterState.h
+++ b/packages/assignments/include/toucanstep/assignments/VoterState.h
@@ -38,8 +38,9 @@
 public:
     VoterState(base::InstanceId self, Timing, base::Instant startedAt);
 
-    // A read of the marks and the electorates, at one revision, by a request sent after this process started. The voter
-    // takes its electorate from nowhere else: only so does it know every mark that stood when it became a member.
+    // A read of the marks, at that revision, and of the electorates, by requests sent after this process started. The voter
+    // takes its electorate from nowhere else, and electorates that were written after the marks were read are left for the
+    // next read: only so does it know every mark that stood when it became a member.
     void onServiceRead(base::Revision, const std::vector<GoneMark>&, const std::optional<Electorates>&);
     // The platform's list showed this voter, by a request sent at `sentAt`.
     void onListed(base::Instant sentAt);
--- a/packages/assignments/src/HolderState.cpp
+++ b/packages/assignments/src/HolderState.cpp
@@ -52,8 +52,9 @@
 
 void HolderState::onVoterAnswer(Exchange exchange, Instant now, const base::InstanceId& voter, Generation generation, bool vouches)
 {
-    // A voter that knows a later set has promised not to vouch under this one.
-    bool counts = vouches && now <= exchange.deadline && generation <= m_electorate.generation && m_electorate.members.count(voter);
+    // A voter that knows a later set has promised not to vouch under this one. One that knows only a former set may lack
+    // marks that were written before it became a member of this one.
+    bool counts = vouches && now <= exchange.deadline && generation == m_electorate.generation && m_electorate.members.count(voter);
     if (!counts)
         return;
     Instant continuous = continuousUntil();
@@ -140,10 +141,13 @@
 {
     if (!(row.holder == m_self) || m_self.start.empty())
         return false;
+    return !hasGivenUp(row) && now <= usableUntil();
+}
+
+bool HolderState::hasGivenUp(const Row& row) const
+{
     auto relinquished = m_relinquished.find(row.key);
-    if (relinquished != m_relinquished.end() && row.modified <= relinquished->second)
-        return false;
-    return now <= usableUntil();
+    return relinquished != m_relinquished.end() && row.modified <= relinquished->second;
 }
 
 } // namespace toucanstep::assignments
--- a/packages/assignments/src/VoterState.cpp
+++ b/packages/assignments/src/VoterState.cpp
@@ -19,7 +19,8 @@
         return;
     m_hasRead = true;
     m_marksRead = revision;
-    if (electorates && electorates->current.generation > m_electorate.generation)
+    bool covered = electorates && electorates->modified <= revision;
+    if (covered && electorates->current.generation > m_electorate.generation)
         m_electorate = electorates->current;
     // A promise for a mark that was written after this read stands; of the others the read tells which marks are left.
     for (auto promise = m_promised.begin(); promise != m_promised.end();)
--- a/packages/assignments/test/UnitTest.cpp
+++ b/packages/assignments/test/UnitTest.cpp
@@ -149,6 +149,7 @@
     mover.onOutcome(move.id, Error { ErrorKind::Timeout, "" });
     CHECK_TRUE(mover.onRead(move.id, RangeReply { { entryOf(row) }, Revision(4) }) == MoveState::Unsettled);
     CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    CHECK_TRUE(holder.hasGivenUp(row));
     row.modified = Revision(9);
     CHECK_TRUE(holder.mayUse(row, at(seconds(1))));
 }
@@ -183,6 +184,22 @@
     CHECK_TRUE(holder.mayUse(row, at({})));
 }
 
+// A holder's rows have moved under the former voters' promises. It hears of the new set from a gateway, and asks a new
+// member that has not read the service since it became one, and so knows nothing of the mark. Its word must not count.
+TEST(Holding, AVoterThatDoesNotKnowTheSetYetDoesNotCount)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, electoratesOf(threeVoters));
+    holder.onElectorate({ Generation(2), { InstanceId("p"), InstanceId("q"), InstanceId("r") } });
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("p"), Generation(1), true);
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("q"), Generation(0), true);
+    CHECK_FALSE(holder.mayUse(row, at({})));
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("p"), Generation(2), true);
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("q"), Generation(2), true);
+    CHECK_TRUE(holder.mayUse(row, at({})));
+}
+
 TEST(Holding, TheDefaultTimesLeaveRoomForDrift)
 {
     Timing timing;
@@ -222,6 +239,19 @@
     CHECK_TRUE(voter.vouchFor(InstanceId("a"), at(seconds(5))));
 }
 
+// The marks and the electorates are read by two requests, and between them a mark is written and this gateway becomes a
+// voter. It does not know the mark; were its vote to count at once, it would vouch for the instance whose rows move.
+TEST(Voting, AnElectorateNewerThanTheMarksIsLeftForTheNextRead)
+{
+    VoterState voter(InstanceId("x"), Timing {}, at({}));
+    voter.onListed(at({}));
+    Electorates electorates = electoratesOf(threeVoters);
+    voter.onServiceRead(Revision(2), {}, electorates);
+    CHECK_TRUE(voter.generation() == Generation(0));
+    voter.onServiceRead(Revision(3), {}, electorates);
+    CHECK_TRUE(voter.generation() == Generation(1));
+}
+
 TEST_GROUP(Absence) {};
 
 // The list's copies differ: one answer without the instance comes from a copy that has not seen it start. Without versions
