Stored values: a bound on nesting, and fuzz targets for decoding

nlohmann's MessagePack parser calls itself for each level of nesting, so that a stored value of nested arrays could end a process by its stack. base::parseMessagePack refuses more than the depth a value can have before it is parsed.

--- /dev/null
+++ b/packages/assignments/fuzz/AssignmentValuesFuzz.cpp
@@ -0,0 +1,37 @@
+// Whatever bytes the key-value service gives, decoding ends with a value or an error, and a value that was decoded is
+// encoded to one that reads back as the same.
+
+#include "toucanstep/assignments/Electorate.h"
+#include "toucanstep/assignments/Row.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+using namespace toucanstep::assignments;
+using namespace toucanstep::base;
+
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, size_t size)
+{
+    std::string bytes(reinterpret_cast<const char*>(data), size);
+    Error error;
+    if (auto key = valueOr(error, [&] { return parseStorageKey(bytes); }); key && storageKey(*key) != bytes)
+        std::abort();
+    if (auto instance = valueOr(error, [&] { return parseGoneMarkKey(bytes); }); instance && goneMarkKey(*instance) != bytes)
+        std::abort();
+
+    KeyValue entry { storageKey({ RowKind::LimitShare, "a", 0 }), bytes, Revision(1), Revision(2) };
+    if (auto row = valueOr(error, [&] { return decodeRow(entry); })) {
+        entry.value = encodeRow(*row);
+        auto again = valueOr(error, [&] { return decodeRow(entry); });
+        if (!again || !(*again == *row))
+            std::abort();
+    }
+    entry.value = bytes;
+    if (auto electorates = valueOr(error, [&] { return decodeElectorates(entry); })) {
+        entry.value = encodeElectorates(*electorates);
+        auto again = valueOr(error, [&] { return decodeElectorates(entry); });
+        if (!again || !(again->current == electorates->current) || again->former != electorates->former)
+            std::abort();
+    }
+    return 0;
+}
--- a/packages/assignments/src/Electorate.cpp
+++ b/packages/assignments/src/Electorate.cpp
@@ -1,5 +1,6 @@
 #include "toucanstep/assignments/Electorate.h"
 
+#include "toucanstep/base/MessagePack.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
 base::Result<Electorates> decodeElectorates(const base::KeyValue& entry)
 {
     auto malformed = [&] { return base::fail(base::ErrorKind::Malformed, base::concat("not the value of an electorate: ", entry.key)); };
-    auto fields = nlohmann::json::from_msgpack(entry.value.begin(), entry.value.end(), true, false);
+    auto fields = base::parseMessagePack(entry.value, 3);
     if (!fields.is_array() || fields.empty() || fields.size() > 2)
         return malformed();
     auto current = fromFields(fields[0]);
--- a/packages/assignments/src/Row.cpp
+++ b/packages/assignments/src/Row.cpp
@@ -1,5 +1,6 @@
 #include "toucanstep/assignments/Row.h"
 
+#include "toucanstep/base/MessagePack.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
@@ -146,7 +147,7 @@
 Result<Row> decodeRow(const base::KeyValue& entry)
 {
     BOOST_LEAF_AUTO(key, parseStorageKey(entry.key));
-    auto fields = nlohmann::json::from_msgpack(entry.value.begin(), entry.value.end(), true, false);
+    auto fields = base::parseMessagePack(entry.value, 1);
     bool wellFormed = fields.is_array() && fields.size() == 5 && fields[0].is_string() && fields[1].is_string()
         && fields[2].is_number_integer() && fields[3].is_string() && fields[4].is_binary();
     if (!wellFormed)
--- a/packages/assignments/test/UnitTest.cpp
+++ b/packages/assignments/test/UnitTest.cpp
@@ -62,6 +62,13 @@
         CHECK_FALSE(valueOr(error, [&] { return parseStorageKey(key); }).has_value());
 }
 
+// A value of nested arrays, one byte each. The parser would call itself for each until the stack is used up.
+TEST(Rows, DeeplyNestedBytesAreRefused)
+{
+    Error error;
+    CHECK_FALSE(valueOr(error, [&] { return decodeRow(KeyValue { storageKey(share), std::string(1'000'000, '\x91'), {}, {} }); }).has_value());
+}
+
 TEST_GROUP(Tables) {};
 
 // Watch events and reads arrive crossed, one twice, from connections of different age. Whatever the order, the table
--- a/packages/calls/src/CallRecord.cpp
+++ b/packages/calls/src/CallRecord.cpp
@@ -1,6 +1,7 @@
 #include "toucanstep/calls/CallRecord.h"
 
 #include "toucanstep/base/Digest.h"
+#include "toucanstep/base/MessagePack.h"
 #include "toucanstep/base/Text.h"
 
 #include <array>
@@ -76,7 +77,7 @@
 base::Result<CallRecord> decodeRecord(const base::KeyValue& entry)
 {
     auto malformed = [&] { return base::fail(base::ErrorKind::Malformed, base::concat("not the record of a call: ", entry.key)); };
-    auto fields = nlohmann::json::from_msgpack(entry.value.begin(), entry.value.end(), true, false);
+    auto fields = base::parseMessagePack(entry.value, 2);
     if (!fields.is_array() || fields.size() < 6 || fields.size() > 7 || !fields[5].is_number_integer())
         return malformed();
     for (size_t index = 0; index < 5; ++index) {
