--- a/packages/assignments/test/UnitTest.cpp
+++ b/packages/assignments/test/UnitTest.cpp
@@ -177,6 +177,43 @@
     CHECK_FALSE(holder.mayUse(row, at(seconds(7) + milliseconds(1))));
 }
 
+// A holder is dropped and marked, its row is taken, the list shows it again by mistake and the mark is lifted; the holder
+// was paused through all of it. The list's next answer alone must not bring back the use of a row that has moved.
+TEST(Holding, AfterAGapTheListAloneDoesNotBringUseBack)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, electoratesOf(threeVoters));
+    holder.onListAnswer(sentAt({}), at({}), 1, true);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(5))));
+    holder.onListAnswer(sentAt(seconds(30)), at(seconds(30)), 2, true);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(30))));
+    CHECK_TRUE(holder.hasLapsed(at(seconds(30))));
+    // A read that was asked for before the gap ended says nothing about it.
+    holder.onServiceRead(sentAt(seconds(4)), at(seconds(4)), Revision(8), false, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(30))));
+    holder.onServiceRead(sentAt(seconds(30)), at(seconds(30)), Revision(9), false, std::nullopt);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(30))));
+}
+
+// The mark against an instance stands while the list shows it again. The process stops, may lift the mark itself, and uses
+// its rows only after it has read them without the mark.
+TEST(Holding, AMarkedHolderStopsUntilItHasReadThatTheMarkIsLifted)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, std::nullopt);
+    holder.onListAnswer(sentAt({}), at({}), 1, true);
+    CHECK_FALSE(holder.mayLiftMark(at({})));
+    holder.onServiceRead(sentAt(seconds(1)), at(seconds(1)), Revision(6), true, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    CHECK_TRUE(holder.mayLiftMark(at(seconds(1))));
+    holder.onServiceRead(sentAt(seconds(1)), at(seconds(1)), Revision(5), false, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    holder.onServiceRead(sentAt(seconds(2)), at(seconds(2)), Revision(7), false, std::nullopt);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(2))));
+}
+
 // Two voters of three vouch, one of them under a newer set than the holder knows. That one has promised to vouch under
 // the holder's set no more, so the two are no majority.
 TEST(Holding, AVoterOfANewerSetDoesNotCountForTheFormer)
--- a/packages/calls/test/CallStoryTest.cpp
+++ b/packages/calls/test/CallStoryTest.cpp
@@ -93,6 +93,28 @@
     CHECK_EQUAL(1, model.runsOf("order"));
 }
 
+// The gateway dies while the order runs, and the caller asks again at the other one at once. The record is claimed and has
+// no answer yet; the second gateway waits for it and does not start another run.
+TEST(CallStories, ARetryAtAnotherGatewayWaitsForTheRunningCall)
+{
+    CallModel model(calmOptions());
+    size_t retry = 0;
+    bool crashed = false;
+    model.beforeExecutorAction = [&](const ExecutorAction& action) {
+        if (std::holds_alternative<RunCall>(action) && !std::exchange(crashed, true)) {
+            model.crashGateway(0);
+            retry = model.call(1, "order", "body");
+        }
+        return true;
+    };
+    model.call(0, "order", "body");
+    model.run(seconds(3));
+    CHECK_TRUE(crashed);
+    CHECK_TRUE(isAnswered(model, retry));
+    CHECK_EQUAL(1, model.runsOf("order"));
+    STRCMP_EQUAL("", model.violation().c_str());
+}
+
 // The key-value service is down when a sealing order comes in. It is refused at once as not run, and truly: nothing was
 // sent to the service. Sent again after the outage it runs once.
 TEST(CallStories, InAnOutageACallIsRefusedBeforeItRuns)
