--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -14,6 +14,7 @@
 #include "toucanstep/membership/Entry.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -86,7 +87,6 @@
         Versions::Item item;
         // When what is said here arrived.
         base::Instant changedAt;
-        int pushesLeft = 0;
     };
     struct Probe {
         base::Instant sentAt;
@@ -100,7 +100,10 @@
     void mergeOwn(const Entry&, base::Instant now);
     void store(Entry, base::Instant now);
     void changeSelf(Entry, base::Instant now);
-    void toggleHash(const Known&);
+    // Keep the indexes below in step with the table.
+    void list(const Known&);
+    void unlist(const Known&);
+    void countPush();
     void applyHints(base::Instant now);
     void dropTombstones(base::Instant now);
     void probeSilentSidecar(base::Instant now, Messages&);
@@ -110,6 +113,7 @@
     bool othersAnswer() const;
     void sendDigest(const Peer&, base::Instant now, Messages&);
     void pushFresh(const Peer&, Messages&);
+    Peer randomPeer(Role, RandomGenerator&) const;
     std::vector<Peer> choosePeers(RandomGenerator&);
     std::vector<Peer> gatewaysOfSidecar() const;
     std::vector<Peer> peersOfRole(Role) const;
@@ -128,6 +132,11 @@
     std::map<base::InstanceId, Known> m_known;
     std::vector<uint32_t> m_buckets;
     std::vector<std::set<base::InstanceId>> m_bucketMembers;
+    // Members that are not gone, by role, in order.
+    std::array<std::vector<base::InstanceId>, 2> m_live;
+    std::set<base::InstanceId> m_tombstones;
+    // Fresh changes, with the ticks for which they are still pushed.
+    std::map<base::InstanceId, int> m_fresh;
     std::map<base::InstanceId, Probe> m_probes;
     absl::flat_hash_map<base::InstanceId, base::Instant> m_heardAt;
     // Sidecars, with the time of their latest digest.
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -100,7 +100,7 @@
     dropTombstones(now);
     checkProbes(now, messages);
     probeSilentSidecar(now, messages);
-    bool isDue = !isSidecar() || m_isBehind || m_known.at(m_self).pushesLeft || m_ticks % m_options.sidecarTickDivisor == 0;
+    bool isDue = !isSidecar() || m_isBehind || m_fresh.contains(m_self) || m_ticks % m_options.sidecarTickDivisor == 0;
     ++m_ticks;
     if (!isDue)
         return messages;
@@ -110,10 +110,8 @@
         pushFresh(peer, messages);
         sendDigest(peer, now, messages);
     }
-    if (!peers.empty()) {
-        for (auto& [instance, known] : m_known)
-            known.pushesLeft = std::max(0, known.pushesLeft - 1);
-    }
+    if (!peers.empty())
+        countPush();
     return messages;
 }
 
@@ -221,29 +219,52 @@
     changeSelf(std::move(changed), now);
 }
 
-void Membership::toggleHash(const Known& known)
+void Membership::list(const Known& known)
 {
-    if (known.entry.state != MemberState::Gone)
-        m_buckets[bucketOf(known.entry, known.item.instanceHash)] ^= pairHash(known.item);
+    size_t bucket = bucketOf(known.entry, known.item.instanceHash);
+    m_bucketMembers[bucket].insert(known.entry.instance);
+    if (known.entry.state == MemberState::Gone) {
+        m_tombstones.insert(known.entry.instance);
+        return;
+    }
+    m_buckets[bucket] ^= pairHash(known.item);
+    auto& live = m_live[static_cast<size_t>(known.entry.role)];
+    live.insert(std::lower_bound(live.begin(), live.end(), known.entry.instance), known.entry.instance);
+}
+
+void Membership::unlist(const Known& known)
+{
+    size_t bucket = bucketOf(known.entry, known.item.instanceHash);
+    m_bucketMembers[bucket].erase(known.entry.instance);
+    m_tombstones.erase(known.entry.instance);
+    if (known.entry.state == MemberState::Gone)
+        return;
+    m_buckets[bucket] ^= pairHash(known.item);
+    auto& live = m_live[static_cast<size_t>(known.entry.role)];
+    live.erase(std::lower_bound(live.begin(), live.end(), known.entry.instance));
 }
 
 void Membership::store(Entry entry, base::Instant now)
 {
     base::InstanceId instance = entry.instance;
     auto found = m_known.find(instance);
-    if (found != m_known.end()) {
-        toggleHash(found->second);
-        m_bucketMembers[bucketOf(found->second.entry, found->second.item.instanceHash)].erase(instance);
-    }
+    if (found != m_known.end())
+        unlist(found->second);
     Versions::Item item { instanceHash(instance), versionHash(entry) };
-    m_bucketMembers[bucketOf(entry, item.instanceHash)].insert(instance);
     Known& known = m_known[instance];
-    known = { std::move(entry), item, now, m_options.pushes };
-    toggleHash(known);
+    known = { std::move(entry), item, now };
+    list(known);
+    m_fresh[instance] = m_options.pushes;
     if (known.entry.state == MemberState::Gone)
         m_probes.erase(instance);
 }
 
+void Membership::countPush()
+{
+    for (auto item = m_fresh.begin(); item != m_fresh.end();)
+        item = --item->second > 0 ? std::next(item) : m_fresh.erase(item);
+}
+
 void Membership::changeSelf(Entry changed, base::Instant now)
 {
     ++changed.version.counter;
@@ -266,16 +287,15 @@
 
 void Membership::dropTombstones(base::Instant now)
 {
-    for (auto item = m_known.begin(); item != m_known.end();) {
-        const Known& known = item->second;
-        bool expired = known.entry.state == MemberState::Gone && item->first != m_self && now - known.changedAt >= m_options.tombstoneLifetime;
-        if (!expired) {
-            ++item;
+    for (auto item = m_tombstones.begin(); item != m_tombstones.end();) {
+        base::InstanceId instance = *item++;
+        const Known& known = m_known.at(instance);
+        if (instance == m_self || now - known.changedAt < m_options.tombstoneLifetime)
             continue;
-        }
-        m_bucketMembers[bucketOf(known.entry, known.item.instanceHash)].erase(item->first);
-        m_heardAt.erase(item->first);
-        item = m_known.erase(item);
+        unlist(known);
+        m_known.erase(instance);
+        m_fresh.erase(instance);
+        m_heardAt.erase(instance);
     }
 }
 
@@ -383,10 +403,11 @@
     const Entry* receiver = find(peer.instance);
     bool toSidecar = receiver && receiver->role == Role::Sidecar;
     std::vector<const Known*> fresh;
-    for (const auto& [instance, known] : m_known) {
+    for (const auto& [instance, pushesLeft] : m_fresh) {
+        const Known& known = m_known.at(instance);
         bool isOwn = instance == m_self;
         bool passesOn = isOwn || (!isSidecar() && (!toSidecar || known.entry.role == Role::Gateway));
-        if (known.pushesLeft && passesOn && instance != peer.instance)
+        if (passesOn && instance != peer.instance)
             fresh.push_back(&known);
     }
     // The own entry first, then what has been passed on least, as the byte budget may not allow for all.
@@ -395,7 +416,7 @@
         bool rightIsOwn = right->entry.instance == m_self;
         if (leftIsOwn != rightIsOwn)
             return leftIsOwn;
-        return left->pushesLeft > right->pushesLeft;
+        return m_fresh.at(left->entry.instance) > m_fresh.at(right->entry.instance);
     });
     sendEntries(peer, fresh, messages);
 }
@@ -403,9 +424,9 @@
 std::vector<Peer> Membership::peersOfRole(Role role) const
 {
     std::vector<Peer> peers;
-    for (const auto& [instance, known] : m_known) {
-        if (instance != m_self && known.entry.role == role && known.entry.state != MemberState::Gone)
-            peers.push_back({ instance, known.entry.address });
+    for (const base::InstanceId& instance : m_live[static_cast<size_t>(role)]) {
+        if (instance != m_self)
+            peers.push_back({ instance, m_known.at(instance).entry.address });
     }
     return peers;
 }
@@ -423,29 +444,31 @@
     return gateways;
 }
 
+Peer Membership::randomPeer(Role role, RandomGenerator& random) const
+{
+    const auto& live = m_live[static_cast<size_t>(role)];
+    // Seeds are asked also later on, so that halves of a fleet that lost each other for long meet again.
+    uint64_t choice = random() % (live.size() + m_seeds.size() + 1);
+    if (choice < live.size())
+        return { live[choice], m_known.at(live[choice]).entry.address };
+    return m_seeds.empty() ? Peer {} : m_seeds[random() % m_seeds.size()];
+}
+
 std::vector<Peer> Membership::choosePeers(RandomGenerator& random)
 {
-    std::vector<Peer> candidates;
-    if (isSidecar()) {
-        bool looksFurther = random() % digestsPerSidecarProbe == 0;
-        candidates = looksFurther ? peersOfRole(Role::Gateway) : gatewaysOfSidecar();
-        if (looksFurther)
-            candidates.insert(candidates.end(), m_seeds.begin(), m_seeds.end());
-    } else {
-        bool probesSidecar = random() % digestsPerSidecarProbe == 0;
-        candidates = peersOfRole(probesSidecar ? Role::Sidecar : Role::Gateway);
-        if (candidates.empty())
-            candidates = peersOfRole(Role::Gateway);
-        // Seeds are asked also later on, so that halves of a fleet that lost each other for long meet again.
-        if (candidates.empty() || random() % 16 == 0)
-            candidates.insert(candidates.end(), m_seeds.begin(), m_seeds.end());
-    }
-    candidates.erase(std::remove_if(candidates.begin(), candidates.end(), [&](const Peer& peer) { return peer.instance == m_self || peer.address == self().address; }), candidates.end());
     std::vector<Peer> chosen;
-    for (int count = 0; count < m_options.fanOut && !candidates.empty(); ++count) {
-        size_t index = random() % candidates.size();
-        chosen.push_back(candidates[index]);
-        candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(index));
+    for (int count = 0; count < m_options.fanOut; ++count) {
+        bool isEighth = random() % digestsPerSidecarProbe == 0;
+        Role role = isEighth && !isSidecar() && !m_live[static_cast<size_t>(Role::Sidecar)].empty() ? Role::Sidecar : Role::Gateway;
+        Peer peer = randomPeer(role, random);
+        if (isSidecar() && !isEighth) {
+            std::vector<Peer> gateways = gatewaysOfSidecar();
+            peer = gateways.empty() ? Peer {} : gateways[random() % gateways.size()];
+        }
+        bool isNobody = peer.address.empty() || peer.instance == m_self || peer.address == self().address;
+        bool isChosen = std::any_of(chosen.begin(), chosen.end(), [&](const Peer& other) { return other.address == peer.address; });
+        if (!isNobody && !isChosen)
+            chosen.push_back(peer);
     }
     return chosen;
 }
