A charge that is answered after the request's deadline is given back

Cause: after a pause the answer can be read before the tick that notices the deadline, and the request was admitted. Change: the planner checks the deadline before it uses an answer.

--- a/packages/limits/src/ChargePlanner.cpp
+++ b/packages/limits/src/ChargePlanner.cpp
@@ -73,6 +73,9 @@
     // An answer that was given up, or came twice, is not used: its charge has been returned or already counted.
     if (m_outcome || !m_pending || m_pending->request.charge != reply.charge)
         return {};
+    // After a pause the answer may be read before the clock: tokens of a request that nobody waits for go back.
+    if (now >= m_order.deadline)
+        return onTick(now);
     Pending answered = *m_pending;
     m_pending.reset();
     noteHint(answered.share, reply, now);
--- a/packages/limits/test/LimitsTest.cpp
+++ b/packages/limits/test/LimitsTest.cpp
@@ -421,3 +421,22 @@
     fleet.deliverAll();
     CHECK_TRUE(admitted(fleet, request));
 }
+
+// A gateway is paused while the answer to a charge is on its way. When it goes on, the caller has given up; if the answer
+// were used, the request would run for nobody, on tokens of an earlier window.
+TEST(LimitsFleet, AnAnswerAfterTheDeadlineIsNotUsed)
+{
+    ShareTable holder;
+    ShareId share { ClientAccountId("farm"), 0 };
+    holder.take(share, Epoch(1), limitsOf(10, 100), start);
+    Instant now = start + seconds(10);
+    ShareView view { InstanceId("g"), holder.hints(now).at(0), now };
+    ChargePlanner planner({}, { RequestId("r"), ClientAccountId("farm"), Tokens(60), now + seconds(1) }, { view });
+    auto asked = planner.start(now);
+    ChargeReply reply = holder.onCharge(std::get<ChargeRequest>(asked.at(0).message), now);
+    LONGS_EQUAL(static_cast<int>(ChargeResult::Granted), static_cast<int>(reply.result));
+    auto given = planner.onReply(reply, now + seconds(2));
+    CHECK_TRUE(std::get<ChargeRefused>(*planner.outcome()).code == RefusalCode::DeadlineExceeded);
+    holder.onReturn(std::get<ChargeReturn>(given.at(0).message), now + seconds(2));
+    LONGS_EQUAL(100, wholeTokens(holder.hints(now + seconds(2)).at(0).stock).value());
+}
