--- a/packages/membership/src/Encoding.cpp
+++ b/packages/membership/src/Encoding.cpp
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr int64_t maximumCounter = int64_t(1) << 62;
+
 enum class MessageTag : int {
     Digest = 1,
     Versions = 2,
@@ -150,6 +152,8 @@
     entry.upstream = base::UpstreamId(textOf(value[5]));
     entry.state = enumOf(value[6], MemberState::Gone);
     entry.version = { StartNonce(countOf(value[7])), countOf(value[8]) };
+    // A member that is contradicted raises this number; it must not run over.
+    require(entry.version.counter <= maximumCounter, "a counter that is too large");
     entry.hints = decodeHints(value[9]);
     return entry;
 }
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -254,6 +254,7 @@
     CHECK_TRUE(isRefused(std::string("\xdd\xff\xff\xff\xff", 5)));
     CHECK_TRUE(isRefused(std::string(100'000, '\0')));
     CHECK_TRUE(isRefused(""));
+    CHECK_TRUE(isRefused(encodeMessage(Delta { InstanceId("a"), { entryOf("x", 1, INT64_MAX) } })));
     std::string good = encodeMessage(Delta { InstanceId("a"), { entryOf("x", 1, 1) } });
     CHECK_PROPERTY_WITH((PropertyOptions { .maxSuccess = 2000 }), [&good] {
         std::string bytes = good;
