Membership: a sidecar ranks its gateways once a tick, and wanted entries are found by bucket

Cause: at 1,550 nodes a profile showed a fifth of the processor time in sorting by ranks that were hashed anew at each comparison.

--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -119,6 +119,7 @@
     std::vector<Peer> peersOfRole(Role) const;
     std::vector<uint32_t> differingBuckets(const Digest&) const;
     void answerDigest(const Digest&, Messages&);
+    const Known* findItem(const Versions::Item&) const;
     void answerVersions(const Versions&, Messages&);
     void sendEntries(const Peer& to, const std::vector<const Known*>&, Messages&);
     bool send(const Peer& to, Message, Messages&);
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -435,12 +435,18 @@
 // when others come or go.
 std::vector<Peer> Membership::gatewaysOfSidecar() const
 {
-    std::vector<Peer> gateways = peersOfRole(Role::Gateway);
-    if (gateways.empty())
+    using Ranked = std::pair<uint64_t, const base::InstanceId*>;
+    std::vector<Ranked> ranked;
+    for (const base::InstanceId& instance : m_live[static_cast<size_t>(Role::Gateway)])
+        ranked.push_back({ finish(mix(mix(hashStart, instance.value()), m_self.value())), &instance });
+    if (ranked.empty())
         return m_seeds;
-    auto rank = [&](const Peer& peer) { return finish(mix(mix(hashStart, peer.instance.value()), m_self.value())); };
-    std::sort(gateways.begin(), gateways.end(), [&](const Peer& left, const Peer& right) { return rank(left) > rank(right); });
-    gateways.resize(std::min<size_t>(gateways.size(), m_options.gatewaysPerSidecar));
+    size_t count = std::min<size_t>(ranked.size(), m_options.gatewaysPerSidecar);
+    auto higher = [](const Ranked& left, const Ranked& right) { return left.first > right.first; };
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<ptrdiff_t>(count), ranked.end(), higher);
+    std::vector<Peer> gateways;
+    for (size_t index = 0; index < count; ++index)
+        gateways.push_back({ *ranked[index].second, m_known.at(*ranked[index].second).entry.address });
     return gateways;
 }
 
@@ -506,12 +512,24 @@
     answers.push_back({ sender.instance, sender.address, Versions { .from = m_self } });
 }
 
+const Membership::Known* Membership::findItem(const Versions::Item& item) const
+{
+    uint32_t bucket = item.instanceHash % halfOfBuckets;
+    for (uint32_t candidate : { bucket, bucket + halfOfBuckets }) {
+        for (const base::InstanceId& instance : m_bucketMembers[candidate]) {
+            const Known& known = m_known.at(instance);
+            if (known.item == item)
+                return &known;
+        }
+    }
+    return nullptr;
+}
+
 void Membership::answerVersions(const Versions& versions, Messages& answers)
 {
     // More buckets may differ than one exchange settles.
     m_isBehind = versions.buckets.size() >= m_options.bucketsPerExchange;
     std::set<Versions::Item> theirs(versions.items.begin(), versions.items.end());
-    std::set<Versions::Item> wanted(versions.wanted.begin(), versions.wanted.end());
     std::set<uint32_t> theirInstances;
     for (const auto& item : versions.items)
         theirInstances.insert(item.instanceHash);
@@ -527,11 +545,9 @@
                 lacking.push_back(&known);
         }
     }
-    if (!wanted.empty()) {
-        for (const auto& [instance, known] : m_known) {
-            if (wanted.contains(known.item))
-                lacking.push_back(&known);
-        }
+    for (const Versions::Item& item : versions.wanted) {
+        if (const Known* known = findItem(item))
+            lacking.push_back(known);
     }
     Versions request { .from = m_self };
     for (const auto& item : theirs) {
