Membership: hints that all nodes change at once are told one after the other

Cause: a new configuration changes every node's hints in the same second, and all told it in the same tick. Change: each node waits for its own part of the interval, by the hash of its instance. Proof: the story as a test; 13 tests pass.

--- a/bench/membership_slope.cpp
+++ b/bench/membership_slope.cpp
@@ -73,7 +73,7 @@
     {
         for (int count = 0; count < ticks; ++count) {
             ++m_tick;
-            if (m_tick % ticksPerConfiguration == 0)
+            if (m_tick % ticksPerConfiguration == 1)
                 publishConfiguration();
             m_replacementsDue += static_cast<double>(m_fleet.size()) / nodesAtFullSize / ticksPerReplacement;
             if (m_replacementsDue >= 1) {
--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -104,6 +104,7 @@
     void list(const Known&);
     void unlist(const Known&);
     void countPush();
+    bool mayTellHints(base::Instant now);
     void applyHints(base::Instant now);
     void dropTombstones(base::Instant now);
     void probeSilentSidecar(base::Instant now, Messages&);
@@ -144,6 +145,7 @@
     std::map<base::InstanceId, base::Instant> m_registered;
     std::optional<Hints> m_newHints;
     base::Instant m_hintsToldAt;
+    std::optional<base::Instant> m_hintsChangedAt;
     // Outcomes of the latest probes, one bit each; set where the peer answered.
     uint8_t m_probeResults = 0xff;
     size_t m_spent = 0;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -9,6 +9,7 @@
 constexpr uint32_t halfOfBuckets = digestBuckets / 2;
 // Of so many digests of a gateway one goes to a sidecar, so that also those are found gone whose own gateways died.
 constexpr uint64_t digestsPerSidecarProbe = 8;
+constexpr int64_t partsOfInterval = 1024;
 // What encoding adds to the entries of a delta, at most.
 constexpr size_t deltaOverhead = 160;
 constexpr uint64_t hashStart = 14695981039346656037ULL;
@@ -271,16 +272,27 @@
     store(std::move(changed), now);
 }
 
+// Failure guarded against: a new configuration changes the hints of all nodes in the same second; told at once by all, they
+// would fill every node's budget for a minute. So each waits for its own part of the interval.
+bool Membership::mayTellHints(base::Instant now)
+{
+    if (m_newHints->strikes != self().hints.strikes)
+        return true;
+    if (!m_hintsChangedAt)
+        m_hintsChangedAt = now;
+    base::Duration interval = m_options.hintIntervalPerMember * static_cast<int64_t>(m_known.size());
+    base::Duration ownPart = interval / partsOfInterval * (instanceHash(m_self) % partsOfInterval);
+    return now >= m_hintsToldAt + interval && now >= *m_hintsChangedAt + ownPart;
+}
+
 void Membership::applyHints(base::Instant now)
 {
-    if (!m_newHints || *m_newHints == self().hints)
-        return;
-    bool urgent = m_newHints->strikes != self().hints.strikes;
-    if (!urgent && now - m_hintsToldAt < m_options.hintIntervalPerMember * static_cast<int64_t>(m_known.size()))
+    if (!m_newHints || *m_newHints == self().hints || !mayTellHints(now))
         return;
     Entry changed = self();
     changed.hints = *m_newHints;
     m_newHints.reset();
+    m_hintsChangedAt.reset();
     m_hintsToldAt = now;
     changeSelf(std::move(changed), now);
 }
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -218,6 +218,32 @@
     }
 }
 
+// A new configuration is in force everywhere within a second, and all nodes want to say so. If they all did at once, their
+// messages would crowd out what is urgent, such as that a gateway leaves.
+TEST(Membership, HintsThatAllNodesChangeAtOnceAreToldOneAfterTheOther)
+{
+    MembershipFleet fleet(6);
+    for (int index = 0; index < 100; ++index)
+        fleet.addNode(Role::Gateway);
+    fleet.introduceAll();
+    fleet.run(30);
+    for (int index = 0; index < fleet.size(); ++index) {
+        Hints hints = fleet.node(index).self().hints;
+        hints.configuration = Revision(999'999);
+        fleet.node(index).setHints(hints);
+    }
+    auto told = [&fleet] {
+        int count = 0;
+        for (int index = 0; index < fleet.size(); ++index)
+            count += fleet.node(index).self().hints.configuration == Revision(999'999) ? 1 : 0;
+        return count;
+    };
+    fleet.run(5);
+    CHECK_COMPARE(told(), <, 50);
+    fleet.run(20);
+    LONGS_EQUAL(100, told());
+}
+
 TEST_GROUP(MembershipEncoding) {};
 
 TEST(MembershipEncoding, MessagesReadBackAsTheyWere)
