--- a/packages/fleet/src/Demo.cpp
+++ b/packages/fleet/src/Demo.cpp
@@ -111,8 +111,7 @@
 class DemoRun {
 public:
     DemoRun(std::ostream& output, EmbeddedFleet& fleet)
-        : m_output(output)
-        , m_fleet(fleet)
+        : m_fleet(fleet)
         , m_report(output)
     {
     }
@@ -210,7 +209,6 @@
         m_report.check(after.http.status == 401, "withdrawn key", base::concat("refused at both gateways ", took, " ms after publishing"));
     }
 
-    std::ostream& m_output;
     EmbeddedFleet& m_fleet;
     Report m_report;
 };
--- a/packages/gateway/src/FleetPlanner.cpp
+++ b/packages/gateway/src/FleetPlanner.cpp
@@ -155,6 +155,7 @@
 
 // ---- replicas
 
+// Instances that the list has dropped are left out until they are proved to be gone; the planner counts them as missing.
 std::vector<placement::EngineInstance> FleetPlanner::engines(const node::InstanceTable& instances, base::Instant now) const
 {
     std::vector<placement::EngineInstance> engines;
@@ -163,8 +164,10 @@
         const config::UpstreamPool* pool = m_node.configuration()->findPool(engine.pool);
         if (row)
             engine.presence = row->ready && !row->terminating ? placement::HolderPresence::Present : placement::HolderPresence::Leaving;
+        else if (pool && m_agent.cleared(id, pool->listName, now))
+            engine.presence = placement::HolderPresence::Gone;
         else
-            engine.presence = pool && m_agent.cleared(id, pool->listName, now) ? placement::HolderPresence::Gone : placement::HolderPresence::Leaving;
+            continue;
         engines.push_back(engine);
     }
     return engines;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "FleetPlanner.h"
 #include "GatewayCore.h"
+#include "PermitHome.h"
 #include "ShareDeparture.h"
 #include "ShareLimitGate.h"
 #include "StaticLimitGate.h"
@@ -24,6 +25,7 @@
         , m_options(options)
         , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
         , m_members(std::make_unique<node::MembershipAgent>(m_node))
+        , m_permits(std::make_unique<internal::PermitHome>(m_node))
     {
         std::unique_ptr<internal::LimitGate> gate;
         if (options.limits == LimitMode::Shares) {
@@ -48,6 +50,7 @@
     {
         m_agent->install();
         m_members->install();
+        m_permits->install();
         m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
         m_node.addSystem([this](base::Instant) { tellStrikes(); });
         m_agent->onRows([this](const node::AssignmentView& view) {
@@ -60,7 +63,10 @@
         if (m_departure)
             m_node.addSystem([this](base::Instant now) { m_departure->tick(now); });
         m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
-            m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
+            m_node.traffic().post([this, configuration = std::move(configuration)] {
+                m_permits->onConfiguration(*configuration);
+                m_core->onConfiguration(configuration);
+            });
             m_node.setReady(!m_leaving);
         });
         m_node.setStatus([this] {
@@ -168,6 +174,7 @@
     GatewayOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
+    std::unique_ptr<internal::PermitHome> m_permits;
     std::unique_ptr<internal::ShareDeparture> m_departure;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -423,7 +423,7 @@
     report.load.inFlight = message.inFlight;
     report.load.inFlightTokens = message.inFlightTokens;
     for (const peers::AccountQueue& queue : message.queues)
-        report.load.backlog.push_back({ queue.account, queue.weight, queue.queued });
+        report.load.backlog.push_back({ queue.account, queue.weight, queue.queued, queue.servedPerSecond });
     report.lastDispatchSeen = routing::DispatchNumber(message.lastDispatchSeen);
     report.leaving = message.leaving;
     report.quarantining = message.quarantining;
--- a/packages/peers/include/toucanstep/peers/Messages.h
+++ b/packages/peers/include/toucanstep/peers/Messages.h
@@ -70,6 +70,8 @@
     base::ClientAccountId account;
     int64_t weight = 1;
     base::Tokens queued;
+    // Tokens a second that the account got lately.
+    base::Tokens servedPerSecond;
 };
 
 enum class ModelPhase {
--- a/packages/peers/src/Messages.cpp
+++ b/packages/peers/src/Messages.cpp
@@ -65,7 +65,7 @@
     writer.add(static_cast<int64_t>(report.phase)).addDuration(report.loadRemaining);
     writer.add(static_cast<int64_t>(report.queues.size()));
     for (const AccountQueue& queue : report.queues)
-        writer.add(queue.account.value()).add(queue.weight).add(queue.queued.value());
+        writer.add(queue.account.value()).add(queue.weight).add(queue.queued.value()).add(queue.servedPerSecond.value());
 }
 
 ModelPhase readPhase(FieldReader& reader)
@@ -101,6 +101,7 @@
         queue.account = base::ClientAccountId(reader.text());
         queue.weight = reader.number();
         queue.queued = base::Tokens(reader.number());
+        queue.servedPerSecond = base::Tokens(reader.number());
         report.queues.push_back(std::move(queue));
     }
     return report;
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -25,7 +25,6 @@
 // An engine that answers nothing for this long on a stream has gone silent; its batches are much shorter.
 constexpr base::Duration engineSilenceLimit = std::chrono::milliseconds(1500);
 constexpr base::Duration probeTimeout = std::chrono::milliseconds(800);
-constexpr base::Duration pumpInterval = std::chrono::milliseconds(20);
 constexpr int maximumResumes = 3;
 constexpr size_t crashIdLength = 16;
 // No model has this name: unloading it changes nothing but the newest fencing number that the engine has seen.
@@ -148,13 +147,14 @@
 
 SidecarCore::SidecarCore(node::Node& node, SidecarOptions options)
     : m_node(node)
-    , m_options(std::move(options))
+    , m_options(options)
     , m_incarnation(wallClockNanoseconds())
     , m_configuration(node.configuration())
     , m_engine(platform::makeEngineClient(node.settings().upstreamUrl, node.http()))
     , m_queue(makeQueue(m_options.queue))
     , m_solo(soloPatience)
     , m_services(node)
+    , m_permits(node)
 {
 }
 
@@ -386,10 +386,15 @@
     runResidency(at);
     if (!m_pool)
         return;
+    m_suspectQueued = false;
     while (inFlight() < m_pool->slots) {
         auto next = m_queue->pop(at, [&](const routing::QueuedRequest& queued) { return mayStart(queued, at); });
-        if (!next)
+        if (!next) {
+            // Everything queued was looked at.
+            if (!m_suspectQueued)
+                m_solo.noneWaits();
             return;
+        }
         RequestEntry* entry = m_requests.find(EntryKey(next->id.value()));
         if (entry)
             startRun(*entry, at);
@@ -404,8 +409,10 @@
     if (!queued.model.empty() && !m_residency->usable(queued.model))
         return false;
     auto state = m_quarantine.state(routing::RequestFingerprint(entry->message.fingerprint), now);
-    if (state == routing::QuarantineState::Alone)
+    if (state == routing::QuarantineState::Alone) {
+        m_suspectQueued = true;
         m_solo.aloneWaits(now);
+    }
     return m_solo.mayStart(state, inFlight(), now);
 }
 
@@ -419,8 +426,9 @@
         return;
     }
     if (isModel) {
+        bool usable = m_residency->beginUse(model, now);
         m_residency->removeWaiter(model, base::RequestId(entry.key.value()), now);
-        if (!m_residency->beginUse(model, now)) {
+        if (!usable) {
             refuse(entry, refusal(base::RefusalCode::NoCapacity, base::RanState::NotRun, "the model was unloaded"));
             return;
         }
@@ -670,11 +678,27 @@
 {
     if (!m_residency)
         return;
-    auto permitted = [](const base::ModelId&, base::Instant) { return true; };
+    auto permitted = [this](const base::ModelId& model, base::Instant earliestDeadline) { return mayLoad(model, earliestDeadline); };
     for (const placement::ResidencyOrder& order : m_residency->tick(now, permitted))
         carryOut(order);
 }
 
+bool SidecarCore::mayLoad(const base::ModelId& id, base::Instant earliestDeadline)
+{
+    // What lies on the host's disk does not burden the weight store.
+    const config::Model* model = m_configuration->findModel(id);
+    if (!m_options.loadPermits || !model || m_cachedOnDisk.contains(id))
+        return true;
+    const config::RequestKind* kind = m_configuration->findKind(model->kind);
+    PermitNeed need;
+    need.model = id;
+    need.kind = model->baseModel ? placement::PermitKind::Adapter : placement::PermitKind::Model;
+    need.earliestDeadline = earliestDeadline;
+    need.weight = kind ? kind->weight : 1;
+    need.loadTime = placement::loadTime(model->checkpoint, placement::CheckpointTier::Remote, m_configuration->loads);
+    return m_permits.permitted(need);
+}
+
 void SidecarCore::carryOut(const placement::ResidencyOrder& order)
 {
     if (order.kind == placement::OrderKind::ReadIndex) {
@@ -683,7 +707,8 @@
     }
     const config::Model* model = m_configuration->findModel(order.model);
     platform::EngineOrder engineOrder;
-    engineOrder.fence = order.epoch;
+    // The process's epoch is a time in nanoseconds; orders count on from there, so that each refuses all before it.
+    engineOrder.fence = order.epoch + base::Epoch(order.id.value());
     engineOrder.deadline = order.deadline;
     if (model) {
         engineOrder.name = model->repositoryName;
@@ -703,6 +728,8 @@
                 base::LogLine("engine_order_failed").add("order", order.id).add("reason", error->message);
             else if (order.kind == placement::OrderKind::Load)
                 m_cachedOnDisk.insert(order.model);
+            if (order.kind == placement::OrderKind::Load)
+                m_permits.done(order.model);
             m_residency->onOrderResult(order.id, toOutcome(error), now());
             // After a failure the next tick decides, so that an engine that refuses everything is not asked in a loop.
             if (!error)
@@ -820,7 +847,7 @@
     report.quarantining = m_solo.busy();
     report.configuration = m_configuration->version;
     for (const routing::AccountBacklog& backlog : figures.backlog)
-        report.queues.push_back({ backlog.account, backlog.weight, backlog.queued });
+        report.queues.push_back({ backlog.account, backlog.weight, backlog.queued, backlog.servedPerSecond });
     if (m_residency && !model.empty()) {
         report.phase = toPhase(m_residency->state(model), m_residency->usable(model));
         if (auto end = m_residency->expectedLoadEnd(model, now()); end && report.phase != peers::ModelPhase::Loaded)
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include "PermitClient.h"
 #include "RequestTable.h"
 #include "ServiceCalls.h"
 #include "toucanstep/node/Node.h"
@@ -75,6 +76,7 @@
     void onCrashProbe(const std::vector<routing::RequestFingerprint>& suspects, bool alive);
 
     void runResidency(base::Instant now);
+    bool mayLoad(const base::ModelId&, base::Instant earliestDeadline);
     void carryOut(const placement::ResidencyOrder&);
     void readIndex(const placement::ResidencyOrder&);
 
@@ -102,8 +104,11 @@
     std::set<base::ModelId> m_cachedOnDisk;
     mutable int64_t m_reportSequence = 0;
     ServiceCalls m_services;
+    PermitClient m_permits;
     std::set<EntryKey> m_serviceRuns;
     int64_t m_crashes = 0;
+    // Whether the last look through the queue met a request that must run alone.
+    bool m_suspectQueued = false;
     bool m_strikesChanged = false;
     bool m_crashProbeRunning = false;
     bool m_leaving = false;
