--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -16,7 +16,15 @@
 constexpr size_t prefixHints = 20'000;
 constexpr base::Duration prefixLifetime = std::chrono::minutes(5);
 // How often a gateway goes back to the same sidecar after its connection was lost, before it looks elsewhere.
-constexpr int maximumAttaches = 3;
+constexpr int maximumAttaches = 2;
+// An answer of which the caller has a part can only go on there: its sidecar is tried for longer, with pauses.
+constexpr int maximumAttachesOnceDelivered = 40;
+constexpr base::Duration attachPause = std::chrono::milliseconds(250);
+// Figures of a sidecar that are older than this are asked for anew while requests choose between several holders.
+constexpr base::Duration reportsFreshFor = std::chrono::milliseconds(700);
+constexpr base::Duration refreshInterval = std::chrono::milliseconds(250);
+constexpr base::Duration contestedFor = std::chrono::seconds(5);
+constexpr base::Duration reportTimeout = std::chrono::milliseconds(500);
 // A caller that does not read is not waited for with more than this in memory.
 constexpr size_t maximumQueuedBytes = 8 * 1024 * 1024;
 
@@ -87,7 +95,10 @@
 {
 }
 
-GatewayCore::~GatewayCore() = default;
+GatewayCore::~GatewayCore()
+{
+    *m_alive = false;
+}
 
 CallerEntry* GatewayCore::find(const base::RequestId& id)
 {
@@ -270,7 +281,10 @@
     request.prefixes = routing::prefixesOf(request.model, entry.request.prompt);
     request.excluded = entry.tried;
     request.configurationVersion = configuration->version;
-    return m_router->choose(request, holdersOf(entry, now), m_upstreams, m_prefixes, m_generator);
+    std::vector<routing::Holder> holders = holdersOf(entry, now);
+    if (holders.size() > 1)
+        m_contested[entry.request.targetId] = now + contestedFor;
+    return m_router->choose(request, holders, m_upstreams, m_prefixes, m_generator);
 }
 
 void GatewayCore::logDecision(const routing::RouteDecision& decision) const
@@ -383,6 +397,84 @@
     entry.call = m_node.peers().call({ entry.target, peers::Method(std::string(peers::attachMethod)), std::move(message), entry.request.deadline }, listener);
 }
 
+// The first attempt goes out at once; the next ones leave a paused sidecar time to come back.
+void GatewayCore::attachLater(CallerEntry& entry)
+{
+    if (!entry.attaches) {
+        attachAgain(entry);
+        return;
+    }
+    m_node.traffic().at(now() + attachPause, [this, alive = m_alive, id = entry.id, attempt = entry.attempt] {
+        CallerEntry* waiting = *alive ? find(id) : nullptr;
+        if (waiting && waiting->attempt == attempt)
+            attachAgain(*waiting);
+    });
+}
+
+// ---- figures
+
+void GatewayCore::refreshReports()
+{
+    base::Instant at = now();
+    if (at < m_nextRefresh)
+        return;
+    m_nextRefresh = at + refreshInterval;
+    std::erase_if(m_contested, [&](const auto& target) { return at >= target.second; });
+    auto configuration = m_node.configuration();
+    auto instances = m_node.instances();
+    for (const auto& [target, until] : m_contested) {
+        std::vector<base::InstanceId> holders;
+        if (const config::Service* service = configuration->findService(base::ServiceId(target))) {
+            const config::UpstreamPool* pool = configuration->findPool(service->pool);
+            for (const node::InstanceRow* row : instances->inList(pool ? pool->listName : std::string()))
+                holders.push_back(row->instance);
+        }
+        if (auto rows = m_rows.find(base::ModelId(target)); rows != m_rows.end()) {
+            for (const assignments::Row& row : rows->second)
+                holders.push_back(row.holder.instance);
+        }
+        for (const base::InstanceId& holder : holders) {
+            const routing::UpstreamEntry* known = m_upstreams.find(base::UpstreamId(holder.value()));
+            bool fresh = known && known->reportedAt && at < *known->reportedAt + reportsFreshFor;
+            const node::InstanceRow* row = instances->find(holder);
+            if (!fresh && row)
+                askReport(*row, target);
+        }
+    }
+}
+
+void GatewayCore::askReport(const node::InstanceRow& row, const std::string& model)
+{
+    class Listener final : public peers::PeerCallListener {
+    public:
+        Listener(GatewayCore& core, std::shared_ptr<bool> alive, base::UpstreamId upstream, std::string model)
+            : m_core(core)
+            , m_alive(std::move(alive))
+            , m_upstream(std::move(upstream))
+            , m_model(std::move(model))
+        {
+        }
+
+        void onMessage(std::string message) override
+        {
+            base::Error error;
+            auto event = base::valueOr(error, [&] { return peers::decodeRunEvent(message); });
+            if (*m_alive && event && event->report)
+                m_core.onReport(m_upstream, *event->report, m_model);
+        }
+
+        void onEnd(std::optional<base::Error>) override { }
+
+    private:
+        GatewayCore& m_core;
+        std::shared_ptr<bool> m_alive;
+        base::UpstreamId m_upstream;
+        std::string m_model;
+    };
+    auto listener = std::make_shared<Listener>(*this, m_alive, base::UpstreamId(row.instance.value()), model);
+    m_node.peers().call({ row.peer, peers::Method(std::string(peers::reportMethod)), model, now() + reportTimeout }, listener);
+}
+
 // ---- answers
 
 void GatewayCore::onEvent(const base::RequestId& id, int64_t attempt, const std::string& message)
@@ -436,11 +528,9 @@
 
 void GatewayCore::onStart(CallerEntry& entry, const peers::AnswerStart& start)
 {
-    if (entry.started)
-        return;
-    entry.started = true;
     entry.start = start;
-    if (entry.request.stream)
+    bool first = !std::exchange(entry.started, true);
+    if (first && entry.request.stream)
         entry.exchange->startStream(start.status, { { "Content-Type", start.contentType }, { "Cache-Control", "no-cache" } });
 }
 
@@ -500,7 +590,8 @@
             m_onceCalls.onHopLost(attempt);
         return;
     }
-    bool elsewhere = refused.code == base::RefusalCode::Leaving || refused.code == base::RefusalCode::NoCapacity || refused.code == base::RefusalCode::UpstreamFailed;
+    bool elsewhere = refused.code == base::RefusalCode::Leaving || refused.code == base::RefusalCode::NoCapacity
+        || refused.code == base::RefusalCode::UpstreamFailed || refused.code == base::RefusalCode::OutcomeUnknown;
     if (elsewhere && tryElsewhere(entry, refused.ran))
         return;
     refuse(entry, peers::toRefusal(refused, now()));
@@ -510,7 +601,7 @@
 // have run and must run only once, stays where it is.
 bool GatewayCore::tryElsewhere(CallerEntry& entry, base::RanState ran)
 {
-    if (entry.nextChunk || entry.started || now() >= entry.request.deadline)
+    if (delivered(entry) || now() >= entry.request.deadline)
         return false;
     if (ran != base::RanState::NotRun) {
         auto retriesSoFar = static_cast<int64_t>(entry.tried.size()) - 1;
@@ -523,6 +614,10 @@
     if (!decision.chosen)
         return false;
     m_node.metrics().count("toucanstep_retries_total");
+    // What the former upstream had sent is forgotten; the new one begins at its first chunk.
+    entry.nextChunk = 0;
+    entry.body.clear();
+    entry.digest.clear();
     return dispatch(entry, *decision.chosen);
 }
 
@@ -550,13 +645,13 @@
         refuse(*entry, { base::RefusalCode::NoCapacity, base::RanState::NotRun, "the upstream cannot be reached", now() });
         return;
     }
-    if (entry->attaches < maximumAttaches) {
-        attachAgain(*entry);
+    if (entry->attaches < (delivered(*entry) ? maximumAttachesOnceDelivered : maximumAttaches)) {
+        attachLater(*entry);
         return;
     }
     if (tryElsewhere(*entry, base::RanState::MayHaveRun))
         return;
-    refuse(*entry, { entry->nextChunk ? base::RefusalCode::AnswerCut : base::RefusalCode::UpstreamFailed, base::RanState::MayHaveRun, "the upstream was lost", std::nullopt });
+    refuse(*entry, { delivered(*entry) ? base::RefusalCode::AnswerCut : base::RefusalCode::UpstreamFailed, base::RanState::MayHaveRun, "the upstream was lost", std::nullopt });
 }
 
 void GatewayCore::refuse(CallerEntry& entry, const base::Refusal& refusal)
@@ -615,6 +710,7 @@
 void GatewayCore::tick()
 {
     m_quarantine.expire(now());
+    refreshReports();
     // A listener may have stopped before its end; the deadline holds for every request whatever became of its calls.
     std::vector<base::RequestId> late;
     m_onceCalls.tick();
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -90,6 +90,12 @@
     bool sendAttempt(const base::RequestId&, const calls::CallDispatch&, base::Instant deadline) override;
     void finishCall(const base::RequestId&, const calls::CallResult&) override;
     void attachAgain(CallerEntry&);
+    void attachLater(CallerEntry&);
+    // Whether the caller has seen a part of the answer, so that no other upstream can take the request over.
+    static bool delivered(const CallerEntry& entry) { return entry.request.stream && entry.nextChunk > 0; }
+    // Asks sidecars whose figures are old how they are doing, where requests have a choice between several.
+    void refreshReports();
+    void askReport(const node::InstanceRow&, const std::string& model);
 
     void onEvent(const base::RequestId&, int64_t attempt, const std::string& message);
     void onDispatchEnd(const base::RequestId&, int64_t attempt, const std::optional<base::Error>&);
@@ -130,6 +136,10 @@
     base::Instant m_demandSince;
     routing::Quarantine m_quarantine { {} };
     bool m_strikesChanged = false;
+    // Targets with several holders, and until when they count as in use.
+    std::map<std::string, base::Instant> m_contested;
+    base::Instant m_nextRefresh;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     int64_t m_counter = 0;
     bool m_leaving = false;
 };
--- a/packages/sidecar/src/RequestTable.h
+++ b/packages/sidecar/src/RequestTable.h
@@ -39,6 +39,7 @@
     // The answer as far as it has come, kept so that a gateway can attach again at any chunk.
     std::optional<peers::AnswerStart> start;
     std::vector<std::string> chunks;
+    size_t keptBytes = 0;
     std::optional<peers::RunEventBody> ending;
     // When the ended answer is forgotten.
     base::Instant forgetAt;
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -534,10 +534,8 @@
         return;
     if (entry->message.stream && carriesToken(bytes))
         ++entry->tokens;
-    size_t kept = 0;
-    for (const std::string& chunk : entry->chunks)
-        kept += entry->chunks.size() > 1024 ? chunk.size() : 0;
-    if (kept > maximumKeptBytes) {
+    entry->keptBytes += bytes.size();
+    if (entry->keptBytes > maximumKeptBytes) {
         refuse(*entry, refusal(base::RefusalCode::AnswerCut, base::RanState::Ran, "the answer is larger than a sidecar keeps"));
         return;
     }
