--- a/packages/config/src/ObjectReader.cpp
+++ b/packages/config/src/ObjectReader.cpp
@@ -118,6 +118,9 @@
 
 void ObjectReader::report(std::string_view field, std::string message, std::string suggestion, base::Severity severity) const
 {
+    // What is no object has its finding already, and has no place for findings about fields.
+    if (m_value == &emptyObject())
+        return;
     const PlacedValue* value = m_value->find(field);
     m_context->report(value ? value->position : m_value->position, pathOf(field), std::move(message), std::move(suggestion), severity);
 }
--- a/packages/config/src/ObjectReader.h
+++ b/packages/config/src/ObjectReader.h
@@ -61,13 +61,13 @@
     ObjectReader object(std::string_view field, const ObjectSchema&) const;
     std::vector<ObjectReader> objects(std::string_view field, const ObjectSchema&) const;
 
-    // Reports a finding at the field's value, or at the object where the field is missing.
+    // Reports a finding at the field's value, or at the object where the field is missing. Says nothing where the value is no
+    // object at all, since that is reported when the reader is built.
     void report(std::string_view field, std::string message, std::string suggestion = {}, base::Severity = base::Severity::Error) const;
 
     std::string suggest(std::string_view name, const std::vector<std::string>& candidates) const { return m_context->suggest(name, candidates); }
 
     const std::string& path() const { return m_path; }
-    Position position() const { return m_value->position; }
     const PlacedValue& value() const { return *m_value; }
 
 private:
--- a/packages/config/test/ParserTest.cpp
+++ b/packages/config/test/ParserTest.cpp
@@ -163,6 +163,15 @@
     STRCMP_EQUAL("t.json:1:33: error: nested deeper than 32 levels\n", findingsOf(std::string(100000, '[')).c_str());
 }
 
+TEST(Parser, AnEntryThatIsNoObjectHasOneFindingWithItsPlace)
+{
+    // An operator writes a text where an entry belongs. The findings about its missing fields once stood at line 0, column
+    // 0, because the empty object that stood in for it had no place. Found by the fuzz target config_text.
+    STRCMP_EQUAL("t.json:9:13: error: models.cane: must be an object, and is a text\n",
+        findingsOf(changed("{ \"baseModel\": \"clamp\", \"memory\": \"200MiB\" }", "\"200MiB\"")).c_str());
+    STRCMP_EQUAL("t.json:1:1: error: must be an object, and is a list\n", findingsOf("[]").c_str());
+}
+
 TEST(Parser, ATextThatTheServiceCannotHoldIsRefused)
 {
     std::string text = smallText;
