Polls of the text read its revision only; peers answer with deltas

Cause: each poll read the whole text, 16 to 20 KB for the samples every 2 s; a peer that was behind got a whole text. Change: KeyValueStore::stat (keys only), TextHistory in the configuration follower, sidecars poll every 5 s.

--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -91,8 +91,11 @@
 class KeyValueStore {
 public:
     virtual ~KeyValueStore() = default;
-    // Reads one key, or all keys with that prefix.
+    // Reads one key.
     virtual void get(std::string key, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
+    // Reads one key without its value, which may be large: the revisions tell whether it has changed.
+    virtual void stat(std::string key, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
+    // Reads all keys with that prefix.
     virtual void list(std::string prefix, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
     virtual void commit(Transaction, Instant deadline, std::function<void(Outcome<TransactionReply>)>) = 0;
     virtual void grantLease(Duration timeToLive, Instant deadline, std::function<void(Outcome<LeaseId>)>) = 0;
--- a/packages/fakes/src/FakeKeyValueService.cpp
+++ b/packages/fakes/src/FakeKeyValueService.cpp
@@ -227,8 +227,12 @@
     {
         ++m_counters.reads;
         Json answer = { { "header", headerOf(m_table.revision()) } };
-        for (const auto& entry : m_table.range(rangeFromJson(request)))
+        bool keysOnly = request.value("keys_only", false);
+        for (const auto& entry : m_table.range(rangeFromJson(request))) {
             answer["kvs"].push_back(toJson(entry));
+            if (keysOnly)
+                answer["kvs"].back().erase("value");
+        }
         if (answer.contains("kvs"))
             answer["count"] = concat(answer["kvs"].size());
         return answer;
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -5,6 +5,7 @@
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/config/InForce.h"
+#include "toucanstep/config/TextHistory.h"
 #include "toucanstep/node/HistoryFile.h"
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/peers/Codec.h"
@@ -56,13 +57,8 @@
         act(m_inForce.onVersionSeen(peer, version, now()));
     }
 
-    // The text in force, for a peer that asks; nothing where the peer has it already.
-    std::string answerPeer(base::Revision known) const
-    {
-        if (m_installed.version <= known)
-            return {};
-        return peers::FieldWriter().add(m_installed.version.value()).addBytes(m_installed.text).finish();
-    }
+    // The way from a version to the text in force, for a peer that asks; empty where the peer has it already.
+    std::string answerPeer(base::Revision known) { return m_history.answerTo(known); }
 
 private:
     class Listener final : public base::WatchListener {
@@ -106,7 +102,7 @@
     // Gateways of the platform's list can be asked at the start, when the service may be down.
     void addListedPeers(base::Instant now)
     {
-        if (m_installed.version.value())
+        if (m_installed.value())
             return;
         auto instances = m_node.m_instances.load();
         for (const InstanceRow* row : instances->inList(gatewayListName)) {
@@ -117,7 +113,7 @@
 
     void openWatch()
     {
-        m_watch = m_node.m_store->watch(std::string(configurationKey), base::Revision(m_installed.version.value() + 1), std::make_shared<Listener>(*this));
+        m_watch = m_node.m_store->watch(std::string(configurationKey), base::Revision(m_installed.value() + 1), std::make_shared<Listener>(*this));
     }
 
     void onEvents(const std::vector<base::WatchEvent>& events)
@@ -131,9 +127,9 @@
     }
 
     // Parses a text and keeps it until it is installed. False where this process cannot use it.
-    bool keep(const internal::PublishedText& published)
+    bool keep(const config::PublishedText& published)
     {
-        if (published.version <= m_installed.version || (m_candidate && m_candidate->version >= published.version))
+        if (published.version <= m_installed || (m_candidate && m_candidate->version >= published.version))
             return true;
         auto configuration = internal::parsePublished(published);
         if (!configuration)
@@ -155,13 +151,14 @@
 
     void install(base::Revision version)
     {
-        if (!m_candidate || m_candidate->version < version || m_candidate->version <= m_installed.version)
+        if (!m_candidate || m_candidate->version < version || m_candidate->version <= m_installed)
             return;
-        m_installed = std::move(m_candidateText);
+        m_installed = m_candidateText.version;
+        m_history.add(m_candidateText.version, std::move(m_candidateText.text));
         m_node.m_configuration.publish(m_candidate);
-        m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(m_installed.version.value()));
-        base::LogLine("configuration_in_force").add("version", m_installed.version);
-        m_node.record({ .kind = base::HistoryKind::ConfigurationInForce, .version = m_installed.version });
+        m_node.m_metrics.gauge("toucanstep_configuration_version", "", static_cast<double>(m_installed.value()));
+        base::LogLine("configuration_in_force").add("version", m_installed);
+        m_node.record({ .kind = base::HistoryKind::ConfigurationInForce, .version = m_installed });
         std::shared_ptr<const config::Configuration> installed = std::move(m_candidate);
         m_candidate = nullptr;
         for (const ConfigurationListener& listener : m_node.m_configurationListeners)
@@ -178,20 +175,39 @@
 
     void fetchFromService(const config::FetchAction& fetch)
     {
-        m_node.m_store->get(std::string(configurationKey), fetch.deadline, [loop = m_node.m_control.get(), weak = weak_from_this(), source = fetch.source](base::Outcome<base::RangeReply> outcome) {
-            loop->post([weak, source, outcome = std::move(outcome)] {
-                auto follower = weak.lock();
-                auto* reply = std::get_if<base::RangeReply>(&outcome);
-                if (!follower)
-                    return;
-                if (!reply)
-                    follower->fetched(source, {}, config::FetchOutcome::Failed);
-                else if (reply->entries.empty())
-                    follower->fetched(source, {}, config::FetchOutcome::NothingNewer);
-                else
-                    follower->fetchedText(source, { reply->entries.front().modified, reply->entries.front().value });
+        // The text is read only where its revision is news: a poll that finds nothing costs a few hundred bytes.
+        m_node.m_store->stat(std::string(configurationKey), fetch.deadline, onLoop([fetch](ConfigurationFollower& follower, const base::Outcome<base::RangeReply>& outcome) {
+            auto* reply = std::get_if<base::RangeReply>(&outcome);
+            if (!reply)
+                follower.fetched(fetch.source, {}, config::FetchOutcome::Failed);
+            else if (reply->entries.empty() || reply->entries.front().modified <= follower.m_installed)
+                follower.fetched(fetch.source, {}, config::FetchOutcome::NothingNewer);
+            else
+                follower.readText(fetch);
+        }));
+    }
+
+    void readText(const config::FetchAction& fetch)
+    {
+        m_node.m_store->get(std::string(configurationKey), fetch.deadline, onLoop([source = fetch.source](ConfigurationFollower& follower, const base::Outcome<base::RangeReply>& outcome) {
+            auto* reply = std::get_if<base::RangeReply>(&outcome);
+            if (reply && !reply->entries.empty())
+                follower.fetchedText(source, { reply->entries.front().modified, reply->entries.front().value });
+            else
+                follower.fetched(source, {}, config::FetchOutcome::Failed);
+        }));
+    }
+
+    // Carries an answer of the store to the control loop, if this object is still there.
+    template <typename Continue>
+    std::function<void(base::Outcome<base::RangeReply>)> onLoop(Continue next)
+    {
+        return [loop = m_node.m_control.get(), weak = weak_from_this(), next = std::move(next)](base::Outcome<base::RangeReply> outcome) {
+            loop->post([weak, next, outcome = std::move(outcome)] {
+                if (auto follower = weak.lock())
+                    next(*follower, outcome);
             });
-        });
+        };
     }
 
     void fetchFromPeer(const config::FetchAction& fetch)
@@ -203,30 +219,32 @@
             fetched(fetch.source, {}, config::FetchOutcome::Failed);
             return;
         }
-        std::string body = peers::FieldWriter().add(fetch.known.value()).finish();
+        // A delta that does not fit what is here is asked for again as a whole text.
+        base::Revision known = std::exchange(m_wantsWhole, false) ? base::Revision() : fetch.known;
+        std::string body = peers::FieldWriter().add(known.value()).finish();
         m_node.callFromControl({ *target, peers::Method(std::string(configurationMethod)), body, fetch.deadline }, [weak = weak_from_this(), source = fetch.source](const base::Outcome<std::string>& outcome) {
-            auto follower = weak.lock();
-            if (!follower)
-                return;
-            auto* reply = std::get_if<std::string>(&outcome);
-            if (!reply) {
-                follower->fetched(source, {}, config::FetchOutcome::Failed);
-                return;
-            }
-            if (reply->empty()) {
-                follower->fetched(source, {}, config::FetchOutcome::NothingNewer);
-                return;
-            }
-            peers::FieldReader reader(*reply);
-            internal::PublishedText published { base::Revision(reader.number()), reader.bytes() };
-            if (reader.complete())
-                follower->fetchedText(source, published);
-            else
-                follower->fetched(source, {}, config::FetchOutcome::Failed);
+            if (auto follower = weak.lock())
+                follower->onPeerAnswer(source, outcome);
         });
     }
 
-    void fetchedText(const config::ConfigurationSource& source, const internal::PublishedText& published)
+    void onPeerAnswer(const config::ConfigurationSource& source, const base::Outcome<std::string>& outcome)
+    {
+        auto* reply = std::get_if<std::string>(&outcome);
+        if (reply && reply->empty()) {
+            fetched(source, {}, config::FetchOutcome::NothingNewer);
+            return;
+        }
+        base::Error error;
+        auto published = reply ? base::valueOr(error, [&] { return m_history.readAnswer(*reply); }) : std::nullopt;
+        m_wantsWhole = reply && !published;
+        if (published)
+            fetchedText(source, { published->version, std::move(published->text) });
+        else
+            fetched(source, {}, config::FetchOutcome::Failed);
+    }
+
+    void fetchedText(const config::ConfigurationSource& source, const config::PublishedText& published)
     {
         bool usable = keep(published);
         fetched(source, published.version, usable ? config::FetchOutcome::Text : config::FetchOutcome::Unusable);
@@ -239,10 +257,12 @@
 
     Node& m_node;
     config::InForce m_inForce;
-    internal::PublishedText m_installed;
+    base::Revision m_installed;
+    config::TextHistory m_history;
     std::shared_ptr<const config::Configuration> m_candidate;
-    internal::PublishedText m_candidateText;
+    config::PublishedText m_candidateText;
     std::set<base::InstanceId> m_listedPeers;
+    bool m_wantsWhole = false;
     base::Instant m_nextWatch;
     std::unique_ptr<base::WatchHandle> m_watch;
 };
--- a/packages/node/src/PublishedText.cpp
+++ b/packages/node/src/PublishedText.cpp
@@ -6,7 +6,7 @@
 
 namespace toucanstep::node::internal {
 
-std::shared_ptr<const config::Configuration> parsePublished(const PublishedText& published)
+std::shared_ptr<const config::Configuration> parsePublished(const config::PublishedText& published)
 {
     config::ParsedConfiguration parsed = config::parseConfiguration(configurationKey, published.text, published.version);
     if (!parsed.configuration) {
--- a/packages/platform/src/EtcdStore.cpp
+++ b/packages/platform/src/EtcdStore.cpp
@@ -215,6 +215,11 @@
         call<RangeReply>("/v3/kv/range", { { "key", encodeBase64(key) } }, deadline, &rangeFromJson, std::move(callback));
     }
 
+    void stat(std::string key, Instant deadline, std::function<void(Outcome<RangeReply>)> callback) override
+    {
+        call<RangeReply>("/v3/kv/range", { { "key", encodeBase64(key) }, { "keys_only", true } }, deadline, &rangeFromJson, std::move(callback));
+    }
+
     void list(std::string prefix, Instant deadline, std::function<void(Outcome<RangeReply>)> callback) override
     {
         Json request;
--- a/packages/platform/test/EtcdStoreTest.cpp
+++ b/packages/platform/test/EtcdStoreTest.cpp
@@ -102,6 +102,17 @@
     CHECK_TRUE(read.entries[0].created == written.revision);
 }
 
+TEST(EtcdStore, AStatTellsTheRevisionAndLeavesTheValueOut)
+{
+    auto written = std::get<TransactionReply>(commit(create("text", std::string(100'000, 'x'))));
+    Mailbox<Outcome<RangeReply>> replies;
+    store->stat("text", soon(), [&](auto reply) { replies.put(std::move(reply)); });
+    auto read = std::get<RangeReply>(*replies.take());
+    CHECK_EQUAL(1U, read.entries.size());
+    CHECK_TRUE(read.entries[0].modified == written.revision);
+    CHECK_TRUE(read.entries[0].value.empty());
+}
+
 TEST(EtcdStore, AComparisonThatFailsWritesNothing)
 {
     commit(create("a", "first"));
--- a/packages/sidecar/include/toucanstep/sidecar/Sidecar.h
+++ b/packages/sidecar/include/toucanstep/sidecar/Sidecar.h
@@ -31,7 +31,8 @@
 };
 
 struct SidecarOptions {
-    node::NodeOptions node;
+    // A sidecar checks keys a second time, and hears of new versions with every request: it polls less often.
+    node::NodeOptions node { .configurationPollInterval = std::chrono::seconds(5) };
     PlacementMode placement = PlacementMode::Rows;
     QueueMode queue = QueueMode::Fair;
     KeepAliveMode keepAlive = KeepAliveMode::Learnt;
