Node: a row that was given up can be held again later, and a lapsed holder asks the voters

Found in review: a share that was released and later assigned to the same process was never adopted, because its key stayed in the agent's own set; HolderState keeps the revision instead. And a holder that lapsed by a pause in an outage was not brought back, because voters were asked only while the list was silent.

--- a/packages/node/include/toucanstep/node/AssignmentAgent.h
+++ b/packages/node/include/toucanstep/node/AssignmentAgent.h
@@ -124,7 +124,6 @@
     std::map<std::string, assignments::AbsenceTracker> m_trackers;
     std::map<assignments::MoveId, PendingMove> m_moves;
     std::set<std::string> m_keysMoving;
-    std::set<assignments::RowKey> m_givenUp;
     std::map<base::InstanceId, assignments::Generation> m_voterGenerations;
     std::vector<RowsListener> m_listeners;
     Snapshot<AssignmentView> m_view;
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -218,7 +218,7 @@
     auto view = std::make_shared<AssignmentView>();
     view->rows = m_table.all();
     for (const Row& row : view->rows) {
-        if (row.holder == m_self && !m_givenUp.contains(row.key))
+        if (row.holder == m_self && !m_holder.hasGivenUp(row))
             view->own.push_back(row);
     }
     m_view.publish(view);
@@ -257,11 +257,11 @@
 }
 
 // While the list shows this process nobody needs to be asked; a list that is down, or has dropped us, is what the
-// voters are for.
+// voters are for. After a gap the list alone does not bring use back, and in an outage only the voters can.
 void AssignmentAgent::askForVouching(base::Instant now)
 {
     bool listIsFresh = m_listSeenAt && now < *m_listSeenAt + m_options.vouchAfter;
-    if (listIsFresh || now < m_nextVouch)
+    if ((listIsFresh && !m_holder.hasLapsed(now)) || now < m_nextVouch)
         return;
     m_nextVouch = now + m_options.vouchInterval;
     auto instances = m_node.instances();
@@ -484,7 +484,7 @@
         return;
     for (const Row& row : m_table.rowsOf(m_self.instance)) {
         bool adopted = row.holder.start == m_self.start;
-        if (adopted || busy(row.key) || !mayMoveMore() || m_givenUp.contains(row.key))
+        if (adopted || busy(row.key) || !mayMoveMore() || m_holder.hasGivenUp(row))
             continue;
         submit(m_mover.adopt(row, m_readRevision), {});
     }
@@ -507,13 +507,11 @@
 
 void AssignmentAgent::release(const Row& row, MoveCallback callback)
 {
-    m_givenUp.insert(row.key);
     submit(m_mover.release(row, m_holder), std::move(callback));
 }
 
 void AssignmentAgent::handOver(const Row& row, const Holder& to, MoveCallback callback)
 {
-    m_givenUp.insert(row.key);
     submit(m_mover.handOver(row, m_holder, to, m_readRevision), std::move(callback));
 }
 
@@ -586,9 +584,6 @@
     if (auto row = m_mover.written(id); row && state == MoveState::Committed)
         m_table.applyWrite(*row);
     m_mover.forget(id);
-    // A row that was given up and stands again under a later revision is a new one.
-    if (state != MoveState::Unsettled)
-        std::erase_if(m_givenUp, [&](const RowKey& key) { return storageKey(key) == pending.move.key && pending.move.kind != MoveKind::Release && pending.move.kind != MoveKind::HandOver; });
     publish();
     if (pending.callback)
         pending.callback(state);
