--- a/packages/assignments/test/FleetModel.cpp
+++ b/packages/assignments/test/FleetModel.cpp
@@ -291,48 +291,71 @@
         maintainElectorate(process);
 }
 
+// Marks and rows are read by two requests that are sent together, and may show two revisions.
 void Fleet::readService(Process& process)
 {
-    read(process, [this](Process& self, Exchange exchange, const base::RangeReply& reply) {
-        Instant now = self.local(m_now);
-        if (now > exchange.deadline || reply.revision < self.read)
-            return;
-        base::RangeReply rows { {}, reply.revision };
-        std::vector<GoneMark> marks;
-        std::optional<Electorates> electorates;
-        for (const auto& entry : reply.entries) {
-            base::Error error;
-            if (auto marked = base::valueOr(error, [&] { return parseGoneMarkKey(entry.key); }))
-                marks.push_back({ *marked, entry.modified });
-            else if (entry.key == electoratesKey)
-                electorates = base::valueOr(error, [&] { return decodeElectorates(entry); });
-            else if (entry.key.rfind("/lease/", 0) == 0) {
-                InstanceId owner(entry.key.substr(7));
-                self.leaseTake.onLeaseSeen(owner, std::stoull(entry.value), now);
-                self.leases[owner] = entry.modified;
-            } else
-                rows.entries.push_back(entry);
-        }
-        self.read = reply.revision;
-        self.hasRead = true;
-        self.table.applyRange(allRowsPrefix, rows);
-        bool marked = std::any_of(marks.begin(), marks.end(), [&](const GoneMark& mark) { return mark.instance == self.instance(); });
-        self.holder->onServiceRead(exchange, now, reply.revision, marked, electorates);
-        self.voter.onServiceRead(reply.revision, marks, electorates);
-        self.tracker->onMarks(reply.revision, marks);
-        if (electorates) {
-            self.electorates = *electorates;
-            self.tracker->onElectorates(*electorates, now);
-            for (const auto& member : electorates->current.members)
-                self.tracker->watch(member, now);
-            if (electorates->former) {
-                for (const auto& member : electorates->former->members)
-                    self.tracker->watch(member, now);
-            }
-        }
-        for (const auto& row : self.table.all())
-            self.tracker->watch(row.holder.instance, now);
-    });
+    struct Reading {
+        std::optional<base::RangeReply> marks;
+        std::optional<base::RangeReply> rows;
+    };
+    auto reading = std::make_shared<Reading>();
+    for (auto part : { &Reading::marks, &Reading::rows }) {
+        read(process, [this, reading, part](Process& self, Exchange exchange, const base::RangeReply& reply) {
+            (*reading).*part = reply;
+            if (reading->marks && reading->rows)
+                onServiceRead(self, exchange, *reading->marks, *reading->rows);
+        });
+    }
+}
+
+void Fleet::onServiceRead(Process& self, Exchange exchange, const base::RangeReply& marksReply, const base::RangeReply& reply)
+{
+    Instant now = self.local(m_now);
+    if (now > exchange.deadline || reply.revision < self.read)
+        return;
+    std::vector<GoneMark> marks;
+    for (const auto& entry : marksReply.entries) {
+        base::Error error;
+        if (auto marked = base::valueOr(error, [&] { return parseGoneMarkKey(entry.key); }))
+            marks.push_back({ *marked, entry.modified });
+    }
+    base::RangeReply rows { {}, reply.revision };
+    std::optional<Electorates> electorates;
+    for (const auto& entry : reply.entries) {
+        base::Error error;
+        if (entry.key == electoratesKey)
+            electorates = base::valueOr(error, [&] { return decodeElectorates(entry); });
+        else if (entry.key.rfind("/lease/", 0) == 0) {
+            InstanceId owner(entry.key.substr(7));
+            self.leaseTake.onLeaseSeen(owner, std::stoull(entry.value), now);
+            self.leases[owner] = entry.modified;
+        } else if (entry.key.rfind(allRowsPrefix, 0) == 0)
+            rows.entries.push_back(entry);
+    }
+    self.read = reply.revision;
+    self.hasRead = true;
+    self.table.applyRange(allRowsPrefix, rows);
+    bool marked = std::any_of(marks.begin(), marks.end(), [&](const GoneMark& mark) { return mark.instance == self.instance(); });
+    self.holder->onServiceRead(exchange, now, marksReply.revision, marked, electorates);
+    self.voter.onServiceRead(marksReply.revision, marks, electorates);
+    self.tracker->onMarks(marksReply.revision, marks);
+    if (electorates)
+        learnElectorates(self, *electorates);
+    for (const auto& row : self.table.all())
+        self.tracker->watch(row.holder.instance, now);
+}
+
+void Fleet::learnElectorates(Process& self, const Electorates& electorates)
+{
+    Instant now = self.local(m_now);
+    self.electorates = electorates;
+    self.tracker->onElectorates(electorates, now);
+    for (const auto& member : electorates.current.members)
+        self.tracker->watch(member, now);
+    if (!electorates.former)
+        return;
+    for (const auto& member : electorates.former->members)
+        self.tracker->watch(member, now);
 }
 
 void Fleet::readList(Process& process)
--- a/packages/assignments/test/FleetModel.h
+++ b/packages/assignments/test/FleetModel.h
@@ -134,6 +134,8 @@
     void tick();
     void beat(Process&);
     void readService(Process&);
+    void onServiceRead(Process&, Exchange, const base::RangeReply& marks, const base::RangeReply& rows);
+    void learnElectorates(Process&, const Electorates&);
     void readList(Process&);
     void askVoters(Process&);
     void moveRows(Process&);
