--- a/bench/membership_slope.cpp
+++ b/bench/membership_slope.cpp
@@ -62,6 +62,7 @@
         report(result, "sidecar", Role::Sidecar);
         result["core_percent_per_node"] = 100 * spent / measuredTicks / m_fleet.size();
         result["ticks_leaving_gateway_to_all"] = highestOf([&](int run) { return leave(10 + run, Role::Gateway); });
+        result["ticks_leaving_gateway_to_gateways"] = m_ticksToGateways;
         result["ticks_leaving_sidecar_to_all"] = highestOf([&](int run) { return leave(run, Role::Sidecar); });
         result["ticks_crash_to_all"] = highestOf([&](int run) { return crash(20 + run); });
         result["ticks_new_gateway_knows_all"] = join();
@@ -143,7 +144,11 @@
         std::vector<int> nodes = nodesOf(role);
         int index = nodes[position % nodes.size()];
         m_fleet.node(index).setState(MemberState::Leaving, m_fleet.now());
-        int ticks = m_fleet.ticksToReachAll(index, reachLimit);
+        int ticks = 0;
+        for (; ticks < reachLimit && !m_fleet.reachedGateways(index); ++ticks)
+            m_fleet.tick();
+        m_ticksToGateways = std::max(m_ticksToGateways, ticks);
+        ticks += m_fleet.ticksToReachAll(index, reachLimit);
         m_fleet.node(index).setState(MemberState::Ready, m_fleet.now());
         return ticks;
     }
@@ -181,6 +186,7 @@
 
     MembershipFleet m_fleet;
     int m_tick = 0;
+    int m_ticksToGateways = 0;
     double m_replacementsDue = 0;
 };
 
--- a/packages/membership/test/MembershipFleet.h
+++ b/packages/membership/test/MembershipFleet.h
@@ -124,6 +124,15 @@
         return entry && entry->version == node(subject).self().version && entry->state == node(subject).self().state;
     }
 
+    bool reachedGateways(int subject)
+    {
+        for (int reader = 0; reader < size(); ++reader) {
+            if (isUp(reader) && role(reader) == Role::Gateway && !isCurrent(reader, subject))
+                return false;
+        }
+        return true;
+    }
+
     bool reachedAll(int subject)
     {
         for (int reader = 0; reader < size(); ++reader) {
