Membership: a node that is far behind gets part of what it lacks from every digest

Cause: at 1,550 nodes the versions of eight differing buckets are larger than what pushes leave of a tick's budget; the answer was then a bare sign of life. Change: versions of as many buckets as a quarter of the budget holds, one at least; pushes leave a quarter of it; the budget is 4,096 bytes a tick.

--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -29,7 +29,7 @@
     // Peers that get a digest each tick.
     int fanOut = 1;
     // Bytes that one node sends from one tick to the next; what doesn't fit waits for a later exchange.
-    size_t bytesPerTick = 3072;
+    size_t bytesPerTick = 4096;
     // Differing buckets of which versions are exchanged at once.
     size_t bucketsPerExchange = 8;
     // How many ticks a fresh change is pushed on for.
@@ -122,7 +122,8 @@
     void answerDigest(const Digest&, Messages&);
     const Known* findItem(const Versions::Item&) const;
     void answerVersions(const Versions&, Messages&);
-    void sendEntries(const Peer& to, const std::vector<const Known*>&, Messages&);
+    // Sends as many entries as fit into `limit` bytes of this tick.
+    void sendEntries(const Peer& to, const std::vector<const Known*>&, size_t limit, Messages&);
     bool send(const Peer& to, Message, Messages&);
     std::string addressOf(const base::InstanceId&) const;
 
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -10,6 +10,8 @@
 // Of so many digests of a gateway one goes to a sidecar, so that also those are found gone whose own gateways died.
 constexpr uint64_t digestsPerSidecarProbe = 8;
 constexpr int64_t partsOfInterval = 1024;
+// What pushes leave of a tick's budget, and what one answer to a digest may take, are one part of so many.
+constexpr size_t partsOfBudget = 4;
 // What encoding adds to the entries of a delta, at most.
 constexpr size_t deltaOverhead = 160;
 constexpr uint64_t hashStart = 14695981039346656037ULL;
@@ -395,13 +397,13 @@
         m_probes[peer.instance].sentAt = now;
 }
 
-void Membership::sendEntries(const Peer& to, const std::vector<const Known*>& entries, Messages& messages)
+void Membership::sendEntries(const Peer& to, const std::vector<const Known*>& entries, size_t limit, Messages& messages)
 {
     Delta delta { .from = m_self };
     size_t size = deltaOverhead;
     for (const Known* known : entries) {
         size_t entrySize = encodedSize(known->entry);
-        if (m_spent + size + entrySize > m_options.bytesPerTick || delta.entries.size() == maximumEntries)
+        if (m_spent + size + entrySize > limit || delta.entries.size() == maximumEntries)
             break;
         size += entrySize;
         delta.entries.push_back(known->entry);
@@ -430,7 +432,8 @@
             return leftIsOwn;
         return m_fresh.at(left->entry.instance) > m_fresh.at(right->entry.instance);
     });
-    sendEntries(peer, fresh, messages);
+    // Some of the budget stays for answers until the next tick.
+    sendEntries(peer, fresh, m_options.bytesPerTick - m_options.bytesPerTick / partsOfBudget, messages);
 }
 
 std::vector<Peer> Membership::peersOfRole(Role role) const
@@ -509,12 +512,18 @@
 {
     if (digest.buckets.size() != digestBuckets)
         return;
-    Versions versions { .from = m_self, .buckets = differingBuckets(digest) };
-    for (uint32_t bucket : versions.buckets) {
-        for (const base::InstanceId& instance : m_bucketMembers[bucket]) {
-            // Tombstones too: whoever still has that member as ready learns only so that it is gone.
+    Versions versions { .from = m_self };
+    // Failure guarded against: all buckets that differ are together larger than what the budget leaves, so nothing is sent
+    // and the peer never catches up. Few buckets at a time always fit.
+    size_t itemLimit = m_options.bytesPerTick / partsOfBudget / sizeof(Versions::Item);
+    for (uint32_t bucket : differingBuckets(digest)) {
+        const auto& members = m_bucketMembers[bucket];
+        if (!versions.buckets.empty() && versions.items.size() + members.size() > itemLimit)
+            break;
+        versions.buckets.push_back(bucket);
+        // Tombstones too: whoever still has that member as ready learns only so that it is gone.
+        for (const base::InstanceId& instance : members)
             versions.items.push_back(m_known.at(instance).item);
-        }
     }
     std::sort(versions.items.begin(), versions.items.end());
     Peer sender { digest.from, addressOf(digest.from) };
@@ -540,7 +549,7 @@
 void Membership::answerVersions(const Versions& versions, Messages& answers)
 {
     // More buckets may differ than one exchange settles.
-    m_isBehind = versions.buckets.size() >= m_options.bucketsPerExchange;
+    m_isBehind = versions.buckets.size() > 1;
     std::set<Versions::Item> theirs(versions.items.begin(), versions.items.end());
     std::set<uint32_t> theirInstances;
     for (const auto& item : versions.items)
@@ -569,7 +578,7 @@
     Peer sender { versions.from, addressOf(versions.from) };
     if (!request.wanted.empty())
         send(sender, std::move(request), answers);
-    sendEntries(sender, lacking, answers);
+    sendEntries(sender, lacking, m_options.bytesPerTick, answers);
 }
 
 } // namespace toucanstep::membership
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -244,6 +244,26 @@
     LONGS_EQUAL(100, told());
 }
 
+// At full size the buckets that differ are together larger than a tick's budget, most of which fresh changes take. A node
+// that had fallen behind got nothing but signs of life, and learnt that a gateway leaves only after a minute.
+TEST(Membership, ANodeThatIsFarBehindGetsSomethingFromEveryDigest)
+{
+    Membership node = nodeWithout("reader");
+    for (int index = 0; index < 1500; ++index) {
+        Entry entry = entryOf(concat("member-", index), 1, 1);
+        entry.role = index < 350 ? Role::Gateway : Role::Sidecar;
+        hear(node, entry);
+    }
+    RandomGenerator random(1);
+    node.tick(start + std::chrono::seconds(1), random);
+    Digest nothing { InstanceId("member-7"), Revision(1), std::vector<uint32_t>(digestBuckets, 0) };
+    auto answers = node.onMessage(nothing, start + std::chrono::seconds(1));
+    LONGS_EQUAL(1, answers.size());
+    const auto& versions = std::get<Versions>(answers.at(0).message);
+    CHECK_COMPARE(versions.buckets.size(), >, 0);
+    CHECK_COMPARE(versions.items.size(), >, 0);
+}
+
 TEST_GROUP(MembershipEncoding) {};
 
 TEST(MembershipEncoding, MessagesReadBackAsTheyWere)
