Membership: sidecars space their hints by time, and the first ones by their own part of the interval

Cause: a sidecar knows gateways alone, so its interval was that of a fleet of gateways; and after the start nobody told hints before a whole interval had passed, which put the slope's window beside the steady state. Change: an interval of their own for sidecars; the start counts as nothing told. The test of far-behind nodes used one address for all, so that nothing was pushed; it now fails without the reserved quarter of the budget and passes with it.

--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -45,9 +45,10 @@
     int sidecarTickDivisor = 5;
     // A sidecar whose digests stop coming for this long is asked whether it lives.
     base::Duration sidecarSilence = std::chrono::seconds(45);
-    // Hints that aren't urgent are passed on this much later for each member known, so that the fleet as a whole passes on
+    // A gateway's hints that aren't urgent are passed on up to this much later for each member known, so that the fleet as a whole passes on
     // a constant number of them in a second.
     base::Duration hintIntervalPerMember = std::chrono::milliseconds(200);
+    base::Duration sidecarHintInterval = std::chrono::seconds(300);
 };
 
 // The instance may be left empty for a seed of which only the address is known.
@@ -145,7 +146,7 @@
     // Sidecars, with the time of their latest digest.
     std::map<base::InstanceId, base::Instant> m_registered;
     std::optional<Hints> m_newHints;
-    base::Instant m_hintsToldAt;
+    std::optional<base::Instant> m_hintsToldAt;
     std::optional<base::Instant> m_hintsChangedAt;
     // Outcomes of the latest probes, one bit each; set where the peer answered.
     uint8_t m_probeResults = 0xff;
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -87,7 +87,6 @@
     , m_seeds(std::move(seeds))
     , m_buckets(digestBuckets, 0)
     , m_bucketMembers(digestBuckets)
-    , m_hintsToldAt(now)
 {
     self.version.counter = 1;
     cutToBounds(self.hints);
@@ -282,9 +281,11 @@
         return true;
     if (!m_hintsChangedAt)
         m_hintsChangedAt = now;
-    base::Duration interval = m_options.hintIntervalPerMember * static_cast<int64_t>(m_known.size());
+    // A sidecar does not know how many others there are.
+    base::Duration interval = isSidecar() ? m_options.sidecarHintInterval : m_options.hintIntervalPerMember * static_cast<int64_t>(m_known.size());
     base::Duration ownPart = interval / partsOfInterval * (instanceHash(m_self) % partsOfInterval);
-    return now >= m_hintsToldAt + interval && now >= *m_hintsChangedAt + ownPart;
+    bool toldLately = m_hintsToldAt && now < *m_hintsToldAt + interval;
+    return !toldLately && now >= *m_hintsChangedAt + ownPart;
 }
 
 void Membership::applyHints(base::Instant now)
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -251,6 +251,7 @@
     Membership node = nodeWithout("reader");
     for (int index = 0; index < 1500; ++index) {
         Entry entry = entryOf(concat("member-", index), 1, 1);
+        entry.address = concat("10.0.1.", index, ":7400");
         entry.role = index < 350 ? Role::Gateway : Role::Sidecar;
         hear(node, entry);
     }
