--- a/apps/toucanstepd/Main.cpp
+++ b/apps/toucanstepd/Main.cpp
@@ -11,6 +11,7 @@
 #include <glog/logging.h>
 #include <iostream>
 #include <sstream>
+#include <type_traits>
 
 namespace {
 
@@ -74,6 +75,16 @@
     }
 }
 
+// The one line on standard output, from which whoever started the process learns the ports that the system chose.
+template <typename Process>
+void announce(const Process& process)
+{
+    std::cout << "listening peer=" << process.peerEndpoint().text() << " operator=" << process.operatorPort();
+    if constexpr (std::is_same_v<Process, gateway::Gateway>)
+        std::cout << " caller=" << process.callerPort();
+    std::cout << std::endl;
+}
+
 template <typename Process>
 int serve(base::Result<std::unique_ptr<Process>> started, const sigset_t& signals)
 {
@@ -83,6 +94,7 @@
         std::cerr << "toucanstepd: " << error.message << "\n";
         return exitUnusable;
     }
+    announce(**process);
     LOG(INFO) << "event=started peer=" << (*process)->peerEndpoint().text() << " operator_port=" << (*process)->operatorPort();
     waitForStop(signals);
     (*process)->leave();
--- a/packages/fakes/include/toucanstep/fakes/FakeEngine.h
+++ b/packages/fakes/include/toucanstep/fakes/FakeEngine.h
@@ -14,6 +14,7 @@
 #include "toucanstep/base/Time.h"
 #include "toucanstep/platform/HttpServer.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -34,6 +35,15 @@
     Memory,
 };
 
+// What an engine does with its memory: a checkpoint takes it from the start of its load until it has been unloaded.
+struct FakeEngineChange {
+    std::string name;
+    base::Bytes size;
+    bool held = false;
+    // Where the checkpoint lay when its load began.
+    CheckpointTier tier = CheckpointTier::Remote;
+};
+
 struct FakeEngineOptions {
     std::vector<FakeCheckpoint> checkpoints;
     // Accelerator memory. Going above it is not refused, but recorded as a fault.
@@ -67,6 +77,9 @@
     // A prompt that holds this word crashes the engine once it runs.
     std::string poisonWord;
     base::Duration crashDowntime = std::chrono::milliseconds(200);
+
+    // Hears every change in the order in which it happens. Called under the engine's lock: it must not call back.
+    std::function<void(const FakeEngineChange&)> observer;
 };
 
 struct FakeEngineCounters {
--- a/packages/fakes/include/toucanstep/fakes/FakeKeyValueService.h
+++ b/packages/fakes/include/toucanstep/fakes/FakeKeyValueService.h
@@ -8,6 +8,7 @@
 
 #include "toucanstep/base/KeyValue.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,6 +29,8 @@
 struct FakeKeyValueServiceOptions {
     size_t maximumOperations = 128;
     size_t maximumRequestBytes = 1536 * 1024;
+    // Hears what each transaction changed, in order. Called under the service's lock: it must not call back.
+    std::function<void(const std::vector<base::WatchEvent>&)> observer;
 };
 
 // Every call is safe from any thread.
--- a/packages/fakes/src/FakeEngine.cpp
+++ b/packages/fakes/src/FakeEngine.cpp
@@ -113,6 +113,7 @@
         const FakeCheckpoint* checkpoint = findCheckpoint(name);
         if (!checkpoint || m_models.find(name))
             return;
+        tell(*checkpoint, true, CheckpointTier::Memory);
         m_models.hold(*checkpoint).phase = ModelPhase::Ready;
         m_cache.put(name, checkpoint->size, CheckpointTier::Memory);
     }
@@ -364,8 +365,9 @@
     {
         m_models.account(now());
         ++m_counters.loads;
-        int64_t number = m_models.hold(checkpoint).loadNumber;
         CheckpointTier tier = m_cache.tier(checkpoint.name);
+        tell(checkpoint, true, tier);
+        int64_t number = m_models.hold(checkpoint).loadNumber;
         if (tier == CheckpointTier::Remote && m_client) {
             fetch(checkpoint, number);
             return;
@@ -455,9 +457,16 @@
             return;
         }
         m_models.account(now());
+        tell(model->checkpoint, false);
         m_models.release(name);
     }
 
+    void tell(const FakeCheckpoint& checkpoint, bool held, CheckpointTier tier = CheckpointTier::Memory) const
+    {
+        if (m_options.observer)
+            m_options.observer({ checkpoint.name, checkpoint.size, held, tier });
+    }
+
     // Generation.
 
     void generate(const ExchangePointer& exchange)
@@ -610,6 +619,8 @@
     void forget()
     {
         m_models.account(now());
+        for (const auto& [name, model] : m_models.held())
+            tell(model.checkpoint, false);
         m_models.clear();
         m_prefixes.clear();
         m_loadWaiters.clear();
--- a/packages/fakes/src/FakeKeyValueService.cpp
+++ b/packages/fakes/src/FakeKeyValueService.cpp
@@ -313,6 +313,8 @@
 
     void publish(const std::vector<WatchEvent>& events)
     {
+        if (m_options.observer && !events.empty())
+            m_options.observer(events);
         for (auto position = m_watchers.begin(); position != m_watchers.end();) {
             std::vector<WatchEvent> wanted;
             for (const auto& event : events) {
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -321,7 +321,7 @@
         refuse(*entry, *result.refusal);
         return;
     }
-    platform::HttpHeaders headers { { "Content-Type", result.answer->contentType }, { "Idempotency-Replayed", result.repeated ? "true" : "false" } };
+    platform::HttpHeaders headers { { "Content-Type", result.answer->contentType }, { "Idempotency-Replayed", result.repeated ? "true" : "false" }, { "X-Request-Id", id.value() } };
     if (result.answer->bodyDropped)
         headers.push_back({ "Idempotency-Body", "dropped" });
     entry->exchange->respond(result.answer->status, headers, result.answer->body);
@@ -441,7 +441,7 @@
     entry.started = true;
     entry.start = start;
     if (entry.request.stream)
-        entry.exchange->startStream(start.status, { { "Content-Type", start.contentType }, { "Cache-Control", "no-cache" } });
+        entry.exchange->startStream(start.status, { { "Content-Type", start.contentType }, { "Cache-Control", "no-cache" }, { "X-Request-Id", entry.id.value() } });
 }
 
 void GatewayCore::onChunk(CallerEntry& entry, const peers::AnswerChunk& chunk)
@@ -481,7 +481,7 @@
     if (entry.request.stream)
         entry.exchange->finish();
     else
-        entry.exchange->respond(entry.start.status, { { "Content-Type", entry.start.contentType } }, std::move(entry.body));
+        entry.exchange->respond(entry.start.status, { { "Content-Type", entry.start.contentType }, { "X-Request-Id", entry.id.value() } }, std::move(entry.body));
     m_node.metrics().count("toucanstep_answers_total", base::concat("cold=\"", end.cold ? "true" : "false", "\""));
     base::LogLine("answered").add("request", entry.id).add("upstream", entry.upstream).add("chunks", end.chunks).add("used_tokens", end.usedTokens).add("milliseconds", base::toMilliseconds(now() - entry.arrivedAt));
     finish(entry.id, entry.request.cost() - end.usedTokens);
@@ -568,8 +568,11 @@
         // The caller must not take the part it has for the whole answer: it gets the refusal, and no end mark.
         entry.exchange->write(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
         entry.exchange->abort();
-    } else
-        entry.exchange->respond(httpStatus(refusal.code), refusalHeaders(refusal, now()), refusalBody(refusal, now()));
+    } else {
+        platform::HttpHeaders headers = refusalHeaders(refusal, now());
+        headers.push_back({ "X-Request-Id", entry.id.value() });
+        entry.exchange->respond(httpStatus(refusal.code), std::move(headers), refusalBody(refusal, now()));
+    }
     finish(entry.id, refusal.ran == base::RanState::NotRun ? entry.request.cost() : base::Tokens(0));
 }
 
