--- a/bench/load/src/Callers.cpp
+++ b/bench/load/src/Callers.cpp
@@ -157,8 +157,10 @@
             m_outcome.error = error->message;
         if (m_outcome.status >= firstRefusal) {
             json body = parsed(m_body);
-            if (body.is_object() && body.contains("error") && body["error"].is_object())
+            if (body.is_object() && body.contains("error") && body["error"].is_object()) {
                 m_outcome.code = body["error"].value("code", "");
+                m_outcome.ran = body["error"].value("ran", "");
+            }
             return;
         }
         if (m_outcome.status < success) {
--- a/bench/load/src/Callers.h
+++ b/bench/load/src/Callers.h
@@ -40,6 +40,8 @@
     int status = 0;
     // Of a refusal.
     std::string code;
+    // What a refusal says of whether the request ran.
+    std::string ran;
     base::Instant firstByteAt;
     base::Instant endedAt;
     // Answered with the end mark.
--- a/bench/load/src/Run.cpp
+++ b/bench/load/src/Run.cpp
@@ -20,6 +20,8 @@
 using base::HistoryKind;
 
 constexpr base::Duration placementPatience = std::chrono::seconds(15);
+// Buckets that begin empty, as those of a baseline do, are full by then: a burst is four seconds of the rate.
+constexpr base::Duration settling = std::chrono::seconds(5);
 constexpr size_t shownPerBound = 3;
 
 double milliseconds(base::Duration duration)
@@ -106,6 +108,7 @@
         double length = std::max(result.durationSeconds, 1.0);
         result.extra["store_writes_per_s"] = static_cast<double>(m_record.storeAtEnd.writes - m_record.storeAtBegin.writes) / length;
         result.extra["loads"] = static_cast<double>(loadsInRun());
+        result.extra["store_peak_loads_in_flight"] = static_cast<double>(m_fleet.weights().counters().peakLoadsInFlight);
     }
 
 private:
@@ -231,6 +234,11 @@
             if (!key.empty() && count > 1)
                 addBreak(result, "doubled_calls", base::concat("order ", key, " took effect ", count, " times"));
         }
+        for (const Outcome& outcome : m_record.outcomes) {
+            const std::string& key = outcome.planned.idempotencyKey;
+            if (!key.empty() && outcome.ran == "not_run" && runs.contains(key))
+                addBreak(result, "false_not_run_at_service", base::concat("order ", key, " of request ", outcome.request, " took effect, its caller was told not_run"));
+        }
         checkKeysAtUpstreams(result);
         for (const auto& [bound, count] : m_shown)
             result.extra["breaks_" + bound] = count;
@@ -295,6 +303,7 @@
             log << "  " << complaint << "\n";
         return std::nullopt;
     }
+    std::this_thread::sleep_for(settling);
     fleet.waitPlaced(placementPatience);
     Callers callers([&fleet] { return fleet.callerPorts(); });
     auto warmUp = callers.run(scenario->warmUp(*deployment, generator), std::chrono::steady_clock::now());
