--- a/packages/cli/include/toucanstep/cli/Command.h
+++ b/packages/cli/include/toucanstep/cli/Command.h
@@ -25,7 +25,8 @@
     std::string meaning;
 };
 
-// What a command declares about its arguments. An operand is a positional argument; each is required and taken once.
+// What a command declares about its arguments. An operand is a positional argument, taken once; it is required unless it
+// was declared as optional, and optional ones come last.
 class Syntax {
 public:
     Syntax();
@@ -34,17 +35,20 @@
     void addOption(const std::string& name, const std::string& description, const std::string& fallback = {});
     void addFlag(const std::string& name, const std::string& description);
     void addOperand(const std::string& name, const std::string& description);
+    void addOptionalOperand(const std::string& name, const std::string& description);
 
     const options::options_description& visible() const { return m_visible; }
     options::options_description all() const;
     options::positional_options_description positions() const;
     const std::vector<std::string>& operands() const { return m_operands; }
+    const std::vector<std::string>& optionalOperands() const { return m_optionalOperands; }
     const std::vector<std::string>& optionNames() const { return m_optionNames; }
 
 private:
     options::options_description m_visible;
     options::options_description m_hidden;
     std::vector<std::string> m_operands;
+    std::vector<std::string> m_optionalOperands;
     std::vector<std::string> m_optionNames;
 };
 
--- a/packages/cli/src/Command.cpp
+++ b/packages/cli/src/Command.cpp
@@ -42,6 +42,12 @@
     m_operands.push_back(name);
 }
 
+void Syntax::addOptionalOperand(const std::string& name, const std::string& description)
+{
+    m_hidden.add_options()(name.c_str(), options::value<std::string>(), description.c_str());
+    m_optionalOperands.push_back(name);
+}
+
 options::options_description Syntax::all() const
 {
     options::options_description all;
@@ -54,6 +60,8 @@
     options::positional_options_description positions;
     for (const std::string& operand : m_operands)
         positions.add(operand.c_str(), 1);
+    for (const std::string& operand : m_optionalOperands)
+        positions.add(operand.c_str(), 1);
     return positions;
 }
 
--- a/packages/cli/src/CommandLine.cpp
+++ b/packages/cli/src/CommandLine.cpp
@@ -37,6 +37,8 @@
     output << "usage: toucanstep " << command.name();
     for (const std::string& operand : syntax.operands())
         output << " " << operand;
+    for (const std::string& operand : syntax.optionalOperands())
+        output << " [" << operand << "]";
     output << " [OPTIONS]\n\n"
            << command.summary() << "\n\n"
            << syntax.visible() << "\nExample\n  " << command.example() << "\n\nExit status\n";
--- a/packages/cli/test/CommandLineTest.cpp
+++ b/packages/cli/test/CommandLineTest.cpp
@@ -1,42 +1,12 @@
-#include "toucanstep/cli/CommandLine.h"
+#include "Tool.h"
 
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/cli/Command.h"
 
-#include <CppUTest/TestHarness.h>
-#include <cstdio>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
-#include <unistd.h>
 
 using namespace toucanstep;
-
-namespace {
-
-struct Outcome {
-    int status = 0;
-    std::string output;
-    std::string errors;
-};
-
-Outcome runTool(const std::vector<std::string>& arguments)
-{
-    std::ostringstream output;
-    std::ostringstream errors;
-    int status = cli::runCommandLine(arguments, output, errors);
-    return { status, output.str(), errors.str() };
-}
-
-const char* const sample = TOUCANSTEP_SOURCE_FOLDER "/samples/first.json";
-
-std::string contentOf(const std::string& name)
-{
-    std::ifstream stream(name);
-    return { std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>() };
-}
-
-} // namespace
+using namespace toucanstep::cli::test;
 
 TEST_GROUP(CommandLine)
 {
@@ -72,7 +42,7 @@
 
 TEST(CommandLine, CheckIsSilentAboutACleanText)
 {
-    Outcome outcome = runTool({ "check", sample });
+    ToolRun outcome = runTool({ "check", sample });
     CHECK_EQUAL(0, outcome.status);
     STRCMP_EQUAL("", outcome.output.c_str());
     STRCMP_EQUAL("", outcome.errors.c_str());
@@ -81,7 +51,7 @@
 TEST(CommandLine, CheckPrintsPlacePathAndSuggestion)
 {
     std::string file = writeChanged("\"burst\"", "\"brust\"");
-    Outcome outcome = runTool({ "check", file });
+    ToolRun outcome = runTool({ "check", file });
     CHECK_EQUAL(1, outcome.status);
     std::string expected = file + ":5:14: error: accounts.first.burst: required field is missing (add \"burst\")\n" + file + ":6:32: error: accounts.first.brust: unknown field (did you mean \"burst\"?)\n";
     STRCMP_EQUAL(expected.c_str(), outcome.output.c_str());
@@ -89,7 +59,7 @@
 
 TEST(CommandLine, CheckPrintsFindingsAsJson)
 {
-    Outcome outcome = runTool({ "check", "--format", "json", writeChanged("24GiB", "24") });
+    ToolRun outcome = runTool({ "check", "--format", "json", writeChanged("24GiB", "24") });
     CHECK_EQUAL(1, outcome.status);
     auto finding = nlohmann::json::parse(outcome.output).at("findings").at(0);
     STRCMP_EQUAL("pools.language.memory", finding.at("path").get<std::string>().c_str());
@@ -99,7 +69,7 @@
 TEST(CommandLine, AFileThatCannotBeReadHasAStatusOfItsOwn)
 {
     CHECK_EQUAL(2, runTool({ "check", "/nowhere/at/all.json" }).status);
-    Outcome folder = runTool({ "check", "/tmp" });
+    ToolRun folder = runTool({ "check", "/tmp" });
     CHECK_EQUAL(2, folder.status);
     STRCMP_EQUAL("toucanstep: cannot read \"/tmp\"\n", folder.errors.c_str());
     CHECK_EQUAL(1, runTool({ "check", writeFile("") }).status);
@@ -107,7 +77,7 @@
 
 TEST(CommandLine, DiffNamesWhatChanged)
 {
-    Outcome outcome = runTool({ "diff", sample, writeChanged("20000", "30000") });
+    ToolRun outcome = runTool({ "diff", sample, writeChanged("20000", "30000") });
     CHECK_EQUAL(1, outcome.status);
     STRCMP_EQUAL("changed accounts.first.burst: 20000 -> 30000\n", outcome.output.c_str());
     CHECK_EQUAL(0, runTool({ "diff", sample, sample }).status);
@@ -117,7 +87,7 @@
 
 TEST(CommandLine, ANewKeyMatchesItsDigestAndFitsTheText)
 {
-    Outcome outcome = runTool({ "key", "new", "--account", "first", "--note", "desk \"one\"" });
+    ToolRun outcome = runTool({ "key", "new", "--account", "first", "--note", "desk \"one\"" });
     CHECK_EQUAL(0, outcome.status);
     size_t start = outcome.output.find("ts-");
     std::string key = outcome.output.substr(start, outcome.output.find('\n') - start);
@@ -130,11 +100,11 @@
 
 TEST(CommandLine, UnknownCommandsAndOptionsNameTheNearest)
 {
-    Outcome command = runTool({ "chekc", sample });
+    ToolRun command = runTool({ "chekc", sample });
     CHECK_EQUAL(2, command.status);
     STRCMP_CONTAINS("there is no command \"chekc\"; did you mean \"check\"?", command.errors.c_str());
     STRCMP_CONTAINS("did you mean \"key new\"?", runTool({ "key", "nwe" }).errors.c_str());
-    Outcome option = runTool({ "check", "--fromat", "json", sample });
+    ToolRun option = runTool({ "check", "--fromat", "json", sample });
     CHECK_EQUAL(2, option.status);
     STRCMP_CONTAINS("there is no option \"--fromat\"; did you mean \"--format\"?", option.errors.c_str());
     // The first letters of an option are not the option.
@@ -149,7 +119,7 @@
         STRCMP_CONTAINS(command->name().c_str(), list.c_str());
         std::istringstream words(command->name() + " --help");
         std::vector<std::string> arguments { std::istream_iterator<std::string>(words), {} };
-        Outcome help = runTool(arguments);
+        ToolRun help = runTool(arguments);
         CHECK_EQUAL(0, help.status);
         STRCMP_CONTAINS(command->example().c_str(), help.output.c_str());
         STRCMP_CONTAINS("Exit status\n  0  ", help.output.c_str());
