--- a/packages/cli/test/PublishCommandTest.cpp
+++ b/packages/cli/test/PublishCommandTest.cpp
@@ -1,3 +1,4 @@
+#include "FakeHttpSide.h"
 #include "Tool.h"
 
 #include "ConfigurationArchive.h"
@@ -6,9 +7,7 @@
 #include "toucanstep/fakes/FakeKeyValueService.h"
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/platform/EtcdStore.h"
-#include "toucanstep/platform/HttpServer.h"
 
-#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace toucanstep;
@@ -16,26 +15,6 @@
 
 namespace {
 
-// An operators' port that claims one version.
-class FakeOperatorPort {
-public:
-    explicit FakeOperatorPort(base::Revision version)
-    {
-        base::Error error;
-        auto server = base::valueOr(error, [&] {
-            return platform::HttpServer::start({}, [version](const std::shared_ptr<platform::HttpExchange>& exchange) {
-                exchange->respond(200, {}, nlohmann::json { { "configuration", version.value() } }.dump());
-            });
-        });
-        CHECK_TRUE(server.has_value());
-        m_server = std::move(*server);
-    }
-    std::string address() const { return "127.0.0.1:" + std::to_string(m_server->port()); }
-
-private:
-    std::unique_ptr<platform::HttpServer> m_server;
-};
-
 // Passes calls on, but loses each transaction before it reaches the service, and lets a test act in its place.
 class LosingStore final : public base::KeyValueStore {
 public:
@@ -226,8 +205,8 @@
 {
     // One node has the version, one is behind, one cannot be reached. The operator must see the last two by name, or
     // would take the text to be in force everywhere.
-    FakeOperatorPort ahead(base::Revision(1000));
-    FakeOperatorPort behind(base::Revision(0));
+    FakeHttpSide ahead(R"({"configuration":1000})");
+    FakeHttpSide behind(R"({"configuration":0})");
     ToolRun run = publish(sample, "none", { "--wait", "0.5", "--operator", ahead.address() + "," + behind.address() + ",127.0.0.1:1" });
     LONGS_EQUAL_TEXT(6, run.status, run.errors.c_str());
     CHECK_TRUE_TEXT(run.prints("in force at 1 of 3 nodes"), run.output.c_str());
