Shares spread over gateways by their holders; the history tells when a once-only call began

Cause: the gateway that came up first held every share, and nothing moved them later: its death in an outage refused everyone. RunStarted was recorded before the claim stood, so the checker saw 37 false not_run that were not. Change: a holder of several shares of an account hands one, with its stock, to a gateway that has none; RunStarted is recorded when the service is called.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -3,8 +3,8 @@
 #include "FleetPlanner.h"
 #include "GatewayCore.h"
 #include "PermitHome.h"
-#include "ShareDeparture.h"
 #include "ShareLimitGate.h"
+#include "ShareMover.h"
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/node/MembershipAgent.h"
@@ -31,7 +31,7 @@
         if (options.limits == LimitMode::Shares) {
             auto shares = std::make_unique<internal::ShareLimitGate>(m_node, *m_agent);
             shares->install();
-            m_departure = std::make_unique<internal::ShareDeparture>(m_node, *m_agent, *shares);
+            m_shareMover = std::make_unique<internal::ShareMover>(m_node, *m_agent, *shares);
             gate = std::move(shares);
         } else
             gate = std::make_unique<internal::StaticLimitGate>(m_node);
@@ -60,8 +60,8 @@
             m_planner = std::make_unique<internal::FleetPlanner>(m_node, *m_agent, [this] { return takeDemand(); });
             m_planner->install();
         }
-        if (m_departure)
-            m_node.addSystem([this](base::Instant now) { m_departure->tick(now); });
+        if (m_shareMover)
+            m_node.addSystem([this](base::Instant now) { m_shareMover->tick(now); });
         m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
             m_node.traffic().post([this, configuration = std::move(configuration)] {
                 m_permits->onConfiguration(*configuration);
@@ -97,15 +97,15 @@
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
         m_node.control().post([this] { m_members->setLeaving(); });
-        if (m_departure)
-            m_node.control().post([this] { m_departure->begin(m_node.control().now()); });
+        if (m_shareMover)
+            m_node.control().post([this] { m_shareMover->leave(m_node.control().now()); });
     }
 
     bool drained() const override
     {
         bool idle = false;
         m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
-        bool sharesLeft = m_departure && !m_departure->done();
+        bool sharesLeft = m_shareMover && !m_shareMover->done();
         return m_leaving && idle && !sharesLeft && !m_callers->openExchanges();
     }
 
@@ -175,7 +175,7 @@
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
     std::unique_ptr<internal::PermitHome> m_permits;
-    std::unique_ptr<internal::ShareDeparture> m_departure;
+    std::unique_ptr<internal::ShareMover> m_shareMover;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
     std::vector<placement::ModelDemand> m_demand;
--- a/packages/gateway/src/ShareDeparture.cpp
+++ b/packages/gateway/src/ShareMover.cpp
@@ -1,4 +1,4 @@
-#include "ShareDeparture.h"
+#include "ShareMover.h"
 
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/node/Keys.h"
@@ -11,6 +11,7 @@
 
 // A service that is down must not hold up a planned stop for longer.
 constexpr base::Duration patience = std::chrono::seconds(4);
+constexpr base::Duration spreadInterval = std::chrono::seconds(1);
 constexpr base::Duration nonceTimeout = std::chrono::milliseconds(800);
 
 limits::ShareId shareOf(const assignments::RowKey& key)
@@ -20,27 +21,32 @@
 
 } // namespace
 
-ShareDeparture::ShareDeparture(node::Node& node, node::AssignmentAgent& agent, ShareLimitGate& gate)
+ShareMover::ShareMover(node::Node& node, node::AssignmentAgent& agent, ShareLimitGate& gate)
     : m_node(node)
     , m_agent(agent)
     , m_gate(gate)
 {
 }
 
-void ShareDeparture::begin(base::Instant now)
+void ShareMover::leave(base::Instant now)
 {
     if (!m_deadline)
         m_deadline = now + patience;
 }
 
-void ShareDeparture::tick(base::Instant now)
+void ShareMover::tick(base::Instant now)
+{
+    if (!m_deadline)
+        spread(now);
+    else if (!m_done)
+        depart(now);
+}
+
+void ShareMover::depart(base::Instant now)
 {
-    if (!m_deadline || m_done)
-        return;
     bool left = false;
-    for (const assignments::Row& row : m_agent.view()->rows) {
-        bool own = row.holder == m_agent.self() && row.key.kind == assignments::RowKind::LimitShare;
-        if (!own)
+    for (const assignments::Row& row : m_agent.view()->own) {
+        if (row.key.kind != assignments::RowKind::LimitShare)
             continue;
         left = true;
         if (m_begun.contains(row.key) || m_agent.busy(row.key) || !m_agent.mayMoveMore())
@@ -53,7 +59,38 @@
     m_done = !left || now >= *m_deadline;
 }
 
-std::optional<base::InstanceId> ShareDeparture::targetFor(const assignments::Row& row) const
+// One share of each account at a time, so that a planner's view and the rows do not run apart.
+void ShareMover::spread(base::Instant now)
+{
+    if (now < m_nextSpread || !m_agent.mayUse(now))
+        return;
+    m_nextSpread = now + spreadInterval;
+    std::set<std::string> moved;
+    for (const assignments::Row& row : m_agent.view()->own) {
+        bool share = row.key.kind == assignments::RowKind::LimitShare;
+        if (!share || moved.contains(row.key.subject) || m_begun.contains(row.key) || m_agent.busy(row.key) || !m_agent.mayMoveMore())
+            continue;
+        auto target = targetFor(row);
+        if (!target || !isSurplus(row, *target))
+            continue;
+        moved.insert(row.key.subject);
+        m_begun.insert(row.key);
+        handOver(row, *target);
+    }
+}
+
+bool ShareMover::isSurplus(const assignments::Row& row, const base::InstanceId& target) const
+{
+    int own = 0;
+    int there = 0;
+    for (const assignments::Row& other : m_agent.table().rowsOfSubject(row.key.kind, row.key.subject)) {
+        own += other.holder.instance == m_agent.self().instance;
+        there += other.holder.instance == target;
+    }
+    return own > there + 1;
+}
+
+std::optional<base::InstanceId> ShareMover::targetFor(const assignments::Row& row) const
 {
     auto instances = m_node.instances();
     std::set<base::InstanceId> holders;
@@ -70,7 +107,7 @@
     return best ? std::optional(best->instance) : std::nullopt;
 }
 
-void ShareDeparture::handOver(const assignments::Row& row, const base::InstanceId& target)
+void ShareMover::handOver(const assignments::Row& row, const base::InstanceId& target)
 {
     auto instances = m_node.instances();
     const node::InstanceRow* place = instances->find(target);
@@ -82,7 +119,7 @@
     });
 }
 
-void ShareDeparture::onNonce(const assignments::RowKey& key, const base::InstanceId& target, const std::string& nonce)
+void ShareMover::onNonce(const assignments::RowKey& key, const base::InstanceId& target, const std::string& nonce)
 {
     // The stock leaves this gateway before the row does, so that it is never in two places.
     m_node.traffic().post([this, key, holder = assignments::Holder { target, assignments::StartNonce(nonce) }] {
@@ -91,12 +128,15 @@
     });
 }
 
-void ShareDeparture::onStock(const assignments::RowKey& key, const assignments::Holder& target, const std::optional<limits::Handover>& stock)
+void ShareMover::onStock(const assignments::RowKey& key, const assignments::Holder& target, const std::optional<limits::Handover>& stock)
 {
     const assignments::Row* row = m_agent.table().find(key);
-    if (!row || row->holder != m_agent.self())
+    if (!row || row->holder != m_agent.self()) {
+        m_begun.erase(key);
         return;
+    }
     m_agent.handOver(*row, target, [this, key, target, stock](assignments::MoveState state) {
+        m_begun.erase(key);
         const assignments::Row* written = m_agent.table().find(key);
         if (state != assignments::MoveState::Committed || !written || !stock)
             return;
--- a/packages/sidecar/src/ServiceCalls.cpp
+++ b/packages/sidecar/src/ServiceCalls.cpp
@@ -51,9 +51,9 @@
     });
 }
 
-void ServiceCalls::runOnce(const calls::CallDispatch& dispatch, const peers::RunRequest& request, base::Instant deadline, CallReplied replied)
+void ServiceCalls::runOnce(const calls::CallDispatch& dispatch, const peers::RunRequest& request, base::Instant deadline, std::function<void()> began, CallReplied replied)
 {
-    m_calls[dispatch.attempt] = { request, deadline, std::move(replied) };
+    m_calls[dispatch.attempt] = { request, deadline, std::move(began), std::move(replied) };
     perform(m_executor.start(dispatch, deadline, now(), unixNow()));
 }
 
@@ -121,6 +121,7 @@
         perform(m_executor.onRan(run.attempt, calls::RunOutcome::NotSent, {}, now(), unixNow()));
         return;
     }
+    found->second.began();
     base::LogLine("call_run").add("request", found->second.request.request).add("attempt", run.attempt).add("service", found->second.request.targetId);
     passThrough(found->second.request, run.deadline, [this, attempt = run.attempt](const platform::HttpReply& reply) { onRan(attempt, reply); });
 }
--- a/packages/sidecar/src/ServiceCalls.h
+++ b/packages/sidecar/src/ServiceCalls.h
@@ -27,13 +27,15 @@
 
     void passThrough(const peers::RunRequest&, base::Instant deadline, ServiceAnswered);
     // Claims, runs and stores; the reply comes exactly once.
-    void runOnce(const calls::CallDispatch&, const peers::RunRequest&, base::Instant deadline, CallReplied);
+    void runOnce(const calls::CallDispatch&, const peers::RunRequest&, base::Instant deadline, std::function<void()> began, CallReplied);
     void tick();
 
 private:
     struct OnceCall {
         peers::RunRequest request;
         base::Instant deadline;
+        // Called when the claim stands and the service is about to be called.
+        std::function<void()> began;
         CallReplied replied;
     };
 
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -439,7 +439,9 @@
     m_node.metrics().count("toucanstep_runs_total", base::concat("cold=\"", entry.cold ? "true" : "false", "\""));
     logEntry("run_started", entry, entry.cold ? "cold" : "warm");
     recordRun(base::HistoryKind::WorkGiven, entry);
-    recordRun(base::HistoryKind::RunStarted, entry);
+    // A call that may run only once begins to run when its claim stands.
+    if (entry.message.callDispatch.empty())
+        recordRun(base::HistoryKind::RunStarted, entry);
     if (isModel)
         callEngine(entry);
     else
@@ -472,7 +474,11 @@
         refuse(entry, refusal(base::RefusalCode::BadRequest, base::RanState::NotRun, "the call does not name its own account and service"));
         return;
     }
-    m_services.runOnce(*dispatch, entry.message, entry.deadline, [this, key](const calls::CallReply& reply) { onCallReply(key, reply); });
+    auto began = [this, key] {
+        if (const RequestEntry* running = m_requests.find(key))
+            recordRun(base::HistoryKind::RunStarted, *running);
+    };
+    m_services.runOnce(*dispatch, entry.message, entry.deadline, began, [this, key](const calls::CallReply& reply) { onCallReply(key, reply); });
 }
 
 void SidecarCore::onServiceAnswer(const EntryKey& key, const platform::HttpReply& reply)
