--- a/packages/routing/test/RequestQueueTest.cpp
+++ b/packages/routing/test/RequestQueueTest.cpp
@@ -102,6 +102,33 @@
     CHECK_TRUE(second <= 18);
 }
 
+TEST(RequestQueue, ADebtIsPaidWhileNothingIsQueued)
+{
+    // The farm sends a long prompt now and then. The debt of the first one must not hold up the next one an hour later.
+    for (int64_t number = 0; number < 100; ++number)
+        queue->push(makeRequest(number, "ferry", 1, quantum), 0s, at(0s));
+    queue->push(makeRequest(1000, "farm", 1, 16 * quantum), 0s, at(0s));
+    for (int turn = 0; turn < 50; ++turn)
+        queue->pop(at(0s), everything);
+    queue->push(makeRequest(1001, "farm", 1, quantum), 0s, at(0s));
+    auto first = queue->pop(at(0s), everything)->account.value();
+    auto second = queue->pop(at(0s), everything)->account.value();
+    CHECK_TRUE(first == "farm" || second == "farm");
+}
+
+TEST(RequestQueue, EqualFlowsTakeTurns)
+{
+    for (int64_t number = 0; number < 10; ++number)
+        for (const auto* account : { "farm", "ferry" })
+            queue->push(makeRequest(number * 2 + (account[1] == 'e'), account, 1, quantum), 0s, at(0s));
+    auto last = queue->pop(at(0s), everything)->account;
+    for (int turn = 1; turn < 20; ++turn) {
+        auto account = queue->pop(at(0s), everything)->account;
+        CHECK_TRUE(account != last);
+        last = account;
+    }
+}
+
 TEST(RequestQueue, ServiceIsProportionalToTheAccountsWeights)
 {
     CHECK_PROPERTY([] { checkShares(*makeFairQueue({ base::Tokens(quantum) })); });
@@ -192,7 +219,7 @@
             int64_t number = 0;
             auto steps = *rc::gen::inRange(0, 60);
             for (int step = 0; step < steps; ++step) {
-                switch (*rc::gen::inRange(0, 4)) {
+                switch (*rc::gen::inRange(0, 5)) {
                 case 0:
                 case 1: {
                     auto request = makeRequest(++number, base::concat("a", *rc::gen::inRange(0, 3)), 1, *rc::gen::inRange(0, 500),
@@ -208,6 +235,17 @@
                     RC_ASSERT(tested->cancel(base::RequestId(id)) == (oracle.erase(id) == 1));
                     break;
                 }
+                case 3: {
+                    // Whoever can no longer start in time is told so, once, and nobody else is.
+                    auto now = at(std::chrono::seconds(step));
+                    for (const auto& expired : tested->takeExpired(now)) {
+                        RC_ASSERT(expired.refusal.ran == base::RanState::NotRun);
+                        RC_ASSERT(expired.request.latestStart < now);
+                        RC_ASSERT(oracle.erase(expired.request.id.value()) == 1U);
+                    }
+                    RC_ASSERT(std::none_of(oracle.begin(), oracle.end(), [&](const auto& entry) { return entry.second.latestStart < now; }));
+                    break;
+                }
                 default: {
                     auto now = at(std::chrono::seconds(step));
                     Eligible onlyFirst = [](const QueuedRequest& request) { return request.model.value() == "m0"; };
