--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -29,7 +29,7 @@
     // Peers that get a digest each tick.
     int fanOut = 1;
     // Bytes that one node sends from one tick to the next; what doesn't fit waits for a later exchange.
-    size_t bytesPerTick = 3072;
+    size_t bytesPerTick = 4096;
     // Differing buckets of which versions are exchanged at once.
     size_t bucketsPerExchange = 8;
     // How many ticks a fresh change is pushed on for.
@@ -45,9 +45,10 @@
     int sidecarTickDivisor = 5;
     // A sidecar whose digests stop coming for this long is asked whether it lives.
     base::Duration sidecarSilence = std::chrono::seconds(45);
-    // Hints that aren't urgent are passed on this much later for each member known, so that the fleet as a whole passes on
+    // A gateway's hints that aren't urgent are passed on up to this much later for each member known, so that the fleet as a whole passes on
     // a constant number of them in a second.
     base::Duration hintIntervalPerMember = std::chrono::milliseconds(200);
+    base::Duration sidecarHintInterval = std::chrono::seconds(300);
 };
 
 // The instance may be left empty for a seed of which only the address is known.
@@ -122,7 +123,8 @@
     void answerDigest(const Digest&, Messages&);
     const Known* findItem(const Versions::Item&) const;
     void answerVersions(const Versions&, Messages&);
-    void sendEntries(const Peer& to, const std::vector<const Known*>&, Messages&);
+    // Sends as many entries as fit into `limit` bytes of this tick.
+    void sendEntries(const Peer& to, const std::vector<const Known*>&, size_t limit, Messages&);
     bool send(const Peer& to, Message, Messages&);
     std::string addressOf(const base::InstanceId&) const;
 
@@ -144,7 +146,7 @@
     // Sidecars, with the time of their latest digest.
     std::map<base::InstanceId, base::Instant> m_registered;
     std::optional<Hints> m_newHints;
-    base::Instant m_hintsToldAt;
+    std::optional<base::Instant> m_hintsToldAt;
     std::optional<base::Instant> m_hintsChangedAt;
     // Outcomes of the latest probes, one bit each; set where the peer answered.
     uint8_t m_probeResults = 0xff;
