Planned stops give rows back, callers wait for a home that is moving, permits are handed on at once

Change: a leaving sidecar releases its rows and waits until its answers are handed over whole; a request waits up to 4 s for a model without holder; a leaving gateway serves 2 s more; a gateway without text answers 503; the home of the permits holds an ask back and answers it when one is free.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -16,6 +16,9 @@
 
 constexpr base::Duration coreTickInterval = std::chrono::milliseconds(20);
 constexpr int statusOk = 200;
+constexpr base::Duration notReadyRetry = std::chrono::milliseconds(500);
+// A balancer sends new work for a while after a gateway has said that it is leaving; until then it is served as ever.
+constexpr base::Duration leavingGrace = std::chrono::seconds(2);
 constexpr unsigned callerThreads = 2;
 
 class RunningGateway final : public Gateway {
@@ -95,7 +98,9 @@
     {
         m_leaving = true;
         m_node.setReady(false);
-        m_node.traffic().post([this] { m_core->setLeaving(); });
+        m_node.traffic().post([this] {
+            m_node.traffic().at(m_node.traffic().now() + leavingGrace, [this] { m_core->setLeaving(); });
+        });
         m_node.control().post([this] { m_members->setLeaving(); });
         if (m_shareMover)
             m_node.control().post([this] { m_shareMover->leave(m_node.control().now()); });
@@ -104,7 +109,7 @@
     bool drained() const override
     {
         bool idle = false;
-        m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
+        m_node.traffic().runAndWait([&] { idle = m_core->leaving() && m_core->idle(); });
         bool sharesLeft = m_shareMover && !m_shareMover->done();
         return m_leaving && idle && !sharesLeft && !m_callers->openExchanges();
     }
@@ -115,6 +120,12 @@
     {
         base::Instant now = m_node.traffic().now();
         auto configuration = m_node.configuration();
+        if (!configuration->version.value()) {
+            // Without a text no key can be told from an unknown one; the caller must not hear that its key is wrong.
+            base::Refusal notReady { base::RefusalCode::StaleConfiguration, base::RanState::NotRun, "this gateway has no configuration yet", now + notReadyRetry };
+            exchange->respond(httpStatus(notReady.code), refusalHeaders(notReady, now), refusalBody(notReady, now));
+            return;
+        }
         ParsedCallerRequest parsed = parseCallerRequest(exchange->request(), *configuration, now);
         if (auto* refusal = std::get_if<base::Refusal>(&parsed)) {
             m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal->code), "\""));
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -24,6 +24,9 @@
 constexpr base::Duration reportsFreshFor = std::chrono::milliseconds(700);
 constexpr base::Duration refreshInterval = std::chrono::milliseconds(250);
 constexpr base::Duration contestedFor = std::chrono::seconds(5);
+// How long a request waits for a model that has no holder at this moment, and how often it looks.
+constexpr base::Duration holderPatience = std::chrono::seconds(4);
+constexpr base::Duration holderPause = std::chrono::milliseconds(100);
 constexpr base::Duration reportTimeout = std::chrono::milliseconds(500);
 // A caller that does not read is not waited for with more than this in memory.
 constexpr size_t maximumQueuedBytes = 8 * 1024 * 1024;
@@ -296,10 +299,30 @@
     line.add("wait_ms", base::toMilliseconds(decision.expectedWait)).add("epoch", decision.epoch).add("version", decision.configurationVersion);
 }
 
+// Between the release of a row and its next holder a model has no home for a moment, and so has a pool whose instances are
+// being replaced. A caller with time left should not notice.
+bool GatewayCore::waitForHolder(CallerEntry& entry, const routing::RouteDecision& decision)
+{
+    bool moving = decision.reason == routing::RouteReason::NoHolder;
+    base::Instant until = std::min(entry.arrivedAt + holderPatience, entry.request.deadline);
+    if (!moving || now() + holderPause >= until)
+        return false;
+    // An upstream that was tried may be the one that comes back.
+    entry.tried.clear();
+    m_node.traffic().at(now() + holderPause, [this, alive = m_alive, id = entry.id, attempt = entry.attempt] {
+        CallerEntry* waiting = *alive ? find(id) : nullptr;
+        if (waiting && waiting->attempt == attempt)
+            route(*waiting);
+    });
+    return true;
+}
+
 void GatewayCore::route(CallerEntry& entry)
 {
     routing::RouteDecision decision = chooseFor(entry, now());
     logDecision(decision);
+    if (!decision.chosen && waitForHolder(entry, decision))
+        return;
     if (!decision.chosen) {
         if (entry.request.target == peers::TargetKind::Model)
             ++m_demand[decision.model].misses;
@@ -612,7 +635,7 @@
     routing::RouteDecision decision = chooseFor(entry, now());
     logDecision(decision);
     if (!decision.chosen)
-        return false;
+        return waitForHolder(entry, decision);
     m_node.metrics().count("toucanstep_retries_total");
     // What the former upstream had sent is forgotten; the new one begins at its first chunk.
     entry.nextChunk = 0;
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -60,6 +60,7 @@
     void onConfiguration(const std::shared_ptr<const config::Configuration>&);
     void tick();
     void setLeaving() { m_leaving = true; }
+    bool leaving() const { return m_leaving; }
     bool idle() const { return m_entries.empty(); }
     nlohmann::json status() const;
     // The replica rows of each model, by which requests find its holders.
@@ -84,6 +85,8 @@
     std::vector<routing::Holder> holdersOf(const CallerEntry&, base::Instant now);
     std::vector<const node::InstanceRow*> readyInstances(const config::UpstreamPool&, const node::InstanceTable&);
     routing::Holder holderOn(const base::UpstreamId&, base::Epoch, const base::ModelId&, base::Instant now) const;
+    // Waits a little for a holder where the model has none at this moment. False where the time for that is over.
+    bool waitForHolder(CallerEntry&, const routing::RouteDecision&);
     void logDecision(const routing::RouteDecision&) const;
     // False where the chosen upstream is not listed any more.
     bool dispatch(CallerEntry&, const base::UpstreamId&, const std::string& callDispatch = {});
--- a/packages/gateway/src/PermitHome.h
+++ b/packages/gateway/src/PermitHome.h
@@ -7,6 +7,9 @@
 #include "toucanstep/node/Node.h"
 #include "toucanstep/placement/LoadPermits.h"
 
+#include <memory>
+#include <vector>
+
 namespace toucanstep::gateway::internal {
 
 class PermitHome {
@@ -18,12 +21,26 @@
     void onConfiguration(const config::Configuration&);
 
 private:
+    // An ask that is answered once a permit is free, or with nothing after a while.
+    struct Waiting {
+        base::UpstreamId borrower;
+        base::ModelId model;
+        std::shared_ptr<peers::PeerResponder> responder;
+        base::Instant answerBy;
+    };
+
+    // Lends what is free to those who wait, and answers them.
+    void lend();
+    void scheduleLend();
+    void answer(const Waiting&, const placement::LentPermit*);
     void onAsk(const peers::IncomingCall&, const std::shared_ptr<peers::PeerResponder>&);
     void onReturn(const peers::IncomingCall&, const std::shared_ptr<peers::PeerResponder>&);
 
     node::Node& m_node;
     placement::PermitSettings m_settings;
     std::unique_ptr<placement::LoadPermits> m_permits;
+    std::vector<Waiting> m_waiting;
+    bool m_lendScheduled = false;
 };
 
 } // namespace toucanstep::gateway::internal
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -93,6 +93,8 @@
     void recordAt(base::Instant, base::HistoryEvent);
     std::shared_ptr<const config::Configuration> configuration() const { return m_configuration.load(); }
     std::shared_ptr<const InstanceTable> instances() const { return m_instances.load(); }
+    // Peers' calls that are still being answered. Not to be called on the traffic loop.
+    size_t openPeerCalls();
     base::Endpoint peerEndpoint() const { return m_peerEndpoint; }
     uint16_t operatorPort() const;
     // Names this start of the process, apart from every other.
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -465,6 +465,13 @@
     return m_operator ? m_operator->port() : 0;
 }
 
+size_t Node::openPeerCalls()
+{
+    size_t calls = 0;
+    m_traffic->runAndWait([&] { calls = m_server ? m_server->openCalls() : 0; });
+    return calls;
+}
+
 void Node::tick()
 {
     if (!m_follower)
--- a/packages/peers/include/toucanstep/peers/PeerServer.h
+++ b/packages/peers/include/toucanstep/peers/PeerServer.h
@@ -59,6 +59,8 @@
     static base::Result<std::unique_ptr<PeerServer>> listen(EventLoop&, const base::Endpoint&, PeerIdentity, Handler);
     virtual ~PeerServer() = default;
     virtual base::Endpoint endpoint() const = 0;
+    // Calls whose answers are not yet handed to the system whole. A planned stop waits for none to be left.
+    virtual size_t openCalls() const = 0;
 };
 
 } // namespace toucanstep::peers
--- a/packages/peers/src/Http2Connection.h
+++ b/packages/peers/src/Http2Connection.h
@@ -61,6 +61,8 @@
     void sendData(int32_t stream, std::string_view bytes, bool last);
     void resetStream(int32_t stream, uint32_t code);
     size_t queuedBytes(int32_t stream) const;
+    // Bytes that the session has made and the socket has not taken yet.
+    size_t unsentBytes() const { return m_output.size() - m_outputOffset; }
 
 protected:
     int32_t submitRequest(const std::vector<Field>&);
--- a/packages/peers/src/PeerServer.cpp
+++ b/packages/peers/src/PeerServer.cpp
@@ -74,6 +74,8 @@
     {
     }
 
+    size_t openCalls() const { return m_responders.size() + (unsentBytes() ? 1 : 0); }
+
 protected:
     void onField(int32_t stream, std::string_view name, std::string_view value) override
     {
@@ -249,6 +251,14 @@
 
     base::Endpoint endpoint() const override { return internal::localEndpoint(m_socket); }
 
+    size_t openCalls() const override
+    {
+        size_t calls = 0;
+        for (const auto& connection : m_connections)
+            calls += connection->openCalls();
+        return calls;
+    }
+
 private:
     void acceptWaiting()
     {
--- a/packages/sidecar/src/PermitClient.cpp
+++ b/packages/sidecar/src/PermitClient.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-constexpr base::Duration askInterval = std::chrono::milliseconds(100);
-constexpr base::Duration askTimeout = std::chrono::milliseconds(600);
+constexpr base::Duration askInterval = std::chrono::milliseconds(20);
+// The home holds an ask back until a permit is free, for 1.5 s at most.
+constexpr base::Duration askTimeout = std::chrono::milliseconds(2200);
 constexpr int64_t thousandths = 1000;
 
 // Hears the one message of an answer on the traffic loop.
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+// A service that is down must not hold up a planned stop for longer.
+constexpr base::Duration rowsPatience = std::chrono::seconds(5);
 constexpr base::Duration coreTickInterval = std::chrono::milliseconds(10);
 
 class RunningSidecar final : public Sidecar {
@@ -37,6 +39,8 @@
         m_members->install();
         m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
         m_node.addSystem([this](base::Instant) { tellStrikes(); });
+        if (m_options.placement != PlacementMode::Rows)
+            m_rowsGivenBack = true;
         if (m_options.placement == PlacementMode::Rows) {
             m_agent->install();
             m_node.addSystem([this](base::Instant now) { handOutRows(now); });
@@ -67,14 +71,17 @@
         m_leaving = true;
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
-        m_node.control().post([this] { m_members->setLeaving(); });
+        m_node.control().post([this] {
+            m_members->setLeaving();
+            m_rowsDeadline = m_node.control().now() + rowsPatience;
+        });
     }
 
     bool drained() const override
     {
         bool idle = false;
         m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
-        return m_leaving && idle;
+        return m_leaving && idle && m_rowsGivenBack && !m_node.openPeerCalls();
     }
 
 private:
@@ -119,10 +126,26 @@
             m_handedOut = rows;
             m_node.traffic().post([this, rows] { m_core->onRows(rows); });
         }
+        if (m_rowsDeadline)
+            releaseAll(now);
         if (!m_releasing.empty())
             giveBackRows();
     }
 
+    // A leaving sidecar gives its rows back itself, so that the models have new homes at once and not only after this
+    // instance is proved to be gone.
+    void releaseAll(base::Instant now)
+    {
+        bool left = false;
+        for (const assignments::Row& row : m_agent->view()->own) {
+            if (row.key.kind != assignments::RowKind::ReplicaSlot)
+                continue;
+            left = true;
+            m_releasing.insert(row.key);
+        }
+        m_rowsGivenBack = !left || now >= *m_rowsDeadline;
+    }
+
     void onReleaseAsked(const peers::IncomingCall& call, const std::shared_ptr<peers::PeerResponder>& responder)
     {
         peers::FieldReader reader(call.body);
@@ -184,6 +207,8 @@
     // On the control loop: rows as last given to the core, and rows that are being given back.
     std::map<base::ModelId, base::Epoch> m_handedOut;
     std::set<assignments::RowKey> m_releasing;
+    std::optional<base::Instant> m_rowsDeadline;
+    std::atomic<bool> m_rowsGivenBack { false };
     std::atomic<bool> m_leaving { false };
 };
 
