--- a/bench/load/src/Fleet.cpp
+++ b/bench/load/src/Fleet.cpp
@@ -136,7 +136,6 @@
         return false;
     }
     instance->ports = *ports;
-    instance->inService = true;
     m_list->put(instance->listName, { instance->id, ports->peer, instance->domain, true, false });
     return true;
 }
@@ -147,6 +146,7 @@
     if (!launch(instance, "gateway"))
         return nullptr;
     std::lock_guard lock(m_mutex);
+    instance->inService = !m_readinessMatters;
     m_gateways.push_back(instance);
     return instance;
 }
@@ -158,6 +158,7 @@
     if (!launch(instance, "sidecar"))
         return nullptr;
     std::lock_guard lock(m_mutex);
+    instance->inService = !m_readinessMatters;
     m_sidecars.push_back(instance);
     return instance;
 }
@@ -177,7 +178,9 @@
     }
     for (const config::ClientAccount& account : m_deployment->configuration().accounts)
         m_truth->record({ .kind = base::HistoryKind::LimitInForce, .account = account.id, .tokens = account.tokensPerSecond, .burst = base::Tokens(Deployment::burstOf(account)) });
-    return waitInForce(publish(m_deployment->text()), startPatience);
+    bool inForce = waitInForce(publish(m_deployment->text()), startPatience);
+    m_readinessMatters = true;
+    return inForce;
 }
 
 base::Revision Fleet::publish(const std::string& text)
@@ -193,16 +196,37 @@
     return all;
 }
 
+platform::HttpReply Fleet::askOperator(const Instance& instance, std::string_view path)
+{
+    platform::HttpCall call;
+    call.url = base::concat("http://127.0.0.1:", instance.ports.operatorPort, path);
+    call.deadline = std::chrono::steady_clock::now() + statusTimeout;
+    return m_client->fetch(call);
+}
+
+bool Fleet::waitReady(const InstancePointer& instance, base::Duration patience)
+{
+    base::Instant deadline = std::chrono::steady_clock::now() + patience;
+    while (!askOperator(*instance, "/readyz").ok()) {
+        if (std::chrono::steady_clock::now() >= deadline) {
+            std::lock_guard lock(m_mutex);
+            m_complaints.push_back(base::concat(instance->id, " was not ready ", base::toMilliseconds(patience), " ms after its start"));
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    std::lock_guard lock(m_mutex);
+    instance->inService = true;
+    return true;
+}
+
 int Fleet::countInForce(base::Revision version)
 {
     int count = 0;
     for (const InstancePointer& instance : instances()) {
         if (!instance->inService)
             continue;
-        platform::HttpCall call;
-        call.url = base::concat("http://127.0.0.1:", instance->ports.operatorPort, "/status");
-        call.deadline = std::chrono::steady_clock::now() + statusTimeout;
-        platform::HttpReply reply = m_client->fetch(call);
+        platform::HttpReply reply = askOperator(*instance, "/status");
         constexpr bool throwing = false;
         auto status = nlohmann::json::parse(reply.body, nullptr, throwing);
         count += status.is_object() && status.value("configuration", int64_t { 0 }) >= version.value() ? 1 : 0;
--- a/bench/load/src/Fleet.h
+++ b/bench/load/src/Fleet.h
@@ -75,6 +75,8 @@
     // Caller ports of gateways in service.
     std::vector<uint16_t> callerPorts() const;
 
+    // Waits until the instance says on /readyz that it is ready, as a platform does before it sends callers there.
+    bool waitReady(const InstancePointer&, base::Duration patience);
     InstancePointer startGateway();
     InstancePointer startSidecar(const base::PoolId&);
     // The platform's planned stop: the list shows it terminating, SIGTERM, and once it has ended the list drops it.
@@ -96,6 +98,7 @@
     InstancePointer makeInstance(const base::PoolId&, const std::string& listName);
     void makeUpstream(Instance&);
     bool launch(const InstancePointer&, const char* role);
+    platform::HttpReply askOperator(const Instance&, std::string_view path);
     std::vector<InstancePointer> instances() const;
 
     std::shared_ptr<const Deployment> m_deployment;
@@ -111,6 +114,8 @@
     std::vector<InstancePointer> m_sidecars;
     std::map<std::string, int> m_started;
     std::vector<std::string> m_complaints;
+    // At the start of the fleet all processes are in service; a later one is once it says that it is ready.
+    bool m_readinessMatters = false;
 };
 
 } // namespace toucanstep::bench
--- a/bench/load/src/Scenarios.cpp
+++ b/bench/load/src/Scenarios.cpp
@@ -118,16 +118,22 @@
     }
 
 private:
+    // As a platform does it: the new instance is ready before the old one is told to leave.
+    static void replace(Fleet& fleet, const InstancePointer& added, const InstancePointer& leaving)
+    {
+        constexpr base::Duration gap = milliseconds(700);
+        if (added)
+            fleet.waitReady(added, leavePatience);
+        std::this_thread::sleep_for(gap);
+        fleet.leave(leaving, leavePatience);
+    }
+
     static void replaceAll(Fleet& fleet)
     {
-        for (const InstancePointer& gateway : fleet.gateways()) {
-            fleet.startGateway();
-            fleet.leave(gateway, leavePatience);
-        }
-        for (const InstancePointer& sidecar : fleet.sidecars()) {
-            fleet.startSidecar(sidecar->pool);
-            fleet.leave(sidecar, leavePatience);
-        }
+        for (const InstancePointer& gateway : fleet.gateways())
+            replace(fleet, fleet.startGateway(), gateway);
+        for (const InstancePointer& sidecar : fleet.sidecars())
+            replace(fleet, fleet.startSidecar(sidecar->pool), sidecar);
     }
 };
 
