--- a/packages/assignments/test/UnitTest.cpp
+++ b/packages/assignments/test/UnitTest.cpp
@@ -62,6 +62,13 @@
         CHECK_FALSE(valueOr(error, [&] { return parseStorageKey(key); }).has_value());
 }
 
+// A value of nested arrays, one byte each. The parser would call itself for each until the stack is used up.
+TEST(Rows, DeeplyNestedBytesAreRefused)
+{
+    Error error;
+    CHECK_FALSE(valueOr(error, [&] { return decodeRow(KeyValue { storageKey(share), std::string(1'000'000, '\x91'), {}, {} }); }).has_value());
+}
+
 TEST_GROUP(Tables) {};
 
 // Watch events and reads arrive crossed, one twice, from connections of different age. Whatever the order, the table
@@ -149,6 +156,7 @@
     mover.onOutcome(move.id, Error { ErrorKind::Timeout, "" });
     CHECK_TRUE(mover.onRead(move.id, RangeReply { { entryOf(row) }, Revision(4) }) == MoveState::Unsettled);
     CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    CHECK_TRUE(holder.hasGivenUp(row));
     row.modified = Revision(9);
     CHECK_TRUE(holder.mayUse(row, at(seconds(1))));
 }
@@ -169,6 +177,43 @@
     CHECK_FALSE(holder.mayUse(row, at(seconds(7) + milliseconds(1))));
 }
 
+// A holder is dropped and marked, its row is taken, the list shows it again by mistake and the mark is lifted; the holder
+// was paused through all of it. The list's next answer alone must not bring back the use of a row that has moved.
+TEST(Holding, AfterAGapTheListAloneDoesNotBringUseBack)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, electoratesOf(threeVoters));
+    holder.onListAnswer(sentAt({}), at({}), 1, true);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(5))));
+    holder.onListAnswer(sentAt(seconds(30)), at(seconds(30)), 2, true);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(30))));
+    CHECK_TRUE(holder.hasLapsed(at(seconds(30))));
+    // A read that was asked for before the gap ended says nothing about it.
+    holder.onServiceRead(sentAt(seconds(4)), at(seconds(4)), Revision(8), false, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(30))));
+    holder.onServiceRead(sentAt(seconds(30)), at(seconds(30)), Revision(9), false, std::nullopt);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(30))));
+}
+
+// The mark against an instance stands while the list shows it again. The process stops, may lift the mark itself, and uses
+// its rows only after it has read them without the mark.
+TEST(Holding, AMarkedHolderStopsUntilItHasReadThatTheMarkIsLifted)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, std::nullopt);
+    holder.onListAnswer(sentAt({}), at({}), 1, true);
+    CHECK_FALSE(holder.mayLiftMark(at({})));
+    holder.onServiceRead(sentAt(seconds(1)), at(seconds(1)), Revision(6), true, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    CHECK_TRUE(holder.mayLiftMark(at(seconds(1))));
+    holder.onServiceRead(sentAt(seconds(1)), at(seconds(1)), Revision(5), false, std::nullopt);
+    CHECK_FALSE(holder.mayUse(row, at(seconds(1))));
+    holder.onServiceRead(sentAt(seconds(2)), at(seconds(2)), Revision(7), false, std::nullopt);
+    CHECK_TRUE(holder.mayUse(row, at(seconds(2))));
+}
+
 // Two voters of three vouch, one of them under a newer set than the holder knows. That one has promised to vouch under
 // the holder's set no more, so the two are no majority.
 TEST(Holding, AVoterOfANewerSetDoesNotCountForTheFormer)
@@ -183,6 +228,22 @@
     CHECK_TRUE(holder.mayUse(row, at({})));
 }
 
+// A holder's rows have moved under the former voters' promises. It hears of the new set from a gateway, and asks a new
+// member that has not read the service since it became one, and so knows nothing of the mark. Its word must not count.
+TEST(Holding, AVoterThatDoesNotKnowTheSetYetDoesNotCount)
+{
+    HolderState holder(self, Timing {});
+    Row row { share, self, Epoch(4), WriteNonce("n"), "", Revision(4) };
+    holder.onServiceRead(sentAt({}), at({}), Revision(4), false, electoratesOf(threeVoters));
+    holder.onElectorate({ Generation(2), { InstanceId("p"), InstanceId("q"), InstanceId("r") } });
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("p"), Generation(1), true);
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("q"), Generation(0), true);
+    CHECK_FALSE(holder.mayUse(row, at({})));
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("p"), Generation(2), true);
+    holder.onVoterAnswer(sentAt({}), at({}), InstanceId("q"), Generation(2), true);
+    CHECK_TRUE(holder.mayUse(row, at({})));
+}
+
 TEST(Holding, TheDefaultTimesLeaveRoomForDrift)
 {
     Timing timing;
@@ -222,6 +283,19 @@
     CHECK_TRUE(voter.vouchFor(InstanceId("a"), at(seconds(5))));
 }
 
+// The marks and the electorates are read by two requests, and between them a mark is written and this gateway becomes a
+// voter. It does not know the mark; were its vote to count at once, it would vouch for the instance whose rows move.
+TEST(Voting, AnElectorateNewerThanTheMarksIsLeftForTheNextRead)
+{
+    VoterState voter(InstanceId("x"), Timing {}, at({}));
+    voter.onListed(at({}));
+    Electorates electorates = electoratesOf(threeVoters);
+    voter.onServiceRead(Revision(2), {}, electorates);
+    CHECK_TRUE(voter.generation() == Generation(0));
+    voter.onServiceRead(Revision(3), {}, electorates);
+    CHECK_TRUE(voter.generation() == Generation(1));
+}
+
 TEST_GROUP(Absence) {};
 
 // The list's copies differ: one answer without the instance comes from a copy that has not seen it start. Without versions
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -2,8 +2,9 @@
 
 #include "FleetPlanner.h"
 #include "GatewayCore.h"
-#include "ShareDeparture.h"
+#include "PermitHome.h"
 #include "ShareLimitGate.h"
+#include "ShareMover.h"
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/node/MembershipAgent.h"
@@ -24,12 +25,13 @@
         , m_options(options)
         , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
         , m_members(std::make_unique<node::MembershipAgent>(m_node))
+        , m_permits(std::make_unique<internal::PermitHome>(m_node))
     {
         std::unique_ptr<internal::LimitGate> gate;
         if (options.limits == LimitMode::Shares) {
             auto shares = std::make_unique<internal::ShareLimitGate>(m_node, *m_agent);
             shares->install();
-            m_departure = std::make_unique<internal::ShareDeparture>(m_node, *m_agent, *shares);
+            m_shareMover = std::make_unique<internal::ShareMover>(m_node, *m_agent, *shares);
             gate = std::move(shares);
         } else
             gate = std::make_unique<internal::StaticLimitGate>(m_node);
@@ -48,6 +50,7 @@
     {
         m_agent->install();
         m_members->install();
+        m_permits->install();
         m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
         m_node.addSystem([this](base::Instant) { tellStrikes(); });
         m_agent->onRows([this](const node::AssignmentView& view) {
@@ -57,10 +60,13 @@
             m_planner = std::make_unique<internal::FleetPlanner>(m_node, *m_agent, [this] { return takeDemand(); });
             m_planner->install();
         }
-        if (m_departure)
-            m_node.addSystem([this](base::Instant now) { m_departure->tick(now); });
+        if (m_shareMover)
+            m_node.addSystem([this](base::Instant now) { m_shareMover->tick(now); });
         m_node.onConfiguration([this](std::shared_ptr<const config::Configuration> configuration) {
-            m_node.traffic().post([this, configuration = std::move(configuration)] { m_core->onConfiguration(configuration); });
+            m_node.traffic().post([this, configuration = std::move(configuration)] {
+                m_permits->onConfiguration(*configuration);
+                m_core->onConfiguration(configuration);
+            });
             m_node.setReady(!m_leaving);
         });
         m_node.setStatus([this] {
@@ -91,15 +97,15 @@
         m_node.setReady(false);
         m_node.traffic().post([this] { m_core->setLeaving(); });
         m_node.control().post([this] { m_members->setLeaving(); });
-        if (m_departure)
-            m_node.control().post([this] { m_departure->begin(m_node.control().now()); });
+        if (m_shareMover)
+            m_node.control().post([this] { m_shareMover->leave(m_node.control().now()); });
     }
 
     bool drained() const override
     {
         bool idle = false;
         m_node.traffic().runAndWait([&] { idle = m_core->idle(); });
-        bool sharesLeft = m_departure && !m_departure->done();
+        bool sharesLeft = m_shareMover && !m_shareMover->done();
         return m_leaving && idle && !sharesLeft && !m_callers->openExchanges();
     }
 
@@ -168,7 +174,8 @@
     GatewayOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
-    std::unique_ptr<internal::ShareDeparture> m_departure;
+    std::unique_ptr<internal::PermitHome> m_permits;
+    std::unique_ptr<internal::ShareMover> m_shareMover;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
     std::vector<placement::ModelDemand> m_demand;
--- a/packages/membership/include/toucanstep/membership/Membership.h
+++ b/packages/membership/include/toucanstep/membership/Membership.h
@@ -14,6 +14,7 @@
 #include "toucanstep/membership/Entry.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <array>
 #include <map>
 #include <optional>
 #include <random>
@@ -28,7 +29,7 @@
     // Peers that get a digest each tick.
     int fanOut = 1;
     // Bytes that one node sends from one tick to the next; what doesn't fit waits for a later exchange.
-    size_t bytesPerTick = 3072;
+    size_t bytesPerTick = 4096;
     // Differing buckets of which versions are exchanged at once.
     size_t bucketsPerExchange = 8;
     // How many ticks a fresh change is pushed on for.
@@ -44,9 +45,10 @@
     int sidecarTickDivisor = 5;
     // A sidecar whose digests stop coming for this long is asked whether it lives.
     base::Duration sidecarSilence = std::chrono::seconds(45);
-    // Hints that aren't urgent are passed on this much later for each member known, so that the fleet as a whole passes on
+    // A gateway's hints that aren't urgent are passed on up to this much later for each member known, so that the fleet as a whole passes on
     // a constant number of them in a second.
     base::Duration hintIntervalPerMember = std::chrono::milliseconds(200);
+    base::Duration sidecarHintInterval = std::chrono::seconds(300);
 };
 
 // The instance may be left empty for a seed of which only the address is known.
@@ -86,7 +88,6 @@
         Versions::Item item;
         // When what is said here arrived.
         base::Instant changedAt;
-        int pushesLeft = 0;
     };
     struct Probe {
         base::Instant sentAt;
@@ -100,7 +101,11 @@
     void mergeOwn(const Entry&, base::Instant now);
     void store(Entry, base::Instant now);
     void changeSelf(Entry, base::Instant now);
-    void toggleHash(const Known&);
+    // Keep the indexes below in step with the table.
+    void list(const Known&);
+    void unlist(const Known&);
+    void countPush();
+    bool mayTellHints(base::Instant now);
     void applyHints(base::Instant now);
     void dropTombstones(base::Instant now);
     void probeSilentSidecar(base::Instant now, Messages&);
@@ -110,13 +115,16 @@
     bool othersAnswer() const;
     void sendDigest(const Peer&, base::Instant now, Messages&);
     void pushFresh(const Peer&, Messages&);
+    Peer randomPeer(Role, RandomGenerator&) const;
     std::vector<Peer> choosePeers(RandomGenerator&);
     std::vector<Peer> gatewaysOfSidecar() const;
     std::vector<Peer> peersOfRole(Role) const;
     std::vector<uint32_t> differingBuckets(const Digest&) const;
     void answerDigest(const Digest&, Messages&);
+    const Known* findItem(const Versions::Item&) const;
     void answerVersions(const Versions&, Messages&);
-    void sendEntries(const Peer& to, const std::vector<const Known*>&, Messages&);
+    // Sends as many entries as fit into `limit` bytes of this tick.
+    void sendEntries(const Peer& to, const std::vector<const Known*>&, size_t limit, Messages&);
     bool send(const Peer& to, Message, Messages&);
     std::string addressOf(const base::InstanceId&) const;
 
@@ -128,12 +136,18 @@
     std::map<base::InstanceId, Known> m_known;
     std::vector<uint32_t> m_buckets;
     std::vector<std::set<base::InstanceId>> m_bucketMembers;
+    // Members that are not gone, by role, in order.
+    std::array<std::vector<base::InstanceId>, 2> m_live;
+    std::set<base::InstanceId> m_tombstones;
+    // Fresh changes, with the ticks for which they are still pushed.
+    std::map<base::InstanceId, int> m_fresh;
     std::map<base::InstanceId, Probe> m_probes;
     absl::flat_hash_map<base::InstanceId, base::Instant> m_heardAt;
     // Sidecars, with the time of their latest digest.
     std::map<base::InstanceId, base::Instant> m_registered;
     std::optional<Hints> m_newHints;
-    base::Instant m_hintsToldAt;
+    std::optional<base::Instant> m_hintsToldAt;
+    std::optional<base::Instant> m_hintsChangedAt;
     // Outcomes of the latest probes, one bit each; set where the peer answered.
     uint8_t m_probeResults = 0xff;
     size_t m_spent = 0;
--- a/packages/membership/test/MembershipTest.cpp
+++ b/packages/membership/test/MembershipTest.cpp
@@ -218,6 +218,53 @@
     }
 }
 
+// A new configuration is in force everywhere within a second, and all nodes want to say so. If they all did at once, their
+// messages would crowd out what is urgent, such as that a gateway leaves.
+TEST(Membership, HintsThatAllNodesChangeAtOnceAreToldOneAfterTheOther)
+{
+    MembershipFleet fleet(6);
+    for (int index = 0; index < 100; ++index)
+        fleet.addNode(Role::Gateway);
+    fleet.introduceAll();
+    fleet.run(30);
+    for (int index = 0; index < fleet.size(); ++index) {
+        Hints hints = fleet.node(index).self().hints;
+        hints.configuration = Revision(999'999);
+        fleet.node(index).setHints(hints);
+    }
+    auto told = [&fleet] {
+        int count = 0;
+        for (int index = 0; index < fleet.size(); ++index)
+            count += fleet.node(index).self().hints.configuration == Revision(999'999) ? 1 : 0;
+        return count;
+    };
+    fleet.run(5);
+    CHECK_COMPARE(told(), <, 50);
+    fleet.run(20);
+    LONGS_EQUAL(100, told());
+}
+
+// At full size the buckets that differ are together larger than a tick's budget, most of which fresh changes take. A node
+// that had fallen behind got nothing but signs of life, and learnt that a gateway leaves only after a minute.
+TEST(Membership, ANodeThatIsFarBehindGetsSomethingFromEveryDigest)
+{
+    Membership node = nodeWithout("reader");
+    for (int index = 0; index < 1500; ++index) {
+        Entry entry = entryOf(concat("member-", index), 1, 1);
+        entry.address = concat("10.0.1.", index, ":7400");
+        entry.role = index < 350 ? Role::Gateway : Role::Sidecar;
+        hear(node, entry);
+    }
+    RandomGenerator random(1);
+    node.tick(start + std::chrono::seconds(1), random);
+    Digest nothing { InstanceId("member-7"), Revision(1), std::vector<uint32_t>(digestBuckets, 0) };
+    auto answers = node.onMessage(nothing, start + std::chrono::seconds(1));
+    LONGS_EQUAL(1, answers.size());
+    const auto& versions = std::get<Versions>(answers.at(0).message);
+    CHECK_COMPARE(versions.buckets.size(), >, 0);
+    CHECK_COMPARE(versions.items.size(), >, 0);
+}
+
 TEST_GROUP(MembershipEncoding) {};
 
 TEST(MembershipEncoding, MessagesReadBackAsTheyWere)
@@ -254,6 +301,7 @@
     CHECK_TRUE(isRefused(std::string("\xdd\xff\xff\xff\xff", 5)));
     CHECK_TRUE(isRefused(std::string(100'000, '\0')));
     CHECK_TRUE(isRefused(""));
+    CHECK_TRUE(isRefused(encodeMessage(Delta { InstanceId("a"), { entryOf("x", 1, INT64_MAX) } })));
     std::string good = encodeMessage(Delta { InstanceId("a"), { entryOf("x", 1, 1) } });
     CHECK_PROPERTY_WITH((PropertyOptions { .maxSuccess = 2000 }), [&good] {
         std::string bytes = good;
--- a/packages/platform/test/EtcdStoreTest.cpp
+++ b/packages/platform/test/EtcdStoreTest.cpp
@@ -102,6 +102,17 @@
     CHECK_TRUE(read.entries[0].created == written.revision);
 }
 
+TEST(EtcdStore, AStatTellsTheRevisionAndLeavesTheValueOut)
+{
+    auto written = std::get<TransactionReply>(commit(create("text", std::string(100'000, 'x'))));
+    Mailbox<Outcome<RangeReply>> replies;
+    store->stat("text", soon(), [&](auto reply) { replies.put(std::move(reply)); });
+    auto read = std::get<RangeReply>(*replies.take());
+    CHECK_EQUAL(1U, read.entries.size());
+    CHECK_TRUE(read.entries[0].modified == written.revision);
+    CHECK_TRUE(read.entries[0].value.empty());
+}
+
 TEST(EtcdStore, AComparisonThatFailsWritesNothing)
 {
     commit(create("a", "first"));
@@ -221,6 +232,32 @@
     STRCMP_EQUAL("w/b", watch->events.take()->entry.key.c_str());
 }
 
+TEST(EtcdStore, WhyAWatchEndedShowsInItsError)
+{
+    struct Case {
+        int status;
+        std::string body;
+        ErrorKind kind;
+    };
+    for (const auto& [status, body, kind] : std::vector<Case> {
+             { 503, "{\"error\":\"no leader\",\"code\":14}\n", ErrorKind::Unavailable },
+             { 403, "{}\n", ErrorKind::Rejected },
+             { 200, "{\"error\":{\"grpc_code\":14}}\n", ErrorKind::Unavailable },
+             { 200, "{\"result\":{\"canceled\":true}}\n", ErrorKind::Rejected },
+             { 200, "{\"result\":{\"events\":[{\"kv\":{\"key\":\"!\"}}]}}\n", ErrorKind::Malformed },
+             { 200, "nonsense\n", ErrorKind::Malformed },
+             { 200, "{\"result\":{\"created\":true}}\n", ErrorKind::Timeout },
+         }) {
+        Error error;
+        auto answer = [status = status, body = body](const std::shared_ptr<HttpExchange>& exchange) { exchange->respond(status, {}, body); };
+        auto server = valueOr(error, [&] { return HttpServer::start({}, answer); });
+        auto other = makeEtcdStore("http://127.0.0.1:" + std::to_string((*server)->port()), client);
+        auto watch = std::make_shared<RecordingWatch>();
+        auto handle = other->watch("w/", Revision(0), watch);
+        CHECK_TRUE_TEXT(watch->ends.take()->kind == kind, body.c_str());
+    }
+}
+
 TEST(EtcdStore, AWatchFromACompactedRevisionIsRejected)
 {
     auto old = service.put("w/a", "1");
