--- a/bench/load/src/Deployment.cpp
+++ b/bench/load/src/Deployment.cpp
@@ -16,7 +16,6 @@
 using nlohmann::json;
 
 constexpr int64_t burstSeconds = 4;
-constexpr int64_t engineTokensPerSecond = std::chrono::seconds(1) / engineTick;
 
 std::string bytesText(base::Bytes bytes)
 {
@@ -36,16 +35,16 @@
     return keys;
 }
 
-json poolOf(const config::UpstreamPool& pool)
+json poolOf(const config::UpstreamPool& pool, const TextOptions& options)
 {
-    json described = { { "listName", pool.listName }, { "slots", pool.slots } };
+    json described = { { "listName", pool.listName }, { "slots", options.slots ? options.slots : pool.slots } };
     if (pool.kind == config::PoolKind::Services) {
         described["kind"] = "services";
         return described;
     }
     described["kind"] = "engines";
     described["memory"] = bytesText(pool.memory);
-    described["tokensPerSecond"] = engineTokensPerSecond;
+    described["tokensPerSecond"] = std::chrono::seconds(1) / options.engineTick;
     described["capabilities"] = { { "checksCaller", true }, { "fencing", true }, { "resume", true }, { "priority", true } };
     return described;
 }
@@ -90,17 +89,17 @@
     return deployment;
 }
 
-std::string Deployment::text(bool withoutSecondKeys) const
+std::string Deployment::text(const TextOptions& options) const
 {
     json text;
     for (const auto& kind : m_configuration->kinds)
         text["kinds"][kind.id.value()] = { { "weight", kind.weight }, { "defaultTimeout", durationText(kind.defaultTimeout) } };
     for (const auto& account : m_configuration->accounts) {
-        text["accounts"][account.id.value()] = { { "tokensPerSecond", account.tokensPerSecond.value() }, { "burst", burstOf(account) }, { "weight", account.weight },
-            { "keys", keysOf(account, withoutSecondKeys) } };
+        text["accounts"][account.id.value()] = { { "tokensPerSecond", account.tokensPerSecond.value() * options.rateFactor }, { "burst", burstOf(account) * options.rateFactor }, { "weight", account.weight },
+            { "keys", keysOf(account, options.withoutSecondKeys) } };
     }
     for (const auto& pool : m_configuration->pools)
-        text["pools"][pool.id.value()] = poolOf(pool);
+        text["pools"][pool.id.value()] = poolOf(pool, options);
     for (const auto& model : m_configuration->models)
         text["models"][model.id.value()] = modelOf(model);
     for (const auto& service : m_configuration->services)
--- a/bench/load/src/Deployment.h
+++ b/bench/load/src/Deployment.h
@@ -18,14 +18,24 @@
 // One token of each running stream in this time.
 inline constexpr base::Duration engineTick = std::chrono::milliseconds(5);
 
+struct TextOptions {
+    // Every account then has only its first key.
+    bool withoutSecondKeys = false;
+    // Every account's rate and burst, times this.
+    int64_t rateFactor = 1;
+    // Requests that one upstream runs at once; zero keeps the sample's.
+    int64_t slots = 0;
+    base::Duration engineTick = bench::engineTick;
+};
+
 class Deployment {
 public:
     // Fails with a message on the standard error and an empty result where the sample can't be read.
     static std::shared_ptr<const Deployment> read(const std::string& sampleFile);
 
     const config::Configuration& configuration() const { return *m_configuration; }
-    // The text to publish. With `withoutSecondKeys` every account has only its first key.
-    std::string text(bool withoutSecondKeys = false) const;
+    // The text to publish.
+    std::string text(const TextOptions& = {}) const;
     // The key that the bench uses for an account; number 0 or 1.
     static std::string key(const base::ClientAccountId&, int number = 0);
     std::vector<fakes::FakeCheckpoint> checkpoints() const;
--- a/bench/load/src/Fleet.cpp
+++ b/bench/load/src/Fleet.cpp
@@ -101,8 +101,8 @@
     options.diskRate = diskBytesPerSecond;
     options.remoteRate = remoteBytesPerSecond;
     options.weightStoreUrl = m_weights->url();
-    options.tickLength = engineTick;
-    options.maximumRunning = static_cast<size_t>(pool->slots);
+    options.tickLength = m_options.text.engineTick;
+    options.maximumRunning = static_cast<size_t>(m_options.text.slots ? m_options.text.slots : pool->slots);
     options.honoursFencing = true;
     options.honoursPriority = true;
     options.honoursResume = true;
@@ -176,9 +176,12 @@
         if (!startGateway())
             return false;
     }
-    for (const config::ClientAccount& account : m_deployment->configuration().accounts)
-        m_truth->record({ .kind = base::HistoryKind::LimitInForce, .account = account.id, .tokens = account.tokensPerSecond, .burst = base::Tokens(Deployment::burstOf(account)) });
-    bool inForce = waitInForce(publish(m_deployment->text()), startPatience);
+    int64_t factor = m_options.text.rateFactor;
+    for (const config::ClientAccount& account : m_deployment->configuration().accounts) {
+        base::Tokens rate(account.tokensPerSecond.value() * factor);
+        m_truth->record({ .kind = base::HistoryKind::LimitInForce, .account = account.id, .tokens = rate, .burst = base::Tokens(Deployment::burstOf(account) * factor) });
+    }
+    bool inForce = waitInForce(publish(m_deployment->text(m_options.text)), startPatience);
     m_readinessMatters = true;
     return inForce;
 }
--- a/bench/load/src/Fleet.h
+++ b/bench/load/src/Fleet.h
@@ -31,6 +31,7 @@
     int services = 3;
     std::string poisonWord;
     base::Duration serviceDelay = std::chrono::milliseconds(20);
+    TextOptions text;
 };
 
 // One instance of the platform with its daemon. Upstreams are null where they do not apply.
--- a/bench/load/src/Run.cpp
+++ b/bench/load/src/Run.cpp
@@ -151,6 +151,8 @@
 
     void fillOutcomes(RunResult& result) const
     {
+        if (m_record.outcomes.empty())
+            return;
         int64_t answered = 0;
         int64_t refused = 0;
         int64_t cut = 0;
--- a/bench/load/src/Scenarios.cpp
+++ b/bench/load/src/Scenarios.cpp
@@ -1,6 +1,6 @@
 #include "Scenario.h"
 
-#include "Quantile.h"
+#include "Overhead.h"
 #include "Traffic.h"
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/Text.h"
@@ -238,7 +238,7 @@
             m_fingerprints.insert(fingerprint);
             fleet.truth().record({ .kind = base::HistoryKind::KeyWithdrawn, .key = base::KeyFingerprint(fingerprint) });
         }
-        base::Revision version = fleet.publish(deployment.text(true));
+        base::Revision version = fleet.publish(deployment.text({ .withoutSecondKeys = true }));
         constexpr base::Duration patience = seconds(2);
         while (m_told == 0 && std::chrono::steady_clock::now() < m_withdrawnAt + patience)
             m_told = fleet.countInForce(version);
@@ -306,6 +306,8 @@
     scenarios.push_back(std::make_unique<Silent>());
     scenarios.push_back(std::make_unique<Withdraw>());
     scenarios.push_back(std::make_unique<Poison>());
+    scenarios.push_back(makeLatencyScenario());
+    scenarios.push_back(makeMemoryScenario());
     return scenarios;
 }
 
