A stream that fails tells its caller why: the refusal is sent before the connection breaks

Found by the tests of call: the gateway queued the refusal and aborted the stream, and aborting dropped what was queued. The caller saw a broken connection with neither code nor ran. HttpExchange::abortAfter sends what is queued and a last piece first.

--- a/packages/cli/test/CallCommandTest.cpp
+++ b/packages/cli/test/CallCommandTest.cpp
@@ -85,8 +85,8 @@
 {
     FakeHttpSide broken([](const Exchange& exchange) {
         exchange->startStream(200, {});
-        exchange->write(chunk("Yes") + "data: " + refusal("may_have_run") + "\n\n");
-        exchange->finish();
+        exchange->write(chunk("Yes"));
+        exchange->abortAfter("data: " + refusal("may_have_run") + "\n\n");
     });
     ToolRun run = call(broken);
     LONGS_EQUAL(4, run.status);
--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -125,6 +125,23 @@
     CHECK_TRUE(isWhole(reply.get(), 200));
 }
 
+// The engines go down in the middle of an answer and do not come back. The caller must not take its part for the whole, and
+// must be told why there is no more: a connection that only breaks tells neither the code nor whether anything ran.
+TEST(WholePath, AnAnswerThatIsCutEndsWithItsRefusalAndNoEndMark)
+{
+    FleetOptions options = fleetOptions();
+    options.engine.tickLength = std::chrono::milliseconds(5);
+    start(options);
+    auto reply = callAsync(*m_fleet, chatCall("model-c", "an answer that is cut", 2000, true));
+    CHECK_TRUE(eventually([&] { return total(&fakes::FakeEngineCounters::generatedTokens) > 40; }));
+    for (int index = 0; index < 2; ++index)
+        m_fleet->engine(index).setDown(true);
+    CallerReply cut = reply.get();
+    CHECK_TRUE(cut.http.error.has_value());
+    CHECK_TRUE(cut.http.body.find("[DONE]") == std::string::npos);
+    CHECK_TRUE_TEXT(cut.http.body.find("\"code\":\"answer_cut\"") != std::string::npos, cut.http.body.substr(std::max<size_t>(cut.http.body.size(), 300) - 300).c_str());
+}
+
 // One request crashes every engine that runs it, and its caller sends it again and again at every gateway. Two crashes
 // name it; after that it is refused everywhere, and what others ask is served.
 TEST(WholePath, ARequestThatCrashesEnginesIsStoppedAfterTwoCrashes)
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -661,8 +661,7 @@
     m_node.record({ .kind = base::HistoryKind::Refused, .request = entry.id, .account = entry.request.account, .code = refusal.code, .ran = refusal.ran });
     if (entry.started && entry.request.stream) {
         // The caller must not take the part it has for the whole answer: it gets the refusal, and no end mark.
-        entry.exchange->write(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
-        entry.exchange->abort();
+        entry.exchange->abortAfter(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
     } else {
         platform::HttpHeaders headers = refusalHeaders(refusal, now());
         headers.push_back({ "X-Request-Id", entry.id.value() });
--- a/packages/platform/include/toucanstep/platform/HttpServer.h
+++ b/packages/platform/include/toucanstep/platform/HttpServer.h
@@ -54,6 +54,9 @@
     virtual void finish() = 0;
     // Breaks the connection off, so that the caller can tell a cut answer from a whole one.
     virtual void abort() = 0;
+    // Sends what is queued and a last piece, and then breaks the connection off: the caller learns why the answer is cut,
+    // and cannot take it for whole. Where no stream has begun this is abort().
+    virtual void abortAfter(std::string lastPiece) = 0;
     // Bytes that were written and not yet sent: a slow reader shows here.
     virtual size_t queuedBytes() const = 0;
     virtual bool callerGone() const = 0;
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/platform/src/HttpServer.cpp
@@ -112,20 +112,17 @@
     bool write(std::string piece) override
     {
         std::lock_guard lock(m_mutex);
-        if (m_gone || m_ended || m_whole)
+        if (m_gone || m_ended || m_whole || m_cut)
             return false;
-        if (!m_streaming || piece.empty())
-            return true;
-        m_queuedBytes += piece.size();
-        m_pieces.push_back(std::move(piece));
-        resume();
+        if (m_streaming)
+            queue(std::move(piece));
         return true;
     }
 
     void finish() override
     {
         std::lock_guard lock(m_mutex);
-        if (!m_streaming || m_ended)
+        if (!m_streaming || m_ended || m_cut)
             return;
         m_whole = true;
         resume();
@@ -137,6 +134,21 @@
         abortLocked();
     }
 
+    void abortAfter(std::string lastPiece) override
+    {
+        std::lock_guard lock(m_mutex);
+        if (m_ended || m_whole || m_cut)
+            return;
+        if (!m_streaming) {
+            abortLocked();
+            return;
+        }
+        m_cut = true;
+        m_onGone = nullptr;
+        queue(std::move(lastPiece));
+        resume();
+    }
+
     size_t queuedBytes() const override
     {
         std::lock_guard lock(m_mutex);
@@ -210,6 +222,11 @@
         if (m_ended)
             return m_descriptor >= 0 ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
         if (m_pieces.empty()) {
+            // The library asks for more only once it has sent all that it took, so the last piece is on its way.
+            if (m_cut) {
+                abortLocked();
+                return m_descriptor >= 0 ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
+            }
             if (m_whole)
                 return MHD_CONTENT_READER_END_OF_STREAM;
             suspend();
@@ -349,6 +366,15 @@
 
     // The functions below need m_mutex.
 
+    void queue(std::string piece)
+    {
+        if (piece.empty())
+            return;
+        m_queuedBytes += piece.size();
+        m_pieces.push_back(std::move(piece));
+        resume();
+    }
+
     void suspend()
     {
         if (!m_watchToken && m_descriptor >= 0) {
@@ -404,7 +430,7 @@
         {
             std::lock_guard lock(m_mutex);
             // A whole answer is left to be sent: whether it arrives shows when the connection is done.
-            if (m_ended || m_whole)
+            if (m_ended || m_whole || m_cut)
                 return;
             m_gone = true;
             onGone = std::move(m_onGone);
@@ -429,6 +455,8 @@
     bool m_started = false;
     bool m_streaming = false;
     bool m_whole = false;
+    // To be broken off once what is queued was sent.
+    bool m_cut = false;
     bool m_ended = false;
     bool m_gone = false;
     int m_status = 0;
--- a/packages/platform/test/HttpTest.cpp
+++ b/packages/platform/test/HttpTest.cpp
@@ -156,6 +156,33 @@
     CHECK_FALSE(exchange->write("more"));
 }
 
+TEST(Http, TheLastPieceOfACutStreamArrivesBeforeTheError)
+{
+    // A stream fails in the middle, and its caller sees a broken connection and no reason: the refusal was queued, and
+    // aborting the stream threw it away before it was sent. Such streams must not keep their connections either.
+    server.reset();
+    serve([this](ExchangePointer exchange) { requests.put(std::move(exchange)); }, { .maximumConnections = 8 });
+    for (int count = 0; count < 50; ++count) {
+        auto listener = std::make_shared<RecordingListener>();
+        auto handle = client.start({ .url = url(), .deadline = soon(), .freshConnection = true }, listener);
+        auto exchange = *requests.take();
+        exchange->startStream(200, {});
+        exchange->write("half,");
+        exchange->abortAfter("reason");
+        CHECK_FALSE(exchange->write("more"));
+        exchange->finish();
+        std::string received;
+        while (received.size() < std::string("half,reason").size()) {
+            auto piece = listener->pieces.take();
+            CHECK_TRUE(piece.has_value());
+            received += *piece;
+        }
+        STRCMP_EQUAL("half,reason", received.c_str());
+        CHECK_TRUE(listener->ends.take()->has_value());
+        waitUntilIdle();
+    }
+}
+
 TEST(Http, AnAbortedStreamFreesItsConnection)
 {
     // New callers would be turned away. Streams are aborted or left by their callers while the server waits for the next
