A gateway is ready once it knows the text, the lists and the rows; once-only calls wait for a holder too

Change: readiness and serving wait for text, lists and rows; lists named by a new text are read at once.

--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -70,8 +70,8 @@
                 m_permits->onConfiguration(*configuration);
                 m_core->onConfiguration(configuration);
             });
-            m_node.setReady(!m_leaving);
         });
+        m_node.addSystem([this](base::Instant) { updateReadiness(); });
         m_node.setStatus([this] {
             nlohmann::json status;
             m_node.traffic().runAndWait([&] { status = m_core->status(); });
@@ -115,14 +115,24 @@
     }
 
 private:
+    // A gateway serves once it has a text, has read the platform's list and knows the rows.
+    void updateReadiness()
+    {
+        bool rowsKnown = m_agent->hasRead() || (m_options.limits == LimitMode::Static && m_options.homes == HomeMode::Hash);
+        if (!m_complete && m_node.configuration()->version.value() && m_node.hasListedAll() && rowsKnown)
+            m_complete = true;
+        m_node.setReady(m_complete && !m_leaving);
+    }
+
     // Runs on the callers' threads: parsing and hashing keep off the traffic loop.
     void onCaller(const std::shared_ptr<platform::HttpExchange>& exchange)
     {
         base::Instant now = m_node.traffic().now();
         auto configuration = m_node.configuration();
-        if (!configuration->version.value()) {
-            // Without a text no key can be told from an unknown one; the caller must not hear that its key is wrong.
-            base::Refusal notReady { base::RefusalCode::StaleConfiguration, base::RanState::NotRun, "this gateway has no configuration yet", now + notReadyRetry };
+        if (!m_complete) {
+            // Without a text no key can be told from an unknown one, and without the list and the rows there is nobody to ask:
+            // the caller must not hear that its key is wrong, or that there is no capacity.
+            base::Refusal notReady { base::RefusalCode::StaleConfiguration, base::RanState::NotRun, "this gateway has just started; ask again", now + notReadyRetry };
             exchange->respond(httpStatus(notReady.code), refusalHeaders(notReady, now), refusalBody(notReady, now));
             return;
         }
@@ -191,6 +201,8 @@
     std::unique_ptr<internal::FleetPlanner> m_planner;
     std::vector<placement::ModelDemand> m_demand;
     std::unique_ptr<platform::HttpServer> m_callers;
+    // Once true it stays so: what was learnt serves on through any outage.
+    std::atomic<bool> m_complete { false };
     std::atomic<bool> m_leaving { false };
 };
 
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -170,7 +170,7 @@
     if (entry->request.idempotent)
         route(*entry);
     else
-        m_onceCalls.begin(id, entry->request);
+        beginOnce(*entry);
 }
 
 // ---- routing
@@ -299,6 +299,19 @@
     line.add("wait_ms", base::toMilliseconds(decision.expectedWait)).add("epoch", decision.epoch).add("version", decision.configurationVersion);
 }
 
+void GatewayCore::beginOnce(CallerEntry& entry)
+{
+    base::Instant until = std::min(entry.arrivedAt + holderPatience, entry.request.deadline);
+    if (!holdersOf(entry, now()).empty() || now() + holderPause >= until) {
+        m_onceCalls.begin(entry.id, entry.request);
+        return;
+    }
+    m_node.traffic().at(now() + holderPause, [this, alive = m_alive, id = entry.id] {
+        if (CallerEntry* waiting = *alive ? find(id) : nullptr)
+            beginOnce(*waiting);
+    });
+}
+
 // Between the release of a row and its next holder a model has no home for a moment, and so has a pool whose instances are
 // being replaced. A caller with time left should not notice.
 bool GatewayCore::waitForHolder(CallerEntry& entry, const routing::RouteDecision& decision)
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -85,6 +85,7 @@
     std::vector<routing::Holder> holdersOf(const CallerEntry&, base::Instant now);
     std::vector<const node::InstanceRow*> readyInstances(const config::UpstreamPool&, const node::InstanceTable&);
     routing::Holder holderOn(const base::UpstreamId&, base::Epoch, const base::ModelId&, base::Instant now) const;
+    void beginOnce(CallerEntry&);
     // Waits a little for a holder where the model has none at this moment. False where the time for that is over.
     bool waitForHolder(CallerEntry&, const routing::RouteDecision&);
     void logDecision(const routing::RouteDecision&) const;
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -95,6 +95,8 @@
     std::shared_ptr<const InstanceTable> instances() const { return m_instances.load(); }
     // Peers' calls that are still being answered. Not to be called on the traffic loop.
     size_t openPeerCalls();
+    // Whether the platform's list has been read under every name that matters here. Called on the control loop.
+    bool hasListedAll() const;
     base::Endpoint peerEndpoint() const { return m_peerEndpoint; }
     uint16_t operatorPort() const;
     // Names this start of the process, apart from every other.
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -13,6 +13,7 @@
 #include "toucanstep/platform/InstanceList.h"
 
 #include <absl/hash/hash.h>
+#include <algorithm>
 #include <glog/logging.h>
 #include <set>
 
@@ -278,13 +279,22 @@
 
     void tick(base::Instant now)
     {
-        if (now < m_nextPoll)
+        // Until every list has been read once there is no use in waiting for the next turn.
+        bool complete = hasReadAll();
+        if (now < m_nextPoll && (complete || now < m_nextEarlyPoll))
             return;
+        m_nextEarlyPoll = now + m_node.m_options.tickInterval * 2;
         m_nextPoll = now + m_node.m_options.instanceListPollInterval;
         for (const std::string& name : names())
             read(name, now);
     }
 
+    bool hasReadAll() const
+    {
+        std::set<std::string> wanted = names();
+        return std::includes(m_read.begin(), m_read.end(), wanted.begin(), wanted.end());
+    }
+
 private:
     // Sidecars need the gateways and their own pool; gateways need every pool.
     std::set<std::string> names() const
@@ -316,13 +326,16 @@
         for (const platform::ListedInstance& listed : listing.instances)
             table->rows.push_back({ listed.instance, listed.endpoint, listed.failureDomain, name, listed.ready, listed.terminating });
         m_node.m_instances.publish(table);
+        m_read.insert(name);
         for (const ListingListener& listener : m_node.m_listingListeners)
             listener({ name, listing, sentAt });
     }
 
     Node& m_node;
     std::unique_ptr<platform::InstanceList> m_list;
+    std::set<std::string> m_read;
     base::Instant m_nextPoll;
+    base::Instant m_nextEarlyPoll;
 };
 
 Node::Node(config::ProcessSettings settings, NodeOptions options)
@@ -465,6 +478,11 @@
     return m_operator ? m_operator->port() : 0;
 }
 
+bool Node::hasListedAll() const
+{
+    return m_poller && m_poller->hasReadAll();
+}
+
 size_t Node::openPeerCalls()
 {
     size_t calls = 0;
