A request that may have run is never said not to have; released rows are waited for; departed holders are left out

Change: both sides remember earlier tries; drained() waits until no row is being released; holders that the list does not show are left out.

--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -219,3 +219,28 @@
     for (int gateway = 0; gateway < 2; ++gateway)
         CHECK_TRUE(eventually([&] { return m_fleet->call(chatCall("model-c", "after", 3, false, gateway, otherKey)).http.status == 401; }));
 }
+
+// A request crashes its engine, and what is tried next finds the connection refused. The last try was certainly never sent,
+// but an earlier one ran: a caller who is told not_run would send a harmful request again with a clear conscience. The bench's
+// scenario `poison`, seed 1, showed it once.
+TEST(WholePath, ARequestThatRanUntilItsEngineCrashedIsNeverSaidNotToHaveRun)
+{
+    FleetOptions options = fleetOptions();
+    options.engine.crashDowntime = std::chrono::seconds(3);
+    start(options);
+    CallerReply reply = m_fleet->call(chatCall("model-c", poisonWord, 3, true));
+    CHECK_FALSE(reply.http.ok());
+    STRCMP_EQUAL("may_have_run", reply.ran.c_str());
+}
+
+// A sidecar is replaced. What it held must have a new home at once: if it ended before its rows were given back, callers of
+// its models would be refused until its absence is proved.
+TEST(WholePath, ASidecarThatLeavesGivesItsModelsANewHome)
+{
+    start();
+    CHECK_TRUE(isWhole(m_fleet->call(chatCall("model-a", "before", 3, true)), 3));
+    CHECK_TRUE(isWhole(m_fleet->call(chatCall("model-b", "before", 3, true)), 3));
+    m_fleet->leaveSidecar(0);
+    for (const char* model : { "model-a", "model-b", "model-c" })
+        CHECK_TRUE(isWhole(m_fleet->call(chatCall(model, "after", 3, true, 1)), 3));
+}
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -25,7 +25,7 @@
 constexpr base::Duration refreshInterval = std::chrono::milliseconds(250);
 constexpr base::Duration contestedFor = std::chrono::seconds(5);
 // How long a request waits for a model that has no holder at this moment, and how often it looks.
-constexpr base::Duration holderPatience = std::chrono::seconds(4);
+constexpr base::Duration holderPatience = std::chrono::seconds(8);
 constexpr base::Duration holderPause = std::chrono::milliseconds(100);
 constexpr base::Duration reportTimeout = std::chrono::milliseconds(500);
 // A caller that does not read is not waited for with more than this in memory.
@@ -228,8 +228,14 @@
     auto rows = m_rows.find(model);
     if (rows == m_rows.end())
         return holders;
-    for (const assignments::Row& row : rows->second)
+    // A row outlives its holder until that is proved to be gone; meanwhile a second row may stand in, and only that one is
+    // of use.
+    auto listed = [&](const assignments::Row& row) { return std::any_of(ready.begin(), ready.end(), [&](const node::InstanceRow* one) { return one->instance == row.holder.instance; }); };
+    for (const assignments::Row& row : rows->second) {
+        if (!listed(row))
+            continue;
         holders.push_back(holderOn(base::UpstreamId(row.holder.instance.value()), row.epoch, model, now));
+    }
     return holders;
 }
 
@@ -640,6 +646,7 @@
     if (delivered(entry) || now() >= entry.request.deadline)
         return false;
     if (ran != base::RanState::NotRun) {
+        entry.mayHaveRun = true;
         auto retriesSoFar = static_cast<int64_t>(entry.tried.size()) - 1;
         if (!m_retries.tryRetry(entry.request.idempotent, retriesSoFar))
             return false;
@@ -690,8 +697,10 @@
     refuse(*entry, { delivered(*entry) ? base::RefusalCode::AnswerCut : base::RefusalCode::UpstreamFailed, base::RanState::MayHaveRun, "the upstream was lost", std::nullopt });
 }
 
-void GatewayCore::refuse(CallerEntry& entry, const base::Refusal& refusal)
+void GatewayCore::refuse(CallerEntry& entry, base::Refusal refusal)
 {
+    if (entry.mayHaveRun && refusal.ran == base::RanState::NotRun)
+        refusal.ran = base::RanState::MayHaveRun;
     m_node.metrics().count("toucanstep_refusals_total", base::concat("code=\"", refusalCodeName(refusal.code), "\""));
     base::LogLine("refused").add("request", entry.id).add("account", entry.request.account).add("target", entry.request.targetId).add("code", refusalCodeName(refusal.code)).add("ran", ranStateName(refusal.ran)).add("reason", refusal.message);
     m_node.record({ .kind = base::HistoryKind::Refused, .request = entry.id, .account = entry.request.account, .code = refusal.code, .ran = refusal.ran });
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -38,6 +38,8 @@
     routing::DispatchNumber dispatch;
     std::shared_ptr<peers::PeerCall> call;
     int attaches = 0;
+    // An earlier dispatch may have run; whatever a later one says, the request is not proved not to have run.
+    bool mayHaveRun = false;
     // The current attempt of a call that may run only once; empty for others.
     calls::AttemptId onceAttempt;
     // The answer towards the caller.
@@ -109,7 +111,7 @@
     void onAnswerEnd(CallerEntry&, const peers::AnswerEnd&);
     void onRefused(CallerEntry&, const peers::AnswerRefused&);
     bool tryElsewhere(CallerEntry&, base::RanState);
-    void refuse(CallerEntry&, const base::Refusal&);
+    void refuse(CallerEntry&, base::Refusal);
     void endDispatch(CallerEntry&);
     void finish(const base::RequestId&, base::Tokens unused);
     void callerGone(const base::RequestId&);
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -143,7 +143,10 @@
             left = true;
             m_releasing.insert(row.key);
         }
-        m_rowsGivenBack = !left || now >= *m_rowsDeadline;
+        // A row that is being released is out of use at once, but it stands until the service has confirmed it: ending before
+        // that leaves it to nobody until this instance is proved to be gone.
+        bool done = !left && m_releasing.empty();
+        m_rowsGivenBack = done || now >= *m_rowsDeadline;
     }
 
     void onReleaseAsked(const peers::IncomingCall& call, const std::shared_ptr<peers::PeerResponder>& responder)
--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -573,7 +573,8 @@
         return;
     }
     bool delivered = !entry->chunks.empty();
-    bool neverReached = end.error && end.error->kind == base::ErrorKind::Unavailable && !delivered;
+    // The last try alone does not tell: an earlier one of this request may have run until the upstream crashed.
+    bool neverReached = end.error && end.error->kind == base::ErrorKind::Unavailable && !delivered && !entry->resumes;
     auto ran = neverReached ? base::RanState::NotRun : base::RanState::MayHaveRun;
     refuse(*entry, refusal(delivered ? base::RefusalCode::AnswerCut : base::RefusalCode::UpstreamFailed, ran, end.error ? end.error->message : "the upstream broke the answer off"));
 }
