--- a/packages/gateway/src/FleetPlanner.cpp
+++ b/packages/gateway/src/FleetPlanner.cpp
@@ -66,13 +66,9 @@
 
 int FleetPlanner::rank(const node::InstanceTable& instances) const
 {
-    std::set<base::InstanceId> ready;
-    for (const node::InstanceRow* row : instances.inList(node::gatewayListName)) {
-        if (row->ready && !row->terminating)
-            ready.insert(row->instance);
-    }
-    auto self = ready.find(m_agent.self().instance);
-    return self == ready.end() ? -1 : static_cast<int>(std::distance(ready.begin(), self));
+    auto gateways = instances.gatewaysInOrder();
+    auto self = std::find_if(gateways.begin(), gateways.end(), [&](const node::InstanceRow* row) { return row->instance == m_agent.self().instance; });
+    return self == gateways.end() ? -1 : static_cast<int>(std::distance(gateways.begin(), self));
 }
 
 void FleetPlanner::tick(base::Instant now)
@@ -117,10 +113,8 @@
 bool FleetPlanner::planShares(const node::InstanceTable& instances, base::Instant now, bool act)
 {
     std::vector<Place> places;
-    for (const node::InstanceRow* row : instances.inList(node::gatewayListName)) {
-        if (row->ready && !row->terminating)
-            places.push_back({ row->instance, row->failureDomain, static_cast<int>(m_agent.table().rowsOf(row->instance).size()) });
-    }
+    for (const node::InstanceRow* row : instances.gatewaysInOrder())
+        places.push_back({ row->instance, row->failureDomain, static_cast<int>(m_agent.table().rowsOf(row->instance).size()) });
     bool needs = false;
     auto configuration = m_node.configuration();
     for (const config::ClientAccount& account : configuration->accounts) {
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "FleetPlanner.h"
 #include "GatewayCore.h"
 #include "PermitHome.h"
+#include "RecordCleaning.h"
 #include "ShareLimitGate.h"
 #include "ShareMover.h"
 #include "StaticLimitGate.h"
@@ -29,6 +30,7 @@
         , m_agent(std::make_unique<node::AssignmentAgent>(m_node, node::AssignmentOptions {}))
         , m_members(std::make_unique<node::MembershipAgent>(m_node))
         , m_permits(std::make_unique<internal::PermitHome>(m_node))
+        , m_cleaning(std::make_unique<internal::RecordCleaning>(m_node))
     {
         std::unique_ptr<internal::LimitGate> gate;
         if (options.limits == LimitMode::Shares) {
@@ -54,6 +56,7 @@
         m_agent->install();
         m_members->install();
         m_permits->install();
+        m_cleaning->install();
         m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
         m_node.addSystem([this](base::Instant) { tellStrikes(); });
         m_agent->onRows([this](const node::AssignmentView& view) {
@@ -196,6 +199,7 @@
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
     std::unique_ptr<internal::PermitHome> m_permits;
+    std::unique_ptr<internal::RecordCleaning> m_cleaning;
     std::unique_ptr<internal::ShareMover> m_shareMover;
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
--- a/packages/gateway/src/ShareMover.cpp
+++ b/packages/gateway/src/ShareMover.cpp
@@ -98,8 +98,8 @@
         holders.insert(other.holder.instance);
     const node::InstanceRow* best = nullptr;
     auto worse = [&](const node::InstanceRow& candidate) { return std::pair(holders.contains(candidate.instance), m_agent.table().rowsOf(candidate.instance).size()); };
-    for (const node::InstanceRow* candidate : instances->inList(node::gatewayListName)) {
-        if (!candidate->ready || candidate->terminating || candidate->instance == m_agent.self().instance)
+    for (const node::InstanceRow* candidate : instances->gatewaysInOrder()) {
+        if (candidate->instance == m_agent.self().instance)
             continue;
         if (!best || worse(*candidate) < worse(*best))
             best = candidate;
--- a/packages/node/include/toucanstep/node/InstanceTable.h
+++ b/packages/node/include/toucanstep/node/InstanceTable.h
@@ -32,6 +32,10 @@
         return nullptr;
     }
 
+    // The gateways that take new work, in the order of their ids. The first of them is where work goes that one gateway
+    // does for all: everybody who has read the same list means the same one.
+    std::vector<const InstanceRow*> gatewaysInOrder() const;
+
     std::vector<const InstanceRow*> inList(std::string_view listName) const
     {
         std::vector<const InstanceRow*> found;
--- a/packages/sidecar/src/PermitClient.cpp
+++ b/packages/sidecar/src/PermitClient.cpp
@@ -1,7 +1,6 @@
 #include "PermitClient.h"
 
 #include "toucanstep/base/LogLine.h"
-#include "toucanstep/node/Keys.h"
 #include "toucanstep/peers/PermitMessages.h"
 
 #include <absl/hash/hash.h>
@@ -51,17 +50,11 @@
     *m_alive = false;
 }
 
-// The ready gateway whose id comes first: all sidecars that see the same list ask the same one.
 std::optional<base::Endpoint> PermitClient::home() const
 {
     auto instances = m_node.instances();
-    const node::InstanceRow* first = nullptr;
-    for (const node::InstanceRow* row : instances->inList(node::gatewayListName)) {
-        bool usable = row->ready && !row->terminating;
-        if (usable && (!first || row->instance < first->instance))
-            first = row;
-    }
-    return first ? std::optional(first->peer) : std::nullopt;
+    auto gateways = instances->gatewaysInOrder();
+    return gateways.empty() ? std::nullopt : std::optional(gateways.front()->peer);
 }
 
 bool PermitClient::permitted(const PermitNeed& need)
