--- a/packages/fleet/test/CommandsTest.cpp
+++ b/packages/fleet/test/CommandsTest.cpp
@@ -80,7 +80,10 @@
     LONGS_EQUAL_TEXT(cli::exitGood, published.status, (published.output + published.errors).c_str());
     CHECK_TRUE(published.output.find("in force at 2 of 2 nodes") != std::string::npos);
     CHECK_TRUE(m_fleet->waitServing(chatCall("model-c", "warm up", 1, false), generous));
-    LONGS_EQUAL(cli::exitGood, runTool({ "status", "--operator", operatorPorts() }).status);
+    ToolRun status = runTool({ "status", "--operator", operatorPorts() });
+    LONGS_EQUAL_TEXT(cli::exitGood, status.status, status.output.c_str());
+    CHECK_TRUE_TEXT(status.output.find(" gateway gateway-0 version=") != std::string::npos, status.output.c_str());
+    CHECK_TRUE_TEXT(status.output.find("rows=-") == std::string::npos, status.output.c_str());
     ToolRun answered = call(otherKey);
     LONGS_EQUAL_TEXT(cli::exitGood, answered.status, answered.errors.c_str());
 
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -72,6 +72,7 @@
         m_node.setStatus([this] {
             nlohmann::json status;
             m_node.traffic().runAndWait([&] { status = m_core->status(); });
+            status["rows"] = m_agent->view()->own.size();
             return status;
         });
         BOOST_LEAF_CHECK(m_node.start());
