--- a/bench/placement_slope.cpp
+++ b/bench/placement_slope.cpp
@@ -1,5 +1,6 @@
 // Time of one planning tick at today's sizes and at the largest expected ones. Prints JSON.
 
+#include "SlopeFit.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/placement/ReplicaPlan.h"
 
@@ -161,9 +162,15 @@
 
 int main()
 {
-    nlohmann::json report = nlohmann::json::array();
-    for (const auto& size : { Size { 18, 55, 115 }, Size { 1200, 1200, 1900 } })
-        report.push_back(Measurement(size).run());
-    std::cout << report.dump(2) << "\n";
+    toucanstep::bench::SlopeFit settled("settled_tick_p50_ms", "engines");
+    toucanstep::bench::SlopeFit first("first_tick_ms", "engines");
+    for (const auto& size : { Size { 18, 55, 115 }, Size { 300, 300, 475 }, Size { 600, 600, 950 }, Size { 1200, 1200, 1900 } }) {
+        nlohmann::json measured = Measurement(size).run();
+        settled.add(size.engines, measured["settled_tick_p50_ms"].get<double>());
+        first.add(size.engines, measured["first_tick_ms"].get<double>());
+        std::cout << measured.dump() << std::endl;
+    }
+    std::cout << settled.json().dump() << "\n"
+              << first.json().dump() << "\n";
     return 0;
 }
