--- a/bench/fleet_slope.cpp
+++ b/bench/fleet_slope.cpp
@@ -291,7 +291,8 @@
         thread.join();
     double spent = processorSeconds() - before;
     double seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - began).count();
-    return (spent - idleCores * seconds) / (requests / callers * callers);
+    int made = requests / callers * callers;
+    return (spent - idleCores * seconds) / made;
 }
 
 void measureRequests()
--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -63,6 +63,15 @@
     Revision revision;
 };
 
+// What tells whether anything under a prefix has changed, without reading it.
+struct RangeSummary {
+    int64_t count = 0;
+    // The highest revision that wrote one of the keys; zero where there is none.
+    Revision newest;
+    // The service's revision at which the range was summed up.
+    Revision revision;
+};
+
 // What came of a call: a value, or the error.
 template <typename T>
 using Outcome = std::variant<T, Error>;
@@ -97,6 +106,8 @@
     virtual void stat(std::string key, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
     // Reads all keys with that prefix.
     virtual void list(std::string prefix, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
+    // Counts the keys with that prefix and tells the newest of their revisions; the answer has the same size for any count.
+    virtual void summarize(std::string prefix, Instant deadline, std::function<void(Outcome<RangeSummary>)>) = 0;
     virtual void commit(Transaction, Instant deadline, std::function<void(Outcome<TransactionReply>)>) = 0;
     virtual void grantLease(Duration timeToLive, Instant deadline, std::function<void(Outcome<LeaseId>)>) = 0;
     virtual void keepLeaseAlive(LeaseId, Instant deadline, std::function<void(Outcome<LeaseId>)>) = 0;
--- a/packages/cli/test/PublishCommandTest.cpp
+++ b/packages/cli/test/PublishCommandTest.cpp
@@ -27,6 +27,10 @@
     {
         m_store.get(std::move(key), deadline, std::move(callback));
     }
+    void summarize(std::string prefix, base::Instant deadline, std::function<void(base::Outcome<base::RangeSummary>)> callback) override
+    {
+        m_store.summarize(std::move(prefix), deadline, std::move(callback));
+    }
     void stat(std::string key, base::Instant deadline, std::function<void(base::Outcome<base::RangeReply>)> callback) override
     {
         m_store.stat(std::move(key), deadline, std::move(callback));
--- a/packages/fakes/src/FakeKeyValueService.cpp
+++ b/packages/fakes/src/FakeKeyValueService.cpp
@@ -228,13 +228,18 @@
         ++m_counters.reads;
         Json answer = { { "header", headerOf(m_table.revision()) } };
         bool keysOnly = request.value("keys_only", false);
-        for (const auto& entry : m_table.range(rangeFromJson(request))) {
+        std::vector<KeyValue> entries = m_table.range(rangeFromJson(request));
+        if (!entries.empty())
+            answer["count"] = concat(entries.size());
+        if (request.value("sort_target", "") == "MOD" && request.value("sort_order", "") == "DESCEND")
+            std::sort(entries.begin(), entries.end(), [](const KeyValue& left, const KeyValue& right) { return left.modified > right.modified; });
+        if (int64_t limit = number(request, "limit"); limit > 0 && entries.size() > static_cast<size_t>(limit))
+            entries.resize(static_cast<size_t>(limit));
+        for (const auto& entry : entries) {
             answer["kvs"].push_back(toJson(entry));
             if (keysOnly)
                 answer["kvs"].back().erase("value");
         }
-        if (answer.contains("kvs"))
-            answer["count"] = concat(answer["kvs"].size());
         return answer;
     }
 
--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -202,3 +202,16 @@
     for (int gateway = 0; gateway < 2; ++gateway)
         CHECK_TRUE(eventually([&] { return m_fleet->call(chatCall("model-c", "after", 3, false, gateway, otherKey)).http.status == 401; }));
 }
+
+// An engine's host is stopped as planned while the watches of all processes have gone silent without a sign. Its models
+// move, but a node that lives by the watch alone never hears where to, and their callers are refused from then on.
+TEST(WholePath, RowsThatMoveWhileTheWatchesAreSilentAreFound)
+{
+    start();
+    m_fleet->store().silenceWatches();
+    m_fleet->leaveSidecar(0);
+    for (const char* model : { "model-a", "model-b", "model-c" }) {
+        for (int gateway = 0; gateway < 2; ++gateway)
+            CHECK_TRUE(m_fleet->waitServing(chatCall(model, "after the move", 2, false, gateway), generous));
+    }
+}
--- a/packages/node/include/toucanstep/node/AssignmentAgent.h
+++ b/packages/node/include/toucanstep/node/AssignmentAgent.h
@@ -31,7 +31,7 @@
 
 struct AssignmentOptions {
     assignments::Timing timing;
-    // How often rows, marks and voters are read whole, beside the watch on the rows.
+    // How often marks and voters are read, and it is checked whether the watch on the rows has missed anything.
     base::Duration readInterval = std::chrono::seconds(3);
     // Voters are asked to vouch once the list's word is older than this.
     base::Duration vouchAfter = std::chrono::milliseconds(1500);
@@ -90,7 +90,12 @@
     };
 
     void tick(base::Instant now);
+    struct Reading;
     void readService(base::Instant now);
+    template <typename Reply>
+    std::function<void(base::Outcome<Reply>)> collect(std::shared_ptr<Reading>, std::optional<Reply> Reading::*part);
+    void onAnswered(const std::shared_ptr<Reading>&);
+    bool knowsAllOf(const base::RangeSummary&) const;
     void onServiceRead(base::Instant sentAt, base::Instant deadline);
     void openWatch();
     void onListing(const ListingAnswer&);
@@ -131,9 +136,13 @@
     std::unique_ptr<base::WatchHandle> m_watch;
     std::shared_ptr<WatchRelay> m_relay;
 
-    // One reading of the service: three ranges, of which the oldest revision counts.
+    // One reading of the service: marks, electorate, and either the rows or, once these are known, what tells whether they
+    // have changed.
     struct Reading {
+        base::Instant sentAt;
+        base::Instant deadline;
         std::optional<base::RangeReply> rows;
+        std::optional<base::RangeSummary> summary;
         std::optional<base::RangeReply> marks;
         std::optional<base::RangeReply> electorate;
         bool failed = false;
@@ -147,6 +156,7 @@
     base::Instant m_nextVoterCheck;
     std::optional<base::Instant> m_listSeenAt;
     uint64_t m_publishedChanges = UINT64_MAX;
+    // Every change of a row up to this revision is known: from a read, or from the watch, which leaves out nothing.
     base::Revision m_readRevision;
     bool m_hasRead = false;
     bool m_votersMoving = false;
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -69,6 +69,11 @@
                 return;
             self->m_agent.m_table.applyEvents(events, revision);
             self->m_agent.publish();
+            if (self->m_agent.m_relay != self)
+                return;
+            // The revision that came along may lie beyond changes that are still to come, so the events' own ones count.
+            for (const base::WatchEvent& event : events)
+                self->m_agent.m_readRevision = std::max(self->m_agent.m_readRevision, event.entry.modified);
         });
     }
 
@@ -149,32 +154,60 @@
 void AssignmentAgent::readService(base::Instant now)
 {
     m_nextRead = now + m_options.readInterval;
-    base::Instant deadline = now + m_node.options().storeTimeout;
     auto reading = std::make_shared<Reading>();
+    reading->sentAt = now;
+    reading->deadline = now + m_node.options().storeTimeout;
     m_reading = reading;
-    auto collect = [this, reading, now, deadline, alive = m_alive](std::optional<base::RangeReply> Reading::*part) {
-        return [this, reading, now, deadline, alive, part, loop = &m_node.control()](base::Outcome<base::RangeReply> outcome) {
-            loop->post([this, reading, now, deadline, alive, part, outcome = std::move(outcome)] {
-                if (!*alive || m_reading != reading)
-                    return;
-                if (auto* reply = std::get_if<base::RangeReply>(&outcome))
-                    (*reading).*part = *reply;
-                else
-                    reading->failed = true;
-                if (++reading->answered == rangesOfReading && !reading->failed)
-                    onServiceRead(now, deadline);
-            });
-        };
+    if (m_hasRead)
+        m_node.store().summarize(std::string(allRowsPrefix), reading->deadline, collect(reading, &Reading::summary));
+    else
+        m_node.store().list(std::string(allRowsPrefix), reading->deadline, collect(reading, &Reading::rows));
+    m_node.store().list(std::string(goneMarksPrefix), reading->deadline, collect(reading, &Reading::marks));
+    m_node.store().get(std::string(electoratesKey), reading->deadline, collect(reading, &Reading::electorate));
+}
+
+template <typename Reply>
+std::function<void(base::Outcome<Reply>)> AssignmentAgent::collect(std::shared_ptr<Reading> reading, std::optional<Reply> Reading::*part)
+{
+    return [this, reading, alive = m_alive, part, loop = &m_node.control()](base::Outcome<Reply> outcome) {
+        loop->post([this, reading, alive, part, outcome = std::move(outcome)] {
+            if (!*alive || m_reading != reading)
+                return;
+            if (auto* reply = std::get_if<Reply>(&outcome))
+                (*reading).*part = *reply;
+            else
+                reading->failed = true;
+            ++reading->answered;
+            onAnswered(reading);
+        });
     };
-    m_node.store().list(std::string(allRowsPrefix), deadline, collect(&Reading::rows));
-    m_node.store().list(std::string(goneMarksPrefix), deadline, collect(&Reading::marks));
-    m_node.store().get(std::string(electoratesKey), deadline, collect(&Reading::electorate));
+}
+
+void AssignmentAgent::onAnswered(const std::shared_ptr<Reading>& reading)
+{
+    if (reading->answered < rangesOfReading || reading->failed)
+        return;
+    if (reading->rows || knowsAllOf(*reading->summary)) {
+        onServiceRead(reading->sentAt, reading->deadline);
+        return;
+    }
+    --reading->answered;
+    m_node.store().list(std::string(allRowsPrefix), reading->deadline, collect(reading, &Reading::rows));
+}
+
+// Failure: the watch goes silent without a sign, and this node would never hear of a row. All changes up to m_readRevision
+// are known, so a key that was written later shows in `newest`; and as no key that stands is unknown here, a deletion that
+// was missed shows in the count. What this node itself wrote and the watch has not yet brought leads to one read too many.
+bool AssignmentAgent::knowsAllOf(const base::RangeSummary& summary) const
+{
+    return summary.newest <= m_readRevision && static_cast<size_t>(summary.count) == m_view.load()->rows.size();
 }
 
 void AssignmentAgent::onServiceRead(base::Instant sentAt, base::Instant deadline)
 {
     base::Instant now = m_node.control().now();
-    m_table.applyRange(allRowsPrefix, *m_reading->rows);
+    if (m_reading->rows)
+        m_table.applyRange(allRowsPrefix, *m_reading->rows);
     m_marks.clear();
     bool selfMarked = false;
     for (const base::KeyValue& entry : m_reading->marks->entries) {
@@ -193,7 +226,7 @@
     if (electorates && electorates->modified > m_electorates.modified)
         m_electorates = *electorates;
     base::Revision marksRevision = m_reading->marks->revision;
-    m_readRevision = std::max(m_readRevision, m_reading->rows->revision);
+    m_readRevision = std::max(m_readRevision, m_reading->rows ? m_reading->rows->revision : m_reading->summary->revision);
     m_holder.onServiceRead({ sentAt, deadline }, now, marksRevision, selfMarked, electorates);
     m_voter.onServiceRead(marksRevision, m_marks, electorates);
     for (auto& [name, tracker] : m_trackers) {
--- a/packages/platform/src/EtcdStore.cpp
+++ b/packages/platform/src/EtcdStore.cpp
@@ -95,6 +95,14 @@
     return reply;
 }
 
+Outcome<RangeSummary> summaryFromJson(const Json& answer)
+{
+    RangeSummary summary { .count = numberMember(answer, "count"), .newest = {}, .revision = revisionOf(answer) };
+    for (const auto& json : member(answer, "kvs"))
+        summary.newest = std::max(summary.newest, Revision(numberMember(json, "mod_revision")));
+    return summary;
+}
+
 // The error that stands in the answer, if there is one.
 std::optional<Error> errorOf(const HttpReply& reply)
 {
@@ -227,6 +235,14 @@
         call<RangeReply>("/v3/kv/range", request, deadline, &rangeFromJson, std::move(callback));
     }
 
+    void summarize(std::string prefix, Instant deadline, std::function<void(Outcome<RangeSummary>)> callback) override
+    {
+        // The count is of all keys, also where the limit leaves some out.
+        Json request = { { "keys_only", true }, { "limit", "1" }, { "sort_order", "DESCEND" }, { "sort_target", "MOD" } };
+        setPrefix(request, prefix);
+        call<RangeSummary>("/v3/kv/range", request, deadline, &summaryFromJson, std::move(callback));
+    }
+
     void commit(Transaction transaction, Instant deadline, std::function<void(Outcome<TransactionReply>)> callback) override
     {
         auto read = [](const Json& answer) -> Outcome<TransactionReply> {
--- a/packages/platform/test/EtcdStoreTest.cpp
+++ b/packages/platform/test/EtcdStoreTest.cpp
@@ -113,6 +113,26 @@
     CHECK_TRUE(read.entries[0].value.empty());
 }
 
+TEST(EtcdStore, ASummaryTellsNewKeysChangesAndDeletions)
+{
+    auto summary = [&] {
+        Mailbox<Outcome<RangeSummary>> replies;
+        store->summarize("rows/", soon(), [&](auto reply) { replies.put(std::move(reply)); });
+        return std::get<RangeSummary>(*replies.take());
+    };
+    CHECK_EQUAL(0, summary().count);
+    CHECK_TRUE(summary().newest == Revision());
+    auto first = std::get<TransactionReply>(commit(create("rows/z", "1")));
+    auto second = std::get<TransactionReply>(commit(create("rows/a", "2")));
+    commit(create("other", "3"));
+    CHECK_EQUAL(2, summary().count);
+    CHECK_TRUE(summary().newest == second.revision);
+    CHECK_TRUE(summary().revision > second.revision);
+    commit({ .comparisons = {}, .operations = { DeleteOperation { "rows/a" } } });
+    CHECK_EQUAL(1, summary().count);
+    CHECK_TRUE(summary().newest == first.revision);
+}
+
 TEST(EtcdStore, AComparisonThatFailsWritesNothing)
 {
     commit(create("a", "first"));
