--- a/packages/node/include/toucanstep/node/AssignmentAgent.h
+++ b/packages/node/include/toucanstep/node/AssignmentAgent.h
@@ -156,6 +156,11 @@
     base::Instant m_nextVoterCheck;
     std::optional<base::Instant> m_listSeenAt;
     uint64_t m_publishedChanges = UINT64_MAX;
+    // Made from the published rows, so that no tick has to go through all of them: the rows that name this instance, and who
+    // holds rows at all as of the changes up to m_holdersOf.
+    std::vector<assignments::Row> m_rowsHere;
+    std::set<base::InstanceId> m_holders;
+    uint64_t m_holdersOf = UINT64_MAX;
     // Every change of a row up to this revision is known: from a read, or from the watch, which leaves out nothing.
     base::Revision m_readRevision;
     bool m_hasRead = false;
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -67,8 +67,8 @@
         m_loop.post([self = shared_from_this(), events = std::move(events), revision] {
             if (!*self->m_alive)
                 return;
+            // The next tick publishes: a copy of all rows for each event would take milliseconds.
             self->m_agent.m_table.applyEvents(events, revision);
-            self->m_agent.publish();
             if (self->m_agent.m_relay != self)
                 return;
             // The revision that came along may lie beyond changes that are still to come, so the events' own ones count.
@@ -133,6 +133,7 @@
 {
     if (!*m_alive)
         return;
+    publish();
     if (now >= m_nextRead)
         readService(now);
     if (!m_watch && m_hasRead)
@@ -187,6 +188,7 @@
 {
     if (reading->answered < rangesOfReading || reading->failed)
         return;
+    publish();
     if (reading->rows || knowsAllOf(*reading->summary)) {
         onServiceRead(reading->sentAt, reading->deadline);
         return;
@@ -250,7 +252,10 @@
     m_publishedChanges = m_table.changes();
     auto view = std::make_shared<AssignmentView>();
     view->rows = m_table.all();
+    m_rowsHere.clear();
     for (const Row& row : view->rows) {
+        if (row.holder.instance == m_self.instance)
+            m_rowsHere.push_back(row);
         if (row.holder == m_self && !m_holder.hasGivenUp(row))
             view->own.push_back(row);
     }
@@ -420,11 +425,14 @@
 
 void AssignmentAgent::markAbsent(base::Instant now)
 {
+    if (m_holdersOf != m_publishedChanges) {
+        m_holdersOf = m_publishedChanges;
+        m_holders.clear();
+        for (const Row& row : m_view.load()->rows)
+            m_holders.insert(row.holder.instance);
+    }
     for (auto& [listName, tracker] : m_trackers) {
-        std::set<base::InstanceId> holders;
-        for (const Row& row : m_table.all())
-            holders.insert(row.holder.instance);
-        for (const base::InstanceId& instance : holders) {
+        for (const base::InstanceId& instance : m_holders) {
             if (tracker.phase(instance, now) != AbsencePhase::MarkNeeded || m_keysMoving.contains(goneMarkKey(instance)))
                 continue;
             submit(m_mover.markGone(instance), [this](MoveState) { m_nextRead = {}; });
@@ -515,7 +523,7 @@
 {
     if (!m_hasRead || m_holder.markedGone())
         return;
-    for (const Row& row : m_table.rowsOf(m_self.instance)) {
+    for (const Row& row : m_rowsHere) {
         bool adopted = row.holder.start == m_self.start;
         if (adopted || busy(row.key) || !mayMoveMore() || m_holder.hasGivenUp(row))
             continue;
