--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -205,6 +205,7 @@
 
 // An engine's host is stopped as planned while the watches of all processes have gone silent without a sign. Its models
 // move, but a node that lives by the watch alone never hears where to, and their callers are refused from then on.
+// The store itself ends a silent watch only after two minutes.
 TEST(WholePath, RowsThatMoveWhileTheWatchesAreSilentAreFound)
 {
     start();
