--- a/bench/load/src/Run.cpp
+++ b/bench/load/src/Run.cpp
@@ -1,6 +1,7 @@
 #include "Run.h"
 
 #include "Quantile.h"
+#include "Traffic.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/history/Checkers.h"
 #include "toucanstep/history/Measures.h"
@@ -20,7 +21,7 @@
 using base::HistoryKind;
 
 constexpr base::Duration placementPatience = std::chrono::seconds(15);
-// Buckets that begin empty, as those of a baseline do, are full by then: a burst is four seconds of the rate.
+// Buckets that begin empty, as those of a baseline do, are full after this: a burst is four seconds of the rate.
 constexpr base::Duration settling = std::chrono::seconds(5);
 constexpr size_t shownPerBound = 3;
 
@@ -305,9 +306,11 @@
             log << "  " << complaint << "\n";
         return std::nullopt;
     }
-    std::this_thread::sleep_for(settling);
     fleet.waitPlaced(placementPatience);
     Callers callers([&fleet] { return fleet.callerPorts(); });
+    // The static baseline builds its buckets, empty, when the first request comes.
+    callers.run(firstOrders(*deployment, generator), std::chrono::steady_clock::now());
+    std::this_thread::sleep_for(settling);
     auto warmUp = callers.run(scenario->warmUp(*deployment, generator), std::chrono::steady_clock::now());
     auto failed = std::count_if(warmUp.begin(), warmUp.end(), [](const Outcome& outcome) { return !outcome.whole; });
     log << "  warm-up: " << warmUp.size() << " requests, " << failed << " not answered\n";
--- a/bench/load/src/Traffic.cpp
+++ b/bench/load/src/Traffic.cpp
@@ -80,6 +80,15 @@
         requests.back().tokens = 1;
         requests.back().timeout = patience;
     }
+    auto orders = firstOrders(deployment, generator);
+    requests.insert(requests.end(), orders.begin(), orders.end());
+    return requests;
+}
+
+std::vector<PlannedRequest> firstOrders(const Deployment& deployment, std::mt19937_64& generator)
+{
+    const auto& accounts = deployment.configuration().accounts;
+    std::vector<PlannedRequest> requests;
     const config::Service* service = orderService(deployment);
     for (size_t index = 0; service && index < accounts.size() * gatewayCount; ++index) {
         requests.push_back(order(accounts[index % accounts.size()], *service, generator));
--- a/bench/load/src/Traffic.h
+++ b/bench/load/src/Traffic.h
@@ -28,7 +28,9 @@
 // The models that steady traffic asks for; they fit into the fleet all at once.
 std::vector<base::ModelId> warmModels(const Deployment&);
 PlannedRequest chat(const config::ClientAccount&, const base::ModelId&, std::mt19937_64&);
-// One request for each warm model, and one order of each account at each gateway.
+// One order of each account at each gateway: from then on limits and calls are placed, also those of the baselines.
+std::vector<PlannedRequest> firstOrders(const Deployment&, std::mt19937_64&);
+// One request for each warm model, and the orders once more.
 std::vector<PlannedRequest> warmUpTraffic(const Deployment&, std::mt19937_64&);
 std::vector<PlannedRequest> steadyTraffic(const Deployment&, const SteadyTraffic&, std::mt19937_64&);
 // What one account sends at that many times its rate.
