--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -243,6 +243,8 @@
     m_fleet->leaveSidecar(0);
     for (const char* model : { "model-a", "model-b", "model-c" })
         CHECK_TRUE(isWhole(m_fleet->call(chatCall(model, "after", 3, true, 1)), 3));
+}
+
 // An engine's host is stopped as planned while the watches of all processes have gone silent without a sign. Its models
 // move, but a node that lives by the watch alone never hears where to, and their callers are refused from then on.
 // The store itself ends a silent watch only after two minutes.
