--- a/cmake/Toucanstep.cmake
+++ b/cmake/Toucanstep.cmake
@@ -27,6 +27,9 @@
     target_compile_options(toucanstep_options INTERFACE -fsanitize=fuzzer-no-link -fsanitize-ignorelist=${CMAKE_SOURCE_DIR}/tools/ubsan.ignore)
 endif()
 
+# Every test program, and nothing else: what the sanitizer builds need.
+add_custom_target(tests)
+
 # toucanstep_library(NAME DEPENDS a b LINK target ...)
 # Builds packages/NAME/src into a library, and packages/NAME/test into its one test program.
 function(toucanstep_library name)
@@ -53,6 +56,7 @@
         add_executable(toucanstep_${name}_test ${tests})
         target_include_directories(toucanstep_${name}_test PRIVATE src test)
         target_link_libraries(toucanstep_${name}_test PRIVATE toucanstep_${name} toucanstep::testing)
+        add_dependencies(tests toucanstep_${name}_test)
         set_target_properties(toucanstep_${name}_test PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin/test)
     endif()
 endfunction()
