--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -9,7 +9,7 @@
 #include "StaticLimitGate.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/node/MembershipAgent.h"
-#include "toucanstep/node/StrikeText.h"
+#include "toucanstep/node/StrikeExchange.h"
 
 namespace toucanstep::gateway {
 
@@ -57,8 +57,8 @@
         m_members->install();
         m_permits->install();
         m_cleaning->install();
-        m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
-        m_node.addSystem([this](base::Instant) { tellStrikes(); });
+        m_strikes = std::make_unique<node::StrikeExchange>(m_node, *m_members, *m_core);
+        m_strikes->install();
         m_agent->onRows([this](const node::AssignmentView& view) {
             m_node.traffic().post([this, view] { m_core->onRows(view); });
         });
@@ -153,32 +153,6 @@
         m_node.traffic().post([this, request = std::move(std::get<CallerRequest>(parsed)), exchange]() mutable { m_core->begin(std::move(request), exchange); });
     }
 
-    void onMember(const membership::Entry& entry)
-    {
-        m_node.versionSeen(entry.instance, entry.hints.configuration);
-        std::vector<routing::StrikeMessage> strikes;
-        for (const std::string& text : entry.hints.strikes) {
-            if (auto strike = node::parseStrike(text))
-                strikes.push_back(*strike);
-        }
-        if (!strikes.empty())
-            m_node.traffic().post([this, strikes] { m_core->mergeStrikes(strikes); });
-    }
-
-    // Passes on what was learnt, so that strikes of one sidecar reach every gateway and every other sidecar.
-    void tellStrikes()
-    {
-        m_node.traffic().post([this] {
-            auto strikes = m_core->takeChangedStrikes();
-            if (!strikes)
-                return;
-            std::vector<std::string> texts;
-            for (const routing::StrikeMessage& strike : *strikes)
-                texts.push_back(node::strikeText(strike));
-            m_node.control().post([this, texts] { m_members->setStrikes(texts); });
-        });
-    }
-
     // The last demand that traffic has handed over; a control loop must not wait for traffic.
     std::vector<placement::ModelDemand> takeDemand()
     {
@@ -199,6 +173,7 @@
     GatewayOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
+    std::unique_ptr<node::StrikeExchange> m_strikes;
     std::unique_ptr<internal::PermitHome> m_permits;
     std::unique_ptr<internal::RecordCleaning> m_cleaning;
     std::unique_ptr<internal::ShareMover> m_shareMover;
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -9,6 +9,7 @@
 #include "toucanstep/gateway/CallerRequest.h"
 #include "toucanstep/gateway/Gateway.h"
 #include "toucanstep/node/AssignmentAgent.h"
+#include "toucanstep/node/StrikeExchange.h"
 #include "toucanstep/placement/ReplicaPlan.h"
 #include "toucanstep/routing/Quarantine.h"
 #include "toucanstep/routing/RetryBudget.h"
@@ -53,7 +54,7 @@
     base::Instant firstChunkAt;
 };
 
-class GatewayCore final : private OnceCallHost {
+class GatewayCore final : public node::StrikeKeeper, private OnceCallHost {
 public:
     GatewayCore(node::Node&, GatewayOptions, std::unique_ptr<LimitGate>);
     ~GatewayCore() override;
@@ -67,9 +68,8 @@
     nlohmann::json status() const;
     // The replica rows of each model, by which requests find its holders.
     void onRows(const node::AssignmentView&);
-    void mergeStrikes(const std::vector<routing::StrikeMessage>&);
-    // All living strikes, if some were learnt since the last call.
-    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes();
+    void mergeStrikes(const std::vector<routing::StrikeMessage>&) override;
+    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes() override;
     // What was asked of each model since the last call.
     std::vector<placement::ModelDemand> takeDemand();
 
--- a/packages/sidecar/src/Sidecar.cpp
+++ b/packages/sidecar/src/Sidecar.cpp
@@ -3,7 +3,7 @@
 #include "SidecarCore.h"
 #include "toucanstep/node/AssignmentAgent.h"
 #include "toucanstep/node/MembershipAgent.h"
-#include "toucanstep/node/StrikeText.h"
+#include "toucanstep/node/StrikeExchange.h"
 #include "toucanstep/peers/Codec.h"
 
 #include <set>
@@ -37,8 +37,8 @@
     base::Result<void> start()
     {
         m_members->install();
-        m_members->onMember([this](const membership::Entry& entry) { onMember(entry); });
-        m_node.addSystem([this](base::Instant) { tellStrikes(); });
+        m_strikes = std::make_unique<node::StrikeExchange>(m_node, *m_members, *m_core);
+        m_strikes->install();
         if (m_options.placement != PlacementMode::Rows)
             m_rowsGivenBack = true;
         if (m_options.placement == PlacementMode::Rows) {
@@ -85,31 +85,6 @@
     }
 
 private:
-    void onMember(const membership::Entry& entry)
-    {
-        m_node.versionSeen(entry.instance, entry.hints.configuration);
-        std::vector<routing::StrikeMessage> strikes;
-        for (const std::string& text : entry.hints.strikes) {
-            if (auto strike = node::parseStrike(text))
-                strikes.push_back(*strike);
-        }
-        if (!strikes.empty())
-            m_node.traffic().post([this, strikes] { m_core->mergeStrikes(strikes); });
-    }
-
-    void tellStrikes()
-    {
-        m_node.traffic().post([this] {
-            auto strikes = m_core->takeChangedStrikes();
-            if (!strikes)
-                return;
-            std::vector<std::string> texts;
-            for (const routing::StrikeMessage& strike : *strikes)
-                texts.push_back(node::strikeText(strike));
-            m_node.control().post([this, texts] { m_members->setStrikes(texts); });
-        });
-    }
-
     // Gives the core the rows that may be used at this moment. A sidecar that was cut off from everyone must have
     // unloaded what it held before another loads it: its rows then count as withdrawn.
     void handOutRows(base::Instant now)
@@ -206,6 +181,7 @@
     SidecarOptions m_options;
     std::unique_ptr<node::AssignmentAgent> m_agent;
     std::unique_ptr<node::MembershipAgent> m_members;
+    std::unique_ptr<node::StrikeExchange> m_strikes;
     std::unique_ptr<internal::SidecarCore> m_core;
     // On the control loop: rows as last given to the core, and rows that are being given back.
     std::map<base::ModelId, base::Epoch> m_handedOut;
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -8,6 +8,7 @@
 #include "RequestTable.h"
 #include "ServiceCalls.h"
 #include "toucanstep/node/Node.h"
+#include "toucanstep/node/StrikeExchange.h"
 #include "toucanstep/placement/ResidencyManager.h"
 #include "toucanstep/platform/EngineClient.h"
 #include "toucanstep/routing/Quarantine.h"
@@ -20,10 +21,10 @@
 
 namespace toucanstep::sidecar::internal {
 
-class SidecarCore {
+class SidecarCore final : public node::StrikeKeeper {
 public:
     SidecarCore(node::Node&, SidecarOptions);
-    ~SidecarCore();
+    ~SidecarCore() override;
 
     // Peers' methods.
     void onRun(const peers::IncomingCall&, std::shared_ptr<peers::PeerResponder>);
@@ -39,9 +40,8 @@
     bool mayRelease(const base::ModelId& model) const { return !m_residency || m_residency->mayRelease(model); }
     void tick();
     void setLeaving();
-    void mergeStrikes(const std::vector<routing::StrikeMessage>&);
-    // All living strikes, if some were added here since the last call.
-    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes();
+    void mergeStrikes(const std::vector<routing::StrikeMessage>&) override;
+    std::optional<std::vector<routing::StrikeMessage>> takeChangedStrikes() override;
     bool idle() const;
     nlohmann::json status() const;
 
