One listener for calls that are answered by one message

Cause: Node, ShareLimitGate and PermitClient each had their own, the same but for where they call back. Change: peers::SingleReply serves all three; Node carries its outcome to the control loop. For charges an answer that ends whole without any message now counts as answered; every handler of ours sends one, so nothing changes between processes.

--- a/packages/gateway/src/ShareLimitGate.cpp
+++ b/packages/gateway/src/ShareLimitGate.cpp
@@ -4,6 +4,7 @@
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/node/Keys.h"
+#include "toucanstep/peers/SingleReply.h"
 
 namespace toucanstep::gateway::internal {
 
@@ -19,21 +20,6 @@
     return { base::ClientAccountId(row.key.subject), static_cast<int>(row.key.slot) };
 }
 
-class ReplyListener final : public peers::PeerCallListener {
-public:
-    explicit ReplyListener(std::function<void(std::optional<std::string>)> callback)
-        : m_callback(std::move(callback))
-    {
-    }
-
-    void onMessage(std::string message) override { m_message = std::move(message); }
-    void onEnd(std::optional<base::Error> error) override { m_callback(error ? std::nullopt : m_message); }
-
-private:
-    std::function<void(std::optional<std::string>)> m_callback;
-    std::optional<std::string> m_message;
-};
-
 } // namespace
 
 ShareLimitGate::ShareLimitGate(node::Node& node, node::AssignmentAgent& agent)
@@ -186,8 +172,9 @@
     if (!row)
         return;
     base::Duration timeout = wantsReply ? chargeTimeout : oneWayTimeout;
-    auto listener = std::make_shared<ReplyListener>([this, request, holder = message.to, wantsReply](const std::optional<std::string>& body) {
-        onAnswered(holder, body.has_value());
+    auto listener = std::make_shared<peers::SingleReply>([this, request, holder = message.to, wantsReply](const base::Outcome<std::string>& outcome) {
+        auto* body = std::get_if<std::string>(&outcome);
+        onAnswered(holder, body != nullptr);
         if (!wantsReply || !body)
             return;
         base::Error error;
@@ -296,7 +283,7 @@
     const node::InstanceRow* row = instances->find(to);
     if (!row)
         return;
-    auto listener = std::make_shared<ReplyListener>([](const std::optional<std::string>&) {});
+    auto listener = std::make_shared<peers::SingleReply>([](const base::Outcome<std::string>&) {});
     m_node.peers().call({ row->peer, peers::Method(std::string(handoverMethod)), encode(handover), now() + oneWayTimeout }, listener);
 }
 
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -9,6 +9,7 @@
 #include "toucanstep/node/HistoryFile.h"
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/peers/Codec.h"
+#include "toucanstep/peers/SingleReply.h"
 #include "toucanstep/platform/EtcdStore.h"
 #include "toucanstep/platform/InstanceList.h"
 
@@ -533,40 +534,15 @@
         exchange->respond(statusNotFound, { { "Content-Type", "text/plain" } }, "/healthz /readyz /metrics /status\n");
 }
 
-namespace {
-
-// Collects the one message of an answer and calls back on another loop.
-class SingleReply final : public peers::PeerCallListener {
-public:
-    SingleReply(peers::EventLoop& loop, std::function<void(base::Outcome<std::string>)> callback)
-        : m_loop(loop)
-        , m_callback(std::move(callback))
-    {
-    }
-
-    void onMessage(std::string message) override { m_message = std::move(message); }
-
-    void onEnd(std::optional<base::Error> error) override
-    {
-        base::Outcome<std::string> outcome = std::move(m_message);
-        if (error)
-            outcome = std::move(*error);
-        m_loop.post([callback = std::move(m_callback), outcome = std::move(outcome)]() mutable { callback(std::move(outcome)); });
-    }
-
-private:
-    peers::EventLoop& m_loop;
-    std::function<void(base::Outcome<std::string>)> m_callback;
-    std::string m_message;
-};
-
-} // namespace
-
 void Node::callFromControl(peers::OutgoingCall call, std::function<void(base::Outcome<std::string>)> callback)
 {
     m_traffic->post([this, call = std::move(call), callback = std::move(callback)]() mutable {
-        if (m_peers)
-            m_peers->call(std::move(call), std::make_shared<SingleReply>(*m_control, std::move(callback)));
+        if (!m_peers)
+            return;
+        auto onControl = [loop = m_control.get(), callback = std::move(callback)](base::Outcome<std::string> outcome) {
+            loop->post([callback, outcome = std::move(outcome)]() mutable { callback(std::move(outcome)); });
+        };
+        m_peers->call(std::move(call), std::make_shared<peers::SingleReply>(std::move(onControl)));
     });
 }
 
--- a/packages/sidecar/src/PermitClient.cpp
+++ b/packages/sidecar/src/PermitClient.cpp
@@ -2,6 +2,7 @@
 
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/peers/PermitMessages.h"
+#include "toucanstep/peers/SingleReply.h"
 
 #include <absl/hash/hash.h>
 #include <algorithm>
@@ -15,29 +16,6 @@
 constexpr base::Duration askTimeout = std::chrono::milliseconds(2200);
 constexpr int64_t thousandths = 1000;
 
-// Hears the one message of an answer on the traffic loop.
-class AnswerListener final : public peers::PeerCallListener {
-public:
-    explicit AnswerListener(std::function<void(base::Outcome<std::string>)> callback)
-        : m_callback(std::move(callback))
-    {
-    }
-
-    void onMessage(std::string message) override { m_message = std::move(message); }
-
-    void onEnd(std::optional<base::Error> error) override
-    {
-        if (error)
-            m_callback(*error);
-        else
-            m_callback(m_message);
-    }
-
-private:
-    std::function<void(base::Outcome<std::string>)> m_callback;
-    std::string m_message;
-};
-
 } // namespace
 
 PermitClient::PermitClient(node::Node& node)
@@ -102,7 +80,7 @@
     message.remaining = base::remaining(now(), entry.need.earliestDeadline);
     message.weight = entry.need.weight;
     message.loadTime = entry.need.loadTime;
-    auto listener = std::make_shared<AnswerListener>([this, alive = m_alive, model = entry.need.model](const base::Outcome<std::string>& outcome) {
+    auto listener = std::make_shared<peers::SingleReply>([this, alive = m_alive, model = entry.need.model](const base::Outcome<std::string>& outcome) {
         if (*alive)
             onAnswer(model, outcome);
     });
@@ -137,7 +115,7 @@
     auto target = home();
     if (!target || entry.local)
         return;
-    auto listener = std::make_shared<AnswerListener>([](const base::Outcome<std::string>&) {});
+    auto listener = std::make_shared<peers::SingleReply>([](const base::Outcome<std::string>&) {});
     m_node.peers().call({ *target, peers::Method(std::string(peers::permitReturnMethod)), peers::encode(peers::PermitReturn { model, entry.permit }), now() + askTimeout }, listener);
 }
 
