--- a/bench/fleet_slope.cpp
+++ b/bench/fleet_slope.cpp
@@ -165,7 +165,7 @@
 std::pair<double, double> readAllRows(fleet::EmbeddedFleet& fleet)
 {
     constexpr int reads = 10;
-    platform::HttpCall call;
+    formats::HttpCall call;
     call.method = "POST";
     call.url = fleet.store().url() + "/v3/kv/range";
     // "/toucanstep/assignments/" up to "/toucanstep/assignments0".
@@ -247,7 +247,7 @@
     SlopeFit bytes("bytes_of_one_read_of_the_list", "instances");
     SlopeFit time("ms_of_one_read_of_the_list", "instances");
     fakes::FakeInstanceList list;
-    platform::HttpClient client;
+    formats::HttpClient client;
     int listed = 0;
     for (int instances : { 50, 400, 1200 }) {
         for (; listed < instances; ++listed) {
@@ -257,10 +257,10 @@
         constexpr int reads = 20;
         double before = processorSeconds();
         for (int read = 0; read < reads; ++read) {
-            platform::HttpCall call;
+            formats::HttpCall call;
             call.url = list.url() + "/apis/discovery.k8s.io/v1/endpointslices?labelSelector=kubernetes.io/service-name%3Dlanguage";
             call.deadline = std::chrono::steady_clock::now() + patience;
-            platform::HttpReply reply = client.fetch(call);
+            formats::HttpReply reply = client.fetch(call);
             if (read == 0)
                 bytes.add(instances, static_cast<double>(reply.body.size()));
         }
@@ -323,13 +323,13 @@
         whole.add(tokens, microsecondsPerSecond * perRequest);
         std::atomic<int64_t> answerBytes { 0 };
         double direct = secondsPerRequest(requests, idle.cores, [&] {
-            platform::HttpCall call;
+            formats::HttpCall call;
             call.method = "POST";
             call.url = engine.url() + "/v1/chat/completions";
             call.headers = { { "Content-Type", "application/json" } };
             call.body = bodyOf(tokens);
             call.deadline = std::chrono::steady_clock::now() + patience;
-            platform::HttpReply reply = fleet.client().fetch(call);
+            formats::HttpReply reply = fleet.client().fetch(call);
             answerBytes = static_cast<int64_t>(reply.body.size());
             if (!reply.ok())
                 std::cerr << "a direct request failed\n";
--- a/bench/load/src/Callers.cpp
+++ b/bench/load/src/Callers.cpp
@@ -62,7 +62,7 @@
 }
 
 // One request with its retries where no gateway takes the connection. Lives until it has ended.
-class Callers::Call final : public platform::HttpListener, public std::enable_shared_from_this<Callers::Call> {
+class Callers::Call final : public formats::HttpListener, public std::enable_shared_from_this<Callers::Call> {
 public:
     Call(PlannedRequest planned, base::Instant begin)
     {
@@ -70,7 +70,7 @@
         m_outcome.planned = std::move(planned);
     }
 
-    void send(platform::HttpClient& client, const std::vector<uint16_t>& ports)
+    void send(formats::HttpClient& client, const std::vector<uint16_t>& ports)
     {
         std::lock_guard lock(m_mutex);
         if (ports.empty()) {
@@ -82,7 +82,7 @@
         m_wantsRetry = false;
         const PlannedRequest& planned = m_outcome.planned;
         uint16_t port = ports[(planned.gateway + static_cast<size_t>(m_outcome.connectionRetries)) % ports.size()];
-        platform::HttpCall call;
+        formats::HttpCall call;
         call.method = "POST";
         call.url = base::concat("http://127.0.0.1:", port, planned.service.empty() ? "/v1/chat/completions" : base::concat("/v1/services/", planned.service, "/run"));
         call.headers = { { "Authorization", "Bearer " + planned.key }, { "Content-Type", "application/json" },
@@ -94,11 +94,11 @@
         m_handle = client.start(std::move(call), shared_from_this());
     }
 
-    void onStatus(int status, const platform::HttpHeaders& headers) override
+    void onStatus(int status, const formats::HttpHeaders& headers) override
     {
         std::lock_guard lock(m_mutex);
         m_outcome.status = status;
-        m_outcome.request = base::RequestId(std::string(platform::findHeader(headers, "X-Request-Id")));
+        m_outcome.request = base::RequestId(std::string(formats::findHeader(headers, "X-Request-Id")));
     }
 
     void onData(std::string_view data) override
@@ -183,7 +183,7 @@
     mutable std::mutex m_mutex;
     Outcome m_outcome;
     std::string m_body;
-    std::unique_ptr<platform::HttpCallHandle> m_handle;
+    std::unique_ptr<formats::HttpCallHandle> m_handle;
     bool m_ended = false;
     bool m_wantsRetry = false;
 };
--- a/bench/load/src/Callers.h
+++ b/bench/load/src/Callers.h
@@ -5,7 +5,7 @@
 #include "toucanstep/base/Refusal.h"
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <functional>
 #include <memory>
@@ -69,7 +69,7 @@
     class Call;
 
     Ports m_ports;
-    platform::HttpClient m_client;
+    formats::HttpClient m_client;
 };
 
 // Joins the texts of a stream's events, or of a whole answer, in the OpenAI shapes. `whole` tells whether the end mark came.
--- a/bench/load/src/Fleet.cpp
+++ b/bench/load/src/Fleet.cpp
@@ -59,7 +59,7 @@
     , m_store(std::make_unique<fakes::FakeKeyValueService>(storeOptions(m_truth)))
     , m_list(std::make_unique<fakes::FakeInstanceList>())
     , m_weights(std::make_unique<fakes::FakeWeightStore>(weightsOf(*m_deployment)))
-    , m_client(std::make_unique<platform::HttpClient>())
+    , m_client(std::make_unique<formats::HttpClient>())
 {
     std::ofstream(m_folder / secretFile) << "the secret of the bench's fleet";
 }
@@ -199,9 +199,9 @@
     return all;
 }
 
-platform::HttpReply Fleet::askOperator(const Instance& instance, std::string_view path)
+formats::HttpReply Fleet::askOperator(const Instance& instance, std::string_view path)
 {
-    platform::HttpCall call;
+    formats::HttpCall call;
     call.url = base::concat("http://127.0.0.1:", instance.ports.operatorPort, path);
     call.deadline = std::chrono::steady_clock::now() + statusTimeout;
     return m_client->fetch(call);
@@ -229,7 +229,7 @@
     for (const InstancePointer& instance : instances()) {
         if (!instance->inService)
             continue;
-        platform::HttpReply reply = askOperator(*instance, "/status");
+        formats::HttpReply reply = askOperator(*instance, "/status");
         constexpr bool throwing = false;
         auto status = nlohmann::json::parse(reply.body, nullptr, throwing);
         count += status.is_object() && status.value("configuration", int64_t { 0 }) >= version.value() ? 1 : 0;
--- a/bench/load/src/Fleet.h
+++ b/bench/load/src/Fleet.h
@@ -12,7 +12,7 @@
 #include "toucanstep/fakes/FakeKeyValueService.h"
 #include "toucanstep/fakes/FakeService.h"
 #include "toucanstep/fakes/FakeWeightStore.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <filesystem>
 #include <functional>
@@ -89,7 +89,7 @@
     fakes::FakeKeyValueService& store() { return *m_store; }
     fakes::FakeWeightStore& weights() { return *m_weights; }
     TruthRecorder& truth() { return *m_truth; }
-    platform::HttpClient& client() { return *m_client; }
+    formats::HttpClient& client() { return *m_client; }
     const Deployment& deployment() const { return *m_deployment; }
     const std::filesystem::path& folder() const { return m_folder; }
     // Where the daemons that ended badly are told.
@@ -99,7 +99,7 @@
     InstancePointer makeInstance(const base::PoolId&, const std::string& listName);
     void makeUpstream(Instance&);
     bool launch(const InstancePointer&, const char* role);
-    platform::HttpReply askOperator(const Instance&, std::string_view path);
+    formats::HttpReply askOperator(const Instance&, std::string_view path);
     std::vector<InstancePointer> instances() const;
 
     std::shared_ptr<const Deployment> m_deployment;
@@ -109,7 +109,7 @@
     std::unique_ptr<fakes::FakeKeyValueService> m_store;
     std::unique_ptr<fakes::FakeInstanceList> m_list;
     std::unique_ptr<fakes::FakeWeightStore> m_weights;
-    std::unique_ptr<platform::HttpClient> m_client;
+    std::unique_ptr<formats::HttpClient> m_client;
     mutable std::mutex m_mutex;
     std::vector<InstancePointer> m_gateways;
     std::vector<InstancePointer> m_sidecars;
--- a/bench/load/src/Overhead.cpp
+++ b/bench/load/src/Overhead.cpp
@@ -24,10 +24,10 @@
     std::string key;
 };
 
-platform::HttpCall chatCall(const Target& target, const std::string& model, int64_t number, int64_t tokens, bool stream)
+formats::HttpCall chatCall(const Target& target, const std::string& model, int64_t number, int64_t tokens, bool stream)
 {
     nlohmann::json message = { { "role", "user" }, { "content", base::concat("reading ", number, " of the clamp") } };
-    platform::HttpCall call;
+    formats::HttpCall call;
     call.method = "POST";
     call.url = target.url + "/v1/chat/completions";
     call.headers = { { "Content-Type", "application/json" }, { "Authorization", "Bearer " + target.key } };
@@ -155,9 +155,9 @@
         constexpr int workers = 64;
         constexpr int clients = 4;
         constexpr base::Duration length = seconds(5);
-        std::vector<std::unique_ptr<platform::HttpClient>> senders;
+        std::vector<std::unique_ptr<formats::HttpClient>> senders;
         for (int index = 0; index < clients; ++index)
-            senders.push_back(std::make_unique<platform::HttpClient>());
+            senders.push_back(std::make_unique<formats::HttpClient>());
         std::atomic<int64_t> answered { 0 };
         std::atomic<int64_t> failed { 0 };
         base::Instant end = std::chrono::steady_clock::now() + length;
@@ -197,7 +197,7 @@
         std::atomic<int> whole { 0 };
         std::atomic<int> ended { 0 };
         for (int64_t number = 0; number < streams; ++number) {
-            fleet.client().fetchAsync(chatCall(pathOf(fleet), m_model, number, tokens, true), [&](const platform::HttpReply& reply) {
+            fleet.client().fetchAsync(chatCall(pathOf(fleet), m_model, number, tokens, true), [&](const formats::HttpReply& reply) {
                 whole += reply.ok() && reply.body.find("[DONE]") != std::string::npos ? 1 : 0;
                 ++ended;
             });
--- a/bench/load/src/Run.cpp
+++ b/bench/load/src/Run.cpp
@@ -254,7 +254,7 @@
             if (!sidecar->engine)
                 continue;
             for (const fakes::FakeEngineRequest& request : sidecar->engine->requests()) {
-                if (platform::findHeader(request.headers, "Authorization").find("bench-key") != std::string_view::npos)
+                if (formats::findHeader(request.headers, "Authorization").find("bench-key") != std::string_view::npos)
                     addBreak(result, "keys_seen", base::concat("engine of ", sidecar->id, " saw a caller's key"));
             }
         }
--- a/packages/base/include/toucanstep/base/Time.h
+++ b/packages/base/include/toucanstep/base/Time.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <ctime>
 
 namespace toucanstep::base {
 
@@ -24,6 +25,19 @@
     Instant now() const override { return std::chrono::steady_clock::now(); }
 };
 
+// Counts the time for which the machine was suspended too. A lease or a deadline that ran out meanwhile is seen as over by
+// the first look after the pause, where the steady clock would still show it as running. Its instants and those of
+// SteadyClock differ by the time suspended: one process keeps to one of them for what it compares.
+class BootClock final : public Clock {
+public:
+    Instant now() const override
+    {
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return Instant(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    }
+};
+
 // A clock that moves only when a test says so. Safe to read from any thread.
 class ManualClock final : public Clock {
 public:
--- a/packages/cli/src/AnswerStream.h
+++ b/packages/cli/src/AnswerStream.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <future>
 #include <optional>
@@ -28,14 +28,14 @@
 };
 
 // Writes from the client's thread; whoever waits for ending() may use the stream after it only.
-class AnswerStream final : public platform::HttpListener {
+class AnswerStream final : public formats::HttpListener {
 public:
     explicit AnswerStream(std::ostream& output)
         : m_output(output)
     {
     }
 
-    void onStatus(int status, const platform::HttpHeaders&) override { m_ending.status = status; }
+    void onStatus(int status, const formats::HttpHeaders&) override { m_ending.status = status; }
     void onData(std::string_view) override;
     void onEnd(std::optional<base::Error>) override;
 
--- a/packages/cli/src/CallCommand.cpp
+++ b/packages/cli/src/CallCommand.cpp
@@ -67,7 +67,7 @@
     return call;
 }
 
-platform::HttpCall toHttp(const Call& call)
+formats::HttpCall toHttp(const Call& call)
 {
     nlohmann::json body {
         { "model", call.model },
@@ -76,7 +76,7 @@
     };
     if (call.maximumTokens)
         body["max_tokens"] = *call.maximumTokens;
-    platform::HttpCall http;
+    formats::HttpCall http;
     http.method = "POST";
     http.url = base::concat(call.gateway, "/v1/chat/completions");
     http.headers = {
@@ -150,7 +150,7 @@
         auto call = readCall(arguments, streams.errors);
         if (!call)
             return exitUnusable;
-        platform::HttpClient client;
+        formats::HttpClient client;
         auto stream = std::make_shared<AnswerStream>(streams.output);
         std::future<AnswerEnding> ending = stream->ending();
         auto handle = client.start(toHttp(*call), stream);
--- a/packages/cli/src/ExplainCommand.cpp
+++ b/packages/cli/src/ExplainCommand.cpp
@@ -84,7 +84,7 @@
 
 AssumedFleet fetchFleet(const std::vector<std::string>& addresses, const config::Configuration& configuration)
 {
-    platform::HttpClient client;
+    formats::HttpClient client;
     AssumedFleet fleet;
     for (const NodeStatus& status : askStatus(client, addresses, base::deadlineAfter(base::SteadyClock().now(), answerLimit))) {
         if (status.failure) {
--- a/packages/cli/src/OperatorPorts.cpp
+++ b/packages/cli/src/OperatorPorts.cpp
@@ -15,7 +15,7 @@
 // A node that does not answer is asked again in the next round, so that one silent connection does not use up the wait.
 constexpr base::Duration answerLimit = std::chrono::seconds(2);
 
-NodeStatus interpret(std::string address, const platform::HttpReply& reply)
+NodeStatus interpret(std::string address, const formats::HttpReply& reply)
 {
     NodeStatus status;
     status.address = std::move(address);
@@ -45,18 +45,18 @@
     return found != document.end() && found->is_number_integer() ? base::Revision(found->get<int64_t>()) : base::Revision();
 }
 
-std::vector<NodeStatus> askStatus(platform::HttpClient& client, const std::vector<std::string>& addresses, base::Instant deadline)
+std::vector<NodeStatus> askStatus(formats::HttpClient& client, const std::vector<std::string>& addresses, base::Instant deadline)
 {
-    std::vector<std::future<platform::HttpReply>> replies;
+    std::vector<std::future<formats::HttpReply>> replies;
     for (const std::string& address : addresses) {
-        auto promise = std::make_shared<std::promise<platform::HttpReply>>();
+        auto promise = std::make_shared<std::promise<formats::HttpReply>>();
         replies.push_back(promise->get_future());
-        platform::HttpCall call;
+        formats::HttpCall call;
         call.url = base::concat("http://", address, "/status");
         call.deadline = deadline;
         // A connection kept from an earlier round may have gone silent meanwhile.
         call.freshConnection = true;
-        client.fetchAsync(std::move(call), [promise](platform::HttpReply reply) { promise->set_value(std::move(reply)); });
+        client.fetchAsync(std::move(call), [promise](formats::HttpReply reply) { promise->set_value(std::move(reply)); });
     }
     std::vector<NodeStatus> statuses;
     for (size_t index = 0; index < addresses.size(); ++index)
@@ -64,7 +64,7 @@
     return statuses;
 }
 
-std::vector<NodeStatus> waitInForce(platform::HttpClient& client, std::vector<std::string> addresses, base::Revision version, base::Instant deadline)
+std::vector<NodeStatus> waitInForce(formats::HttpClient& client, std::vector<std::string> addresses, base::Revision version, base::Instant deadline)
 {
     base::SteadyClock clock;
     while (true) {
--- a/packages/cli/src/OperatorPorts.h
+++ b/packages/cli/src/OperatorPorts.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "toucanstep/base/StrongTypes.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -26,9 +26,9 @@
 };
 
 // Asks all nodes at once; the results come in the order of the addresses.
-std::vector<NodeStatus> askStatus(platform::HttpClient&, const std::vector<std::string>& addresses, base::Instant deadline);
+std::vector<NodeStatus> askStatus(formats::HttpClient&, const std::vector<std::string>& addresses, base::Instant deadline);
 
 // Asks until each node has `version`, or a later one, in force. Gives the last answers of those that have not by `deadline`.
-std::vector<NodeStatus> waitInForce(platform::HttpClient&, std::vector<std::string> addresses, base::Revision version, base::Instant deadline);
+std::vector<NodeStatus> waitInForce(formats::HttpClient&, std::vector<std::string> addresses, base::Revision version, base::Instant deadline);
 
 } // namespace toucanstep::cli::internal
--- a/packages/cli/src/PublishCommand.cpp
+++ b/packages/cli/src/PublishCommand.cpp
@@ -97,7 +97,7 @@
 
 int reportWait(const Request& request, base::Revision version, Streams streams)
 {
-    platform::HttpClient client;
+    formats::HttpClient client;
     std::vector<NodeStatus> behind = waitInForce(client, request.operators, version, base::deadlineAfter(base::SteadyClock().now(), request.wait));
     streams.output << "in force at " << request.operators.size() - behind.size() << " of " << request.operators.size() << " nodes\n";
     for (const NodeStatus& status : behind) {
--- a/packages/cli/src/ServiceOptions.cpp
+++ b/packages/cli/src/ServiceOptions.cpp
@@ -1,6 +1,6 @@
 #include "ServiceOptions.h"
 
-#include "toucanstep/platform/EtcdStore.h"
+#include "toucanstep/formats/EtcdStore.h"
 
 #include <absl/strings/numbers.h>
 #include <cmath>
@@ -52,7 +52,7 @@
 
 std::unique_ptr<base::KeyValueStore> openStore(const std::string& url)
 {
-    return platform::makeEtcdStore(url, std::make_shared<platform::HttpClient>());
+    return formats::makeEtcdStore(url, std::make_shared<formats::HttpClient>());
 }
 
 } // namespace toucanstep::cli::internal
--- a/packages/cli/src/ServiceOptions.h
+++ b/packages/cli/src/ServiceOptions.h
@@ -4,7 +4,7 @@
 
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/cli/Command.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <cstdint>
 #include <memory>
--- a/packages/cli/src/StatusCommand.cpp
+++ b/packages/cli/src/StatusCommand.cpp
@@ -86,7 +86,7 @@
             streams.errors << "toucanstep: --operator is missing\n";
             return exitUnusable;
         }
-        platform::HttpClient client;
+        formats::HttpClient client;
         std::vector<NodeStatus> nodes = askStatus(client, addresses, base::deadlineAfter(base::SteadyClock().now(), *timeout));
         for (const NodeStatus& node : nodes)
             streams.output << describe(node) << "\n";
--- a/packages/cli/test/CallCommandTest.cpp
+++ b/packages/cli/test/CallCommandTest.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-using Exchange = std::shared_ptr<platform::HttpExchange>;
+using Exchange = std::shared_ptr<formats::HttpExchange>;
 
 std::string chunk(const std::string& text)
 {
@@ -39,7 +39,7 @@
     std::string authorization;
     std::string body;
     FakeHttpSide gateway([&](const Exchange& exchange) {
-        authorization = std::string(platform::findHeader(exchange->request().headers, "Authorization"));
+        authorization = std::string(formats::findHeader(exchange->request().headers, "Authorization"));
         body = exchange->request().body;
         exchange->startStream(200, { { "Content-Type", "text/event-stream" } });
         // Pieces end anywhere, also inside an event.
--- a/packages/cli/test/PublishCommandTest.cpp
+++ b/packages/cli/test/PublishCommandTest.cpp
@@ -6,7 +6,7 @@
 #include "toucanstep/cli/Command.h"
 #include "toucanstep/fakes/FakeKeyValueService.h"
 #include "toucanstep/node/Keys.h"
-#include "toucanstep/platform/EtcdStore.h"
+#include "toucanstep/formats/EtcdStore.h"
 
 #include <thread>
 
@@ -151,7 +151,7 @@
 {
     // The connection breaks on the way there. What is read back shows the old version still, and the transaction may yet
     // be held up somewhere; to say "not published" would be a guess.
-    auto store = platform::makeEtcdStore(m_service.url(), std::make_shared<platform::HttpClient>());
+    auto store = formats::makeEtcdStore(m_service.url(), std::make_shared<formats::HttpClient>());
     LosingStore losing(*store, [] {});
     cli::internal::ConfigurationArchive archive(losing, std::chrono::milliseconds(300));
     auto outcome = archive.publish({ m_text, "amina", "now", base::Revision(), "nonce" });
@@ -162,7 +162,7 @@
 {
     // The transaction vanishes, and meanwhile another operator replaces the same version. The comparison of the lost one
     // can never hold again, so the loser is told so, and does not take the other's entry in the history for their own.
-    auto store = platform::makeEtcdStore(m_service.url(), std::make_shared<platform::HttpClient>());
+    auto store = formats::makeEtcdStore(m_service.url(), std::make_shared<formats::HttpClient>());
     LosingStore losing(*store, [this] { LONGS_EQUAL(cli::exitGood, publish(m_changed.name(), "none").status); });
     cli::internal::ConfigurationArchive archive(losing, std::chrono::seconds(10));
     auto outcome = archive.publish({ m_text, "amina", "now", base::Revision(), "nonce" });
--- a/packages/cli/test/StatusCommandTest.cpp
+++ b/packages/cli/test/StatusCommandTest.cpp
@@ -37,7 +37,7 @@
 TEST(StatusCommand, ASilentNodeIsGivenUpAtTheTimeout)
 {
     // The connection stands and no answer ever comes. Without a bound the command would hang with it.
-    FakeHttpSide silent([](const std::shared_ptr<platform::HttpExchange>&) {});
+    FakeHttpSide silent([](const std::shared_ptr<formats::HttpExchange>&) {});
     ToolRun run = runTool({ "status", "--operator", silent.address(), "--timeout", "0.2" });
     LONGS_EQUAL(5, run.status);
     CHECK_TRUE(run.prints("unreachable"));
--- /dev/null
+++ b/packages/direct/include/toucanstep/direct/AccountLimits.h
@@ -0,0 +1,78 @@
+// Keeps each client account's rate and burst over all gateways together, with no call to the store on a request's way.
+//
+// Every gateway keeps a bucket for each account and charges it with its own calls at once, and with those of its peers as
+// their reports come: a report carries what a peer has charged since its start, so a lost one costs nothing. A gateway
+// that hears only some of the fleet lets its buckets fill, and caps them, at its part: the parts of a divided fleet add
+// up to one whole. A bucket begins empty, so a fleet that is killed and starts again gives nobody a second burst.
+
+#pragma once
+
+#include "toucanstep/base/StrongTypes.h"
+#include "toucanstep/base/Time.h"
+#include "toucanstep/direct/DesiredState.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace toucanstep::direct {
+
+// Tells one start of a gateway from the next.
+using Incarnation = base::StrongNumber<struct IncarnationTag>;
+
+struct AccountCharge {
+    base::ClientAccountId account;
+    // All that was charged since the gateway's start, less what was given back.
+    base::Tokens total;
+};
+
+struct AccountLimitsSettings {
+    // A peer that was not heard for this long may be cut off and spend on its own: three reports in a row are lost.
+    base::Duration peerSilence = std::chrono::milliseconds(350);
+    // A peer that left the list of gateways counts for this long, as a window of the limits may still hold its calls.
+    base::Duration peerMemory = std::chrono::seconds(10);
+};
+
+class AccountLimits {
+public:
+    explicit AccountLimits(AccountLimitsSettings);
+
+    // Limits that were lowered apply to the stock at once.
+    void setAccounts(const DesiredState&, base::Instant now);
+    // The other gateways, as the list has them.
+    void setPeers(const std::set<base::InstanceId>&, base::Instant now);
+    void onReport(const base::InstanceId& peer, Incarnation, const std::vector<AccountCharge>&, base::Instant now);
+
+    // Charges the account and returns nothing, or charges nothing and returns when the tokens are expected to be there.
+    std::optional<base::Instant> charge(const base::ClientAccountId&, base::Tokens, base::Instant now);
+    // The call was charged and has not run anywhere.
+    void giveBack(const base::ClientAccountId&, base::Tokens);
+    std::vector<AccountCharge> ownCharges() const;
+
+private:
+    struct Bucket {
+        double rate = 0;
+        double burst = 0;
+        double stock = 0;
+        base::Instant updated;
+        base::Tokens charged;
+    };
+    struct Peer {
+        Incarnation incarnation;
+        std::optional<base::Instant> heard;
+        base::Instant countsUntil;
+        bool listed = false;
+        std::map<base::ClientAccountId, base::Tokens> totals;
+    };
+
+    // The part of the fleet that this gateway hears, itself included.
+    double share(base::Instant now) const;
+    void accrue(Bucket&, base::Instant now) const;
+
+    AccountLimitsSettings m_settings;
+    std::map<base::ClientAccountId, Bucket> m_buckets;
+    std::map<base::InstanceId, Peer> m_peers;
+};
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/include/toucanstep/direct/DemandBook.h
@@ -0,0 +1,32 @@
+// How much each target is asked for at this gateway: calls that wait and run, and how often new ones came lately.
+
+#pragma once
+
+#include "toucanstep/direct/FleetReports.h"
+
+#include <map>
+#include <vector>
+
+namespace toucanstep::direct {
+
+class DemandBook {
+public:
+    void onArrival(const ModelTarget&, base::Instant now);
+    void onWaiting(const ModelTarget& target, int64_t change) { m_entries[target].waiting += change; }
+    void onRunning(const ModelTarget& target, int64_t change) { m_entries[target].running += change; }
+    // Targets with calls now or of late; others are forgotten.
+    std::vector<TargetDemand> summary(base::Instant now);
+
+private:
+    struct Entry {
+        int64_t waiting = 0;
+        int64_t running = 0;
+        // Calls a second, averaged with exponentially falling weight.
+        double rate = 0;
+        base::Instant rateAsOf;
+    };
+    static double rateAt(const Entry&, base::Instant now);
+    std::map<ModelTarget, Entry> m_entries;
+};
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/include/toucanstep/direct/Dispatch.h
@@ -0,0 +1,39 @@
+// Chooses the upstream for a call, or says what stands in its way.
+
+#pragma once
+
+#include "toucanstep/direct/UpstreamTable.h"
+
+#include <set>
+#include <string>
+
+namespace toucanstep::direct {
+
+struct DispatchQuery {
+    base::ServiceId service;
+    ModelTarget target;
+    // Upstreams that this call has already been sent to.
+    const std::set<base::UpstreamId>* tried = nullptr;
+    // The gateway's own failure domain.
+    base::FailureDomain domain;
+    // Calls with the same text here share a prompt's beginning; empty without one.
+    std::string sharedPrompt;
+};
+
+enum class Obstacle {
+    None,
+    // No upstream of the service can take calls.
+    NoUpstream,
+    NotLoaded,
+    // Each upstream that could run it is at its limit.
+    Full,
+};
+
+struct DispatchChoice {
+    Obstacle obstacle = Obstacle::None;
+    base::UpstreamId upstream;
+};
+
+DispatchChoice chooseUpstream(const UpstreamTable&, const DispatchQuery&, base::Instant now);
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -0,0 +1,102 @@
+// Decides which models and adapters the engines are ordered to load and unload.
+//
+// The planner sees each engine with what it holds, the order that it is carrying out, and the demand over all gateways. It
+// gives at most one model order to an engine at a time. Loads from the weight store are the scarce part: only so many run
+// at full speed, so models that are loaded nowhere go first, those with callers waiting before the others, and a second
+// copy of a busy model comes before an idle model's first one only if its copies are full. Memory is counted with what is
+// under way, and what is being unloaded counts until the engine shows it gone, so no order asks for more than fits.
+
+#pragma once
+
+#include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/direct/Upstream.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace toucanstep::direct {
+
+enum class LoadSource {
+    WeightStore,
+    HostMemory,
+    Disk,
+};
+
+// A model order that an engine has been given and has not shown as done.
+struct RunningOrder {
+    OrderKind kind = OrderKind::Load;
+    base::ModelId model;
+    LoadSource source = LoadSource::WeightStore;
+    base::Instant expectedEnd;
+};
+
+struct PlannedEngine {
+    base::UpstreamId id;
+    base::FailureDomain domain;
+    // What it holds, with adapters whose load was ordered.
+    LoadedModels loaded;
+    std::set<base::ModelId> inHostMemory;
+    std::set<base::ModelId> onDisk;
+    int64_t slots = 1;
+    int64_t inFlight = 0;
+    std::optional<RunningOrder> running;
+    // Takes no orders for now: it drains, its state is being read, or its last order's outcome is not known.
+    bool blocked = false;
+    // It will be gone soon: what it holds does not count as held.
+    bool leaving = false;
+    size_t adaptersInTransit = 0;
+};
+
+struct PlacementInput {
+    base::Instant now;
+    const EngineTraits* traits = nullptr;
+    std::vector<PlannedEngine> engines;
+    std::vector<TargetDemand> demand;
+};
+
+struct PlannedOrder {
+    base::UpstreamId upstream;
+    OrderKind kind = OrderKind::Load;
+    ModelTarget target;
+    LoadSource source = LoadSource::WeightStore;
+    base::Duration expected {};
+};
+
+struct Placement {
+    std::vector<PlannedOrder> orders;
+    // For targets with demand that no engine holds.
+    std::vector<ExpectedLoad> expected;
+};
+
+struct PlacementSettings {
+    // Loads from the weight store at once. Above the store's own limit each takes longer in proportion and none ends
+    // earlier; the users' pages give 4 for their stores.
+    size_t storeLoadsAtOnce = 4;
+    // Adapters that may be on their way to one engine at once (the engines' page).
+    size_t adaptersInTransit = 4;
+    // One more copy of a model is wanted for each such part of an engine's slots in use.
+    double slotsPerCopy = 0.5;
+    // A model with more calls than this a second has two copies, so that the loss of one engine does not stop it.
+    double callsPerSecondForTwo = 4;
+    // A model that was not asked for in this long may lose its last copy to one that callers wait for.
+    base::Duration idleBeforeEviction = std::chrono::seconds(8);
+};
+
+class PlacementPlanner {
+public:
+    explicit PlacementPlanner(PlacementSettings);
+    Placement plan(const PlacementInput&);
+
+private:
+    struct Want;
+    class Round;
+
+    PlacementSettings m_settings;
+    // When a target was last seen with demand.
+    std::map<ModelTarget, base::Instant> m_lastWanted;
+};
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/AccountLimits.cpp
@@ -0,0 +1,131 @@
+#include "toucanstep/direct/AccountLimits.h"
+
+#include <algorithm>
+
+namespace toucanstep::direct {
+
+AccountLimits::AccountLimits(AccountLimitsSettings settings)
+    : m_settings(settings)
+{
+}
+
+double AccountLimits::share(base::Instant now) const
+{
+    int64_t all = 1;
+    int64_t heard = 1;
+    for (const auto& [id, peer] : m_peers) {
+        bool fresh = peer.heard && now - *peer.heard <= m_settings.peerSilence;
+        if (!fresh && !peer.listed && now >= peer.countsUntil)
+            continue;
+        ++all;
+        heard += fresh ? 1 : 0;
+    }
+    return static_cast<double>(heard) / static_cast<double>(all);
+}
+
+void AccountLimits::accrue(Bucket& bucket, base::Instant now) const
+{
+    if (now <= bucket.updated)
+        return;
+    double part = share(now);
+    double cap = bucket.burst * part;
+    bucket.stock = std::min(std::max(cap, 0.0), bucket.stock + bucket.rate * part * base::toSeconds(now - bucket.updated));
+    bucket.updated = now;
+}
+
+void AccountLimits::setAccounts(const DesiredState& state, base::Instant now)
+{
+    std::map<base::ClientAccountId, Bucket> kept;
+    for (const Account& account : state.accounts) {
+        if (!account.limited())
+            continue;
+        Bucket bucket;
+        bucket.updated = now;
+        auto known = m_buckets.find(account.limits.id);
+        if (known != m_buckets.end()) {
+            accrue(known->second, now);
+            bucket = known->second;
+        }
+        bucket.rate = static_cast<double>(account.limits.tokensPerSecond.value());
+        bucket.burst = static_cast<double>(account.limits.burst.value());
+        bucket.stock = std::min(bucket.stock, bucket.burst);
+        kept.emplace(account.limits.id, bucket);
+    }
+    m_buckets = std::move(kept);
+}
+
+void AccountLimits::setPeers(const std::set<base::InstanceId>& listed, base::Instant now)
+{
+    for (auto& [id, peer] : m_peers) {
+        if (peer.listed && !listed.contains(id))
+            peer.countsUntil = now + m_settings.peerMemory;
+        peer.listed = listed.contains(id);
+    }
+    for (const auto& id : listed)
+        m_peers[id].listed = true;
+    std::erase_if(m_peers, [&](const auto& entry) {
+        const Peer& peer = entry.second;
+        return !peer.listed && now >= peer.countsUntil && (!peer.heard || now - *peer.heard > m_settings.peerMemory);
+    });
+}
+
+void AccountLimits::onReport(const base::InstanceId& id, Incarnation incarnation, const std::vector<AccountCharge>& charges, base::Instant now)
+{
+    Peer& peer = m_peers[id];
+    if (peer.incarnation > incarnation)
+        return;
+    bool known = peer.heard && peer.incarnation == incarnation;
+    // What a peer spent before it was first heard was not this gateway's to allow: its own bucket was empty then.
+    if (!known)
+        peer.totals.clear();
+    peer.incarnation = incarnation;
+    peer.heard = now;
+    peer.countsUntil = now + m_settings.peerMemory;
+    for (const AccountCharge& charge : charges) {
+        auto [total, isNew] = peer.totals.try_emplace(charge.account, known ? base::Tokens() : charge.total);
+        auto bucket = m_buckets.find(charge.account);
+        if (bucket != m_buckets.end()) {
+            accrue(bucket->second, now);
+            bucket->second.stock -= static_cast<double>((charge.total - total->second).value());
+        }
+        total->second = charge.total;
+    }
+}
+
+std::optional<base::Instant> AccountLimits::charge(const base::ClientAccountId& account, base::Tokens cost, base::Instant now)
+{
+    auto found = m_buckets.find(account);
+    if (found == m_buckets.end())
+        return std::nullopt;
+    Bucket& bucket = found->second;
+    accrue(bucket, now);
+    double amount = static_cast<double>(cost.value());
+    // A call above the whole burst is let in by a full bucket, which it then owes.
+    double needed = std::min(amount, bucket.burst * share(now));
+    if (bucket.stock >= needed) {
+        bucket.stock -= amount;
+        bucket.charged += cost;
+        return std::nullopt;
+    }
+    double rate = std::max(bucket.rate * share(now), 1.0);
+    return now + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>((needed - bucket.stock) / rate));
+}
+
+void AccountLimits::giveBack(const base::ClientAccountId& account, base::Tokens cost)
+{
+    auto found = m_buckets.find(account);
+    if (found == m_buckets.end())
+        return;
+    found->second.stock = std::min(found->second.burst, found->second.stock + static_cast<double>(cost.value()));
+    found->second.charged -= cost;
+}
+
+std::vector<AccountCharge> AccountLimits::ownCharges() const
+{
+    std::vector<AccountCharge> charges;
+    for (const auto& [account, bucket] : m_buckets)
+        charges.push_back({ account, bucket.charged });
+    return charges;
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/CallDesk.cpp
@@ -0,0 +1,192 @@
+#include "CallDesk.h"
+
+#include "CallRun.h"
+#include "toucanstep/base/Text.h"
+
+#include <tuple>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// Calls that wait are looked at together, this long after the first thing that may let one go on.
+constexpr auto pumpDelay = std::chrono::milliseconds(2);
+// Strikes are repeated to the peers for this long, against lost datagrams.
+constexpr auto strikeRepeat = std::chrono::seconds(2);
+// The planner reports several times a second.
+constexpr auto plannerSilence = std::chrono::milliseconds(1500);
+// A caller's request that crashes upstreams comes again within seconds; a day of strikes would hold back innocent ones.
+constexpr auto strikeLifetime = std::chrono::seconds(60);
+
+routing::QuarantineSettings quarantineSettings()
+{
+    routing::QuarantineSettings settings;
+    settings.strikeLifetime = strikeLifetime;
+    return settings;
+}
+
+} // namespace
+
+CallDesk::CallDesk(io::EventLoop& loop, http1::Client& client, const WireFormat& format, base::MetricsRegistry& metrics, CallDeskSettings settings)
+    : m_loop(loop)
+    , m_client(client)
+    , m_format(format)
+    , m_metrics(metrics)
+    , m_settings(std::move(settings))
+    , m_limits(AccountLimitsSettings {})
+    , m_quarantine(quarantineSettings())
+{
+}
+
+CallDesk::~CallDesk()
+{
+    m_loop.cancel(m_pumpTimer);
+    auto runs = std::move(m_runs);
+    m_runs.clear();
+    for (const auto& run : runs)
+        run->cutOff();
+}
+
+void CallDesk::onRequest(std::shared_ptr<http1::ServerExchange> exchange)
+{
+    auto run = std::make_shared<CallRun>(*this, std::move(exchange));
+    m_runs.insert(run);
+    run->start();
+}
+
+void CallDesk::onUnreadable(int status)
+{
+    m_metrics.count("toucanstep_unreadable_requests_total", base::concat("status=\"", status, "\""));
+}
+
+void CallDesk::setDesiredState(std::shared_ptr<const DesiredState> state)
+{
+    m_state = std::move(state);
+    m_limits.setAccounts(*m_state, now());
+    wakeWaiting();
+}
+
+void CallDesk::setExpectedLoads(const std::vector<ExpectedLoad>& loads)
+{
+    m_expected.clear();
+    for (const auto& load : loads)
+        m_expected[load.target] = now() + load.in;
+}
+
+std::optional<base::Instant> CallDesk::expectedLoad(const ModelTarget& target) const
+{
+    auto found = m_expected.find({ target.model, AdapterId() });
+    if (found == m_expected.end())
+        return std::nullopt;
+    return found->second;
+}
+
+bool CallDesk::plannerKnown() const
+{
+    return m_plannerHeard && now() - *m_plannerHeard < plannerSilence;
+}
+
+void CallDesk::wait(const std::shared_ptr<CallRun>& run)
+{
+    run->setWaitNumber(++m_lastNumber);
+    m_waiting.emplace(Place { run->rank(), run->waitNumber() }, run);
+    m_demand.onWaiting(run->target(), 1);
+    if (!run->target().empty() && m_onTargetMissing)
+        m_onTargetMissing();
+}
+
+void CallDesk::stopWaiting(CallRun& run)
+{
+    if (m_waiting.erase(Place { run.rank(), run.waitNumber() }))
+        m_demand.onWaiting(run.target(), -1);
+}
+
+void CallDesk::ended(CallRun& run)
+{
+    stopWaiting(run);
+    m_runs.erase(run.shared_from_this());
+    wakeWaiting();
+}
+
+void CallDesk::wakeWaiting()
+{
+    if (m_pumpDue || m_waiting.empty())
+        return;
+    m_pumpDue = true;
+    m_pumpTimer = m_loop.at(now() + pumpDelay, [this] { pump(); });
+}
+
+void CallDesk::pump()
+{
+    m_pumpDue = false;
+    // Behind a call that finds its upstreams full, others for the same target need not look.
+    std::map<std::tuple<base::ServiceId, ModelTarget>, Obstacle> blocked;
+    auto waiting = m_waiting;
+    for (const auto& [place, run] : waiting) {
+        auto key = std::tuple(run->service(), run->target());
+        auto known = blocked.find(key);
+        Obstacle obstacle = known != blocked.end() && run->untried() ? known->second : run->tryDispatch();
+        if (obstacle == Obstacle::None || run->refuseIfHopeless(obstacle))
+            continue;
+        if (run->untried())
+            blocked.emplace(key, obstacle);
+    }
+}
+
+void CallDesk::tick()
+{
+    base::Instant time = now();
+    m_upstreams.expireNotices(time);
+    m_quarantine.expire(time);
+    auto runs = m_runs;
+    for (const auto& run : runs) {
+        if (!run->underWay())
+            continue;
+        const UpstreamEntry* entry = m_upstreams.find(run->upstream());
+        if (!entry || UpstreamTable::silent(*entry, time))
+            run->onUpstreamSilent();
+    }
+    if (!m_waiting.empty())
+        pump();
+}
+
+routing::RetryBudget& CallDesk::budget(const base::ServiceId& service)
+{
+    routing::RetryBudgetSettings settings;
+    settings.percent = m_settings.retryPercent;
+    settings.reserve = m_settings.retryReserve;
+    settings.perRequest = 3;
+    return m_budgets.try_emplace(service, settings).first->second;
+}
+
+void CallDesk::countForBudget(const base::ServiceId& service)
+{
+    budget(service).onRequest();
+}
+
+bool CallDesk::takeRetry(const base::ServiceId& service, int64_t retriesSoFar)
+{
+    bool taken = budget(service).tryRetry(true, retriesSoFar);
+    m_metrics.count("toucanstep_retries_total", taken ? "granted=\"yes\"" : "granted=\"no\"");
+    return taken;
+}
+
+void CallDesk::strike(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
+{
+    const UpstreamEntry* entry = m_upstreams.find(upstream);
+    int64_t start = entry ? entry->description.start.value() : 0;
+    routing::CrashId crash(base::concat(upstream, "/", start));
+    for (auto& message : m_quarantine.onCrash(crash, { fingerprint }, now()))
+        m_strikes.emplace_back(now() + strikeRepeat, std::move(message));
+}
+
+std::vector<routing::StrikeMessage> CallDesk::recentStrikes()
+{
+    std::erase_if(m_strikes, [&](const auto& strike) { return strike.first <= now(); });
+    std::vector<routing::StrikeMessage> recent;
+    for (const auto& [until, message] : m_strikes)
+        recent.push_back(message);
+    return recent;
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/CallDesk.h
@@ -0,0 +1,113 @@
+// Everything that calls share at one gateway: the state in force, the upstreams, the limits, the line of those that wait.
+
+#pragma once
+
+#include "toucanstep/base/Metrics.h"
+#include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/direct/DemandBook.h"
+#include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/direct/Dispatch.h"
+#include "toucanstep/direct/UpstreamTable.h"
+#include "toucanstep/direct/WireFormat.h"
+#include "toucanstep/http1/Client.h"
+#include "toucanstep/http1/Server.h"
+#include "toucanstep/routing/Quarantine.h"
+#include "toucanstep/routing/RetryBudget.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace toucanstep::direct {
+
+class CallRun;
+
+struct CallDeskSettings {
+    base::FailureDomain domain;
+    // Parts of the fleet's budget of repeats: for each hundred calls, and beyond that.
+    int64_t retryPercent = 16;
+    int64_t retryReserve = 8;
+};
+
+class CallDesk final : public http1::RequestHandler {
+public:
+    CallDesk(io::EventLoop&, http1::Client&, const WireFormat&, base::MetricsRegistry&, CallDeskSettings);
+    ~CallDesk() override;
+
+    void onRequest(std::shared_ptr<http1::ServerExchange>) override;
+    void onUnreadable(int status) override;
+
+    void setDesiredState(std::shared_ptr<const DesiredState>);
+    std::shared_ptr<const DesiredState> desiredState() const { return m_state; }
+    // What the planner expects of targets that are loaded nowhere; replaces what it said before.
+    void setExpectedLoads(const std::vector<ExpectedLoad>&);
+    // Upstreams or their loaded models changed, or calls ended: those that wait may go on now.
+    void wakeWaiting();
+    // Looks after calls at upstreams that have stopped answering; to be called several times a second.
+    void tick();
+    // Called where a call begins to wait for a target that no upstream holds.
+    void onTargetMissing(std::function<void()> handler) { m_onTargetMissing = std::move(handler); }
+
+    io::EventLoop& loop() { return m_loop; }
+    base::Instant now() const { return m_loop.now(); }
+    http1::Client& client() { return m_client; }
+    const WireFormat& format() const { return m_format; }
+    UpstreamTable& upstreams() { return m_upstreams; }
+    AccountLimits& limits() { return m_limits; }
+    DemandBook& demand() { return m_demand; }
+    routing::Quarantine& quarantine() { return m_quarantine; }
+    base::MetricsRegistry& metrics() { return m_metrics; }
+    const CallDeskSettings& settings() const { return m_settings; }
+    size_t running() const { return m_runs.size(); }
+    size_t waiting() const { return m_waiting.size(); }
+
+    // For CallRun.
+    void wait(const std::shared_ptr<CallRun>&);
+    void stopWaiting(CallRun&);
+    void ended(CallRun&);
+    bool takeRetry(const base::ServiceId&, int64_t retriesSoFar);
+    void countForBudget(const base::ServiceId&);
+    // When a target that is loaded nowhere will be, as the planner says; nothing where it has not said.
+    std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
+    void strike(const base::UpstreamId&, const routing::RequestFingerprint&);
+    std::vector<routing::StrikeMessage> recentStrikes();
+    // The planner was heard of late; without one nothing is loaded.
+    void notePlanner() { m_plannerHeard = now(); }
+    bool plannerKnown() const;
+
+private:
+    void pump();
+    routing::RetryBudget& budget(const base::ServiceId&);
+
+    io::EventLoop& m_loop;
+    http1::Client& m_client;
+    const WireFormat& m_format;
+    base::MetricsRegistry& m_metrics;
+    CallDeskSettings m_settings;
+    std::shared_ptr<const DesiredState> m_state;
+    UpstreamTable m_upstreams;
+    AccountLimits m_limits;
+    DemandBook m_demand;
+    routing::Quarantine m_quarantine;
+    std::map<base::ServiceId, routing::RetryBudget> m_budgets;
+    std::map<ModelTarget, base::Instant> m_expected;
+    std::optional<base::Instant> m_plannerHeard;
+    std::function<void()> m_onTargetMissing;
+    std::set<std::shared_ptr<CallRun>> m_runs;
+    // In the order in which they may go: rank, then arrival.
+    struct Place {
+        int64_t rank = 0;
+        uint64_t number = 0;
+        auto operator<=>(const Place&) const = default;
+    };
+    std::map<Place, std::shared_ptr<CallRun>> m_waiting;
+    uint64_t m_lastNumber = 0;
+    io::EventLoop::TimerId m_pumpTimer = 0;
+    bool m_pumpDue = false;
+    std::vector<std::pair<base::Instant, routing::StrikeMessage>> m_strikes;
+};
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/DemandBook.cpp
@@ -0,0 +1,41 @@
+#include "toucanstep/direct/DemandBook.h"
+
+#include <cmath>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// Long enough to smooth over single calls, short enough to follow demand that moves within seconds.
+constexpr double averagedSeconds = 4;
+// Below this many calls a second a target counts as not asked for.
+constexpr double forgottenRate = 0.02;
+constexpr double perKilosecond = 1000;
+
+} // namespace
+
+double DemandBook::rateAt(const Entry& entry, base::Instant now)
+{
+    return entry.rate * std::exp(-base::toSeconds(now - entry.rateAsOf) / averagedSeconds);
+}
+
+void DemandBook::onArrival(const ModelTarget& target, base::Instant now)
+{
+    Entry& entry = m_entries[target];
+    entry.rate = rateAt(entry, now) + 1 / averagedSeconds;
+    entry.rateAsOf = now;
+}
+
+std::vector<TargetDemand> DemandBook::summary(base::Instant now)
+{
+    std::vector<TargetDemand> demand;
+    std::erase_if(m_entries, [&](const auto& item) {
+        const Entry& entry = item.second;
+        return !entry.waiting && !entry.running && rateAt(entry, now) < forgottenRate;
+    });
+    for (const auto& [target, entry] : m_entries)
+        demand.push_back({ target, entry.waiting, entry.running, static_cast<int64_t>(rateAt(entry, now) * perKilosecond) });
+    return demand;
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/Directory.cpp
@@ -0,0 +1,190 @@
+#include "toucanstep/direct/Directory.h"
+
+#include "toucanstep/base/LogLine.h"
+
+#include <set>
+
+namespace toucanstep::direct {
+
+class Directory::Watcher final : public base::WatchListener {
+public:
+    explicit Watcher(Directory* directory)
+        : m_directory(directory)
+    {
+    }
+    void detach() { m_directory = nullptr; }
+    void onEvents(std::vector<base::WatchEvent> events, base::Revision revision) override
+    {
+        if (m_directory)
+            m_directory->onEvents(std::move(events), revision);
+    }
+    void onEnd(base::Error error) override
+    {
+        if (m_directory)
+            m_directory->onWatchEnd(error);
+    }
+
+private:
+    Directory* m_directory;
+};
+
+Directory::Directory(io::EventLoop& loop, base::KeyValueStore& store, DirectorySettings settings, DirectoryListener& listener)
+    : m_loop(loop)
+    , m_store(store)
+    , m_settings(std::move(settings))
+    , m_listener(listener)
+{
+}
+
+Directory::~Directory()
+{
+    ++*m_generation;
+    m_loop.cancel(m_timer);
+    m_loop.cancel(m_lapseTimer);
+    if (m_watcher)
+        m_watcher->detach();
+}
+
+void Directory::start()
+{
+    readAll();
+}
+
+void Directory::readAll()
+{
+    uint64_t generation = ++*m_generation;
+    m_store.list("", m_loop.now() + m_settings.readTimeout, [this, generation, current = m_generation](base::Outcome<base::RangeReply> outcome) {
+        if (*current == generation)
+            onAll(std::move(outcome));
+    });
+}
+
+void Directory::onAll(base::Outcome<base::RangeReply> outcome)
+{
+    if (const auto* error = std::get_if<base::Error>(&outcome)) {
+        base::LogLine("store_read_failed").add("reason", error->message);
+        retryLater();
+        return;
+    }
+    noteAnswer();
+    replaceAll(std::get<base::RangeReply>(outcome));
+    m_watcher = std::make_shared<Watcher>(this);
+    m_watch = m_store.watch("", m_revision, m_watcher);
+    m_listener.onDirectoryUpdated();
+}
+
+bool Directory::adopt(const base::RangeReply& copy)
+{
+    if (copy.revision <= m_revision)
+        return false;
+    replaceAll(copy);
+    // The watch goes on from the newer revision once the store answers again.
+    m_watch.reset();
+    if (m_watcher)
+        m_watcher->detach();
+    m_watcher.reset();
+    ++*m_generation;
+    retryLater();
+    m_listener.onDirectoryUpdated();
+    return true;
+}
+
+void Directory::replaceAll(const base::RangeReply& reply)
+{
+    // A slow answer may be older than what was learnt meanwhile: nothing goes back.
+    if (m_known && reply.revision < m_revision)
+        return;
+    std::set<std::string> present;
+    for (const auto& entry : reply.entries) {
+        present.insert(entry.key);
+        auto known = m_entries.find(entry.key);
+        if (known == m_entries.end() || known->second.modified < entry.modified)
+            put(entry);
+        else
+            m_lapsing.erase(entry.key);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [key, entry] : m_entries) {
+        if (!present.contains(key))
+            missing.push_back(key);
+    }
+    for (const auto& key : missing)
+        remove(key);
+    m_revision = reply.revision;
+    m_known = true;
+}
+
+void Directory::onEvents(std::vector<base::WatchEvent> events, base::Revision revision)
+{
+    noteAnswer();
+    for (const auto& event : events) {
+        if (event.entry.modified <= m_revision)
+            continue;
+        if (event.deleted)
+            remove(event.entry.key);
+        else
+            put(event.entry);
+    }
+    m_revision = std::max(m_revision, revision);
+    m_listener.onDirectoryUpdated();
+}
+
+void Directory::onWatchEnd(const base::Error& error)
+{
+    base::LogLine("store_watch_ended").add("reason", error.message).add("revision", m_revision);
+    m_watcher->detach();
+    m_watcher.reset();
+    m_watch.reset();
+    retryLater();
+}
+
+void Directory::retryLater()
+{
+    m_loop.cancel(m_timer);
+    m_timer = m_loop.at(m_loop.now() + m_settings.retryPause, [this] { readAll(); });
+}
+
+void Directory::noteAnswer()
+{
+    base::Instant now = m_loop.now();
+    if (m_lastAnswer && now - *m_lastAnswer > m_settings.outageAfter) {
+        base::LogLine("store_regained").add("away_ms", base::toMilliseconds(now - *m_lastAnswer));
+        m_lapseUntil = now + m_settings.lapseGrace;
+    }
+    m_lastAnswer = now;
+}
+
+void Directory::put(const base::KeyValue& entry)
+{
+    m_entries[entry.key] = entry;
+    m_lapsing.erase(entry.key);
+    m_listener.onEntry(entry);
+}
+
+void Directory::remove(const std::string& key)
+{
+    if (!m_entries.contains(key) || m_lapsing.contains(key))
+        return;
+    if (m_loop.now() < m_lapseUntil && key.starts_with(m_settings.lapsingPrefix)) {
+        m_lapsing.emplace(key, m_lapseUntil);
+        scheduleLapse();
+        return;
+    }
+    m_entries.erase(key);
+    m_listener.onRemoved(key);
+}
+
+void Directory::scheduleLapse()
+{
+    m_loop.cancel(m_lapseTimer);
+    m_lapseTimer = m_loop.at(m_lapseUntil, [this] {
+        auto lapsing = std::move(m_lapsing);
+        m_lapsing.clear();
+        for (const auto& [key, until] : lapsing) {
+            m_entries.erase(key);
+            m_listener.onRemoved(key);
+        }
+    });
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/Dispatch.cpp
@@ -0,0 +1,77 @@
+#include "toucanstep/direct/Dispatch.h"
+
+#include <functional>
+#include <limits>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// All in parts of an upstream's slots in use.
+// A failure of late weighs as much as this part of the slots: two of them move calls away from an upstream that is idle.
+constexpr double failureWeight = 0.4;
+// An upstream that has stopped answering is used only if there is no other.
+constexpr double silentWeight = 4;
+// Another failure domain costs bytes between domains; it decides only between upstreams that are about equally busy.
+constexpr double otherDomainWeight = 0.04;
+// Calls with the same beginning go to one upstream, which keeps it in its cache, unless another is this much less busy.
+constexpr double sharedPromptWeight = 0.12;
+
+bool mayTake(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
+{
+    const UpstreamDescription& described = entry.description;
+    return described.service == query.service && !described.draining && entry.avoidUntil <= now
+        && !(query.tried && query.tried->contains(described.id));
+}
+
+// In 0..1, the same at every gateway: which upstream a shared beginning belongs to.
+double distanceFromHome(const std::string& sharedPrompt, const base::UpstreamId& upstream)
+{
+    if (sharedPrompt.empty())
+        return 0;
+    size_t hash = std::hash<std::string> {}(sharedPrompt + '/' + upstream.value());
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<size_t>::max());
+}
+
+double costOf(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
+{
+    double cost = static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
+    cost += failureWeight * UpstreamTable::recentFailures(entry, now);
+    if (UpstreamTable::silent(entry, now))
+        cost += silentWeight;
+    if (entry.description.domain != query.domain)
+        cost += otherDomainWeight;
+    return cost + sharedPromptWeight * distanceFromHome(query.sharedPrompt, entry.description.id);
+}
+
+} // namespace
+
+DispatchChoice chooseUpstream(const UpstreamTable& table, const DispatchQuery& query, base::Instant now)
+{
+    bool anyUpstream = false;
+    bool anyLoaded = false;
+    const UpstreamEntry* best = nullptr;
+    double bestCost = 0;
+    for (const auto& [id, entry] : table.all()) {
+        if (!mayTake(entry, query, now))
+            continue;
+        anyUpstream = true;
+        if (!table.holds(entry, query.target, now))
+            continue;
+        anyLoaded = true;
+        if (entry.inFlight() >= entry.description.slots)
+            continue;
+        double cost = costOf(entry, query, now);
+        if (!best || cost < bestCost) {
+            best = &entry;
+            bestCost = cost;
+        }
+    }
+    if (best)
+        return { Obstacle::None, best->description.id };
+    if (!anyUpstream)
+        return { Obstacle::NoUpstream, {} };
+    return { anyLoaded ? Obstacle::Full : Obstacle::NotLoaded, {} };
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/FleetLink.cpp
@@ -0,0 +1,82 @@
+#include "FleetLink.h"
+
+#include "toucanstep/base/LogLine.h"
+
+#include <array>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace toucanstep::direct {
+
+namespace {
+
+constexpr size_t largestDatagram = 64 * 1024;
+// One wake-up reads at most so many, so that a flood of datagrams leaves time for calls.
+constexpr int datagramsAtOnce = 32;
+
+const ReportSender& senderOf(const FleetReport& report)
+{
+    return std::visit([](const auto& kind) -> const ReportSender& { return kind.sender; }, report);
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<FleetLink>> FleetLink::open(io::EventLoop& loop, const base::Endpoint& endpoint, Handler handler)
+{
+    BOOST_LEAF_AUTO(socket, io::bindDatagrams(endpoint));
+    return std::unique_ptr<FleetLink>(new FleetLink(loop, std::move(socket), std::move(handler)));
+}
+
+FleetLink::FleetLink(io::EventLoop& loop, io::Socket socket, Handler handler)
+    : m_loop(loop)
+    , m_socket(std::move(socket))
+    , m_handler(std::move(handler))
+{
+    m_loop.watch(m_socket.descriptor(), EPOLLIN, [this](uint32_t) { receive(); });
+}
+
+FleetLink::~FleetLink()
+{
+    m_loop.unwatch(m_socket.descriptor());
+}
+
+void FleetLink::sendToAll(const FleetReport& report)
+{
+    if (m_peers.empty())
+        return;
+    std::string bytes = encodeReport(report);
+    for (const auto& [id, endpoint] : m_peers)
+        io::sendDatagram(m_socket, endpoint, bytes);
+}
+
+void FleetLink::sendTo(const base::InstanceId& id, const FleetReport& report)
+{
+    auto peer = m_peers.find(id);
+    if (peer != m_peers.end())
+        io::sendDatagram(m_socket, peer->second, encodeReport(report));
+}
+
+void FleetLink::receive()
+{
+    static std::array<char, largestDatagram> buffer;
+    for (int count = 0; count < datagramsAtOnce; ++count) {
+        ssize_t got = recv(m_socket.descriptor(), buffer.data(), buffer.size(), 0);
+        if (got < 0)
+            return;
+        auto report = decodeReport(std::string_view(buffer.data(), static_cast<size_t>(got)));
+        if (!report || !m_peers.contains(senderOf(*report).instance)) {
+            ++m_dropped;
+            continue;
+        }
+        const ReportSender& sender = senderOf(*report);
+        auto& last = m_last[{ sender.instance, report->index() }];
+        std::pair order(sender.incarnation, sender.sequence);
+        // Datagrams may overtake each other: only the newest counts.
+        if (order <= last)
+            continue;
+        last = order;
+        m_handler(*report);
+    }
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/FleetReports.cpp
@@ -0,0 +1,144 @@
+#include "toucanstep/direct/FleetReports.h"
+
+#include "toucanstep/base/MessagePack.h"
+
+#include <nlohmann/json.hpp>
+
+namespace toucanstep::direct {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// Report, list of entries, entry, value.
+constexpr int reportDepth = 5;
+
+enum class ReportKind {
+    Load = 1,
+    Demand = 2,
+    Plan = 3,
+};
+
+int64_t milliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
+
+Json head(ReportKind kind, const ReportSender& sender)
+{
+    return Json::array({ static_cast<int>(kind), sender.instance.value(), sender.incarnation.value(), sender.sequence });
+}
+
+Json encode(const LoadReport& report)
+{
+    Json use = Json::array();
+    for (const auto& entry : report.use)
+        use.push_back({ entry.upstream.value(), entry.inFlight });
+    Json charges = Json::array();
+    for (const auto& charge : report.charges)
+        charges.push_back({ charge.account.value(), charge.total.value() });
+    Json strikes = Json::array();
+    for (const auto& strike : report.strikes)
+        strikes.push_back({ strike.fingerprint.value(), strike.crash.value(), milliseconds(strike.remaining) });
+    return Json::array({ head(ReportKind::Load, report.sender), report.configuration.value(), report.directory.value(), report.leaving, use, charges, strikes });
+}
+
+Json encode(const DemandReport& report)
+{
+    Json demand = Json::array();
+    for (const auto& entry : report.demand)
+        demand.push_back({ entry.target.model.value(), entry.target.adapter.value(), entry.waiting, entry.running, entry.arrivalsPerKilosecond });
+    return Json::array({ head(ReportKind::Demand, report.sender), demand });
+}
+
+Json encode(const PlanReport& report)
+{
+    Json notices = Json::array();
+    for (const auto& notice : report.notices)
+        notices.push_back({ notice.upstream.value(), notice.start.value(), notice.target.model.value(), notice.target.adapter.value(), notice.loaded });
+    Json expected = Json::array();
+    for (const auto& load : report.expected)
+        expected.push_back({ load.target.model.value(), load.target.adapter.value(), milliseconds(load.in) });
+    return Json::array({ head(ReportKind::Plan, report.sender), report.fence.value(), notices, expected });
+}
+
+// The library throws on values of another type; decodeReport() turns that into nothing.
+template <typename Strong>
+Strong number(const Json& value) { return Strong(value.get<int64_t>()); }
+template <typename Strong>
+Strong text(const Json& value) { return Strong(value.get<std::string>()); }
+
+ModelTarget target(const Json& model, const Json& adapter)
+{
+    return { text<base::ModelId>(model), text<AdapterId>(adapter) };
+}
+
+LoadReport decodeLoad(const Json& value, ReportSender sender)
+{
+    LoadReport report { std::move(sender), number<ConfigurationVersion>(value.at(1)), number<base::Revision>(value.at(2)), value.at(3).get<bool>(), {}, {}, {} };
+    for (const Json& entry : value.at(4))
+        report.use.push_back({ text<base::UpstreamId>(entry.at(0)), entry.at(1).get<int64_t>() });
+    for (const Json& entry : value.at(5))
+        report.charges.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
+    for (const Json& entry : value.at(6)) {
+        report.strikes.push_back({ text<routing::RequestFingerprint>(entry.at(0)), text<routing::CrashId>(entry.at(1)),
+            std::chrono::milliseconds(entry.at(2).get<int64_t>()) });
+    }
+    return report;
+}
+
+DemandReport decodeDemand(const Json& value, ReportSender sender)
+{
+    DemandReport report { std::move(sender), {} };
+    for (const Json& entry : value.at(1)) {
+        report.demand.push_back({ target(entry.at(0), entry.at(1)), entry.at(2).get<int64_t>(), entry.at(3).get<int64_t>(), entry.at(4).get<int64_t>() });
+    }
+    return report;
+}
+
+PlanReport decodePlan(const Json& value, ReportSender sender)
+{
+    PlanReport report { std::move(sender), number<base::Epoch>(value.at(1)), {}, {} };
+    for (const Json& entry : value.at(2)) {
+        report.notices.push_back({ text<base::UpstreamId>(entry.at(0)), number<StartMark>(entry.at(1)), target(entry.at(2), entry.at(3)), entry.at(4).get<bool>() });
+    }
+    for (const Json& entry : value.at(3))
+        report.expected.push_back({ target(entry.at(0), entry.at(1)), std::chrono::milliseconds(entry.at(2).get<int64_t>()) });
+    return report;
+}
+
+FleetReport decode(const Json& value)
+{
+    const Json& first = value.at(0);
+    ReportSender sender { text<base::InstanceId>(first.at(1)), number<Incarnation>(first.at(2)), first.at(3).get<int64_t>() };
+    switch (static_cast<ReportKind>(first.at(0).get<int>())) {
+    case ReportKind::Load:
+        return decodeLoad(value, std::move(sender));
+    case ReportKind::Demand:
+        return decodeDemand(value, std::move(sender));
+    case ReportKind::Plan:
+        return decodePlan(value, std::move(sender));
+    }
+    throw std::invalid_argument("unknown kind of report");
+}
+
+} // namespace
+
+std::string encodeReport(const FleetReport& report)
+{
+    Json value = std::visit([](const auto& kind) { return encode(kind); }, report);
+    std::string bytes;
+    Json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+std::optional<FleetReport> decodeReport(std::string_view bytes)
+{
+    Json value = base::parseMessagePack(bytes, reportDepth);
+    if (value.is_discarded())
+        return std::nullopt;
+    try {
+        return decode(value);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/GatewayCore.cpp
@@ -0,0 +1,614 @@
+#include "GatewayCore.h"
+
+#include "toucanstep/base/Digest.h"
+#include "toucanstep/base/LogLine.h"
+#include "toucanstep/base/MessagePack.h"
+#include "toucanstep/base/Text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// Reports to the peers: as often as limits over the fleet need (see AccountLimitsSettings::peerSilence).
+constexpr auto beatInterval = std::chrono::milliseconds(100);
+constexpr auto demandInterval = std::chrono::milliseconds(200);
+constexpr auto planReportInterval = std::chrono::milliseconds(300);
+constexpr auto sweepInterval = std::chrono::seconds(1);
+// A peer's report counts for this long.
+constexpr auto reportLife = std::chrono::milliseconds(1500);
+// A notice of the planner is repeated more often than this.
+constexpr auto noticeLife = std::chrono::milliseconds(2000);
+// A lease is renewed this many times in its length, so that a lost answer or two do not end it.
+constexpr int renewalsPerLease = 4;
+constexpr auto storeCallTimeout = std::chrono::milliseconds(900);
+constexpr auto dutyRetry = std::chrono::milliseconds(500);
+// Without an answer of the store for this long a peer that reads it is asked for its copy.
+constexpr auto storeSilence = std::chrono::milliseconds(900);
+constexpr auto catchUpInterval = std::chrono::milliseconds(400);
+// After SIGTERM the balancer needs two missed questions, a second apart, before it sends no new connections.
+constexpr auto balancerNotices = std::chrono::milliseconds(2600);
+// What runs at this time before SIGKILL is ended by the process itself, with an answer where one can be given.
+constexpr auto stopMargin = std::chrono::milliseconds(700);
+
+constexpr std::string_view memberPrefix = "toucanstep/gateways/";
+constexpr std::string_view plannerKey = "toucanstep/planner";
+constexpr std::string_view copyTarget = "/fleet/directory";
+constexpr std::string_view metricsTarget = "/metrics";
+constexpr std::string_view statusTarget = "/status";
+
+constexpr int copyDepth = 4;
+
+using Json = nlohmann::json;
+
+int64_t wallMilliseconds()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+std::string encodeCopy(const Directory& directory)
+{
+    Json entries = Json::array();
+    for (const auto& [key, entry] : directory.entries())
+        entries.push_back({ key, Json::binary(std::vector<uint8_t>(entry.value.begin(), entry.value.end())), entry.created.value(), entry.modified.value() });
+    std::string bytes;
+    Json::to_msgpack(Json::array({ directory.revision().value(), entries }), bytes);
+    return bytes;
+}
+
+std::optional<base::RangeReply> decodeCopy(std::string_view bytes)
+{
+    Json value = base::parseMessagePack(bytes, copyDepth);
+    if (value.is_discarded())
+        return std::nullopt;
+    try {
+        base::RangeReply reply;
+        reply.revision = base::Revision(value.at(0).get<int64_t>());
+        for (const Json& entry : value.at(1)) {
+            const auto& binary = entry.at(1).get_binary();
+            reply.entries.push_back({ entry.at(0).get<std::string>(), std::string(binary.begin(), binary.end()), base::Revision(entry.at(2).get<int64_t>()), base::Revision(entry.at(3).get<int64_t>()) });
+        }
+        return reply;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+CallDeskSettings callSettings(const DirectGatewaySettings& settings)
+{
+    // Each gateway spends a part of the fleet's budget on its own, with no word from the others. Four fifths of the
+    // ratio leave room for sends that count as repeats although this gateway did not mean them so.
+    constexpr double usedPart = 0.8;
+    constexpr int64_t gatewaysAtLeast = 4;
+    CallDeskSettings calls;
+    calls.domain = settings.domain;
+    calls.retryPercent = static_cast<int64_t>(settings.retryRatio * usedPart * 100);
+    calls.retryReserve = std::max<int64_t>(1, settings.retrySlack / 2 / gatewaysAtLeast);
+    return calls;
+}
+
+PlannerDutySettings dutySettings(const DirectGatewaySettings& settings)
+{
+    PlannerDutySettings duty;
+    duty.lease = settings.plannerLease;
+    duty.handOver = settings.plannerLease;
+    return duty;
+}
+
+DirectorySettings directorySettings(const WireFormat& format)
+{
+    DirectorySettings directory;
+    directory.lapsingPrefix = format.upstreamPrefix();
+    return directory;
+}
+
+} // namespace
+
+class GatewayCore::OperatorHandler final : public http1::RequestHandler {
+public:
+    explicit OperatorHandler(GatewayCore& core)
+        : m_core(core)
+    {
+    }
+    void onRequest(std::shared_ptr<http1::ServerExchange> exchange) override
+    {
+        constexpr int ok = 200;
+        constexpr int unavailable = 503;
+        constexpr int notFound = 404;
+        const std::string& target = exchange->head().target;
+        http1::AnswerHead head;
+        head.status = ok;
+        if (target == m_core.m_format->readinessTarget()) {
+            head.status = m_core.ready() ? ok : unavailable;
+            exchange->answer(std::move(head), m_core.ready() ? "ready\n" : "not ready\n");
+        } else if (target == copyTarget) {
+            exchange->answer(std::move(head), encodeCopy(m_core.m_directory));
+        } else if (target == metricsTarget) {
+            exchange->answer(std::move(head), m_core.m_metrics.render());
+        } else if (target == statusTarget) {
+            exchange->answer(std::move(head), m_core.statusText());
+        } else {
+            head.status = notFound;
+            exchange->answer(std::move(head), "");
+        }
+    }
+
+private:
+    GatewayCore& m_core;
+};
+
+GatewayCore::GatewayCore(io::EventLoop& loop, DirectGatewaySettings settings, std::shared_ptr<const WireFormat> format, const StoreFactory& makeStore)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_format(std::move(format))
+    , m_client(loop)
+    , m_storeClient(loop)
+    , m_store(makeStore(loop, m_storeClient))
+    , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
+    , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { m_nextPlanReport = {}; })
+    , m_duty(dutySettings(m_settings))
+    , m_planner(PlacementSettings {})
+    , m_directory(loop, *m_store, directorySettings(*m_format), *this)
+    , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
+    , m_incarnation(wallMilliseconds())
+{
+}
+
+GatewayCore::~GatewayCore()
+{
+    m_loop.cancel(m_beatTimer);
+}
+
+base::Result<void> GatewayCore::start()
+{
+    BOOST_LEAF_ASSIGN(m_callers, http1::Server::listen(m_loop, m_settings.callers, m_calls));
+    BOOST_LEAF_ASSIGN(m_readiness, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
+    BOOST_LEAF_ASSIGN(m_operators, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
+    BOOST_LEAF_ASSIGN(m_link, FleetLink::open(m_loop, m_operators->endpoint(), [this](const FleetReport& report) { onReport(report); }));
+    m_calls.onTargetMissing([this] { m_nextDemand = {}; });
+    m_directory.start();
+    beat();
+    return {};
+}
+
+bool GatewayCore::ready() const
+{
+    return m_directory.known() && m_calls.desiredState() && !m_leavingSince;
+}
+
+void GatewayCore::beat()
+{
+    base::Instant now = m_loop.now();
+    keepLease();
+    setPeersInFlight();
+    sendLoadReport();
+    m_calls.tick();
+    if (m_duty.mayOrder(now))
+        plan();
+    sendDemand();
+    sendPlan();
+    catchUpFromPeer();
+    if (now >= m_nextSweep) {
+        m_nextSweep = now + sweepInterval;
+        m_client.sweep();
+        m_storeClient.sweep();
+        updatePeers();
+    }
+    if (m_leavingSince) {
+        base::Duration since = now - *m_leavingSince;
+        bool quiet = since > balancerNotices && !m_calls.running();
+        m_drained = quiet || since > m_settings.stopGrace - stopMargin;
+        if (since > balancerNotices)
+            m_callers->stop();
+    }
+    m_beatTimer = m_loop.at(now + beatInterval, [this] { beat(); });
+}
+
+void GatewayCore::leave()
+{
+    if (m_leavingSince)
+        return;
+    base::LogLine("leaving").add("running", m_calls.running());
+    m_leavingSince = m_loop.now();
+    m_callers->closeAfterAnswers();
+    loseDuty("leaving");
+    // The keys go at once, so that the others need not wait for the lease to end.
+    base::Transaction transaction;
+    transaction.operations.emplace_back(base::DeleteOperation { base::concat(memberPrefix, m_settings.instance) });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
+}
+
+// ---- the directory
+
+void GatewayCore::onEntry(const base::KeyValue& entry)
+{
+    if (entry.key == m_format->desiredStateKey())
+        setDesiredState(entry);
+    else if (entry.key.starts_with(m_format->upstreamPrefix()))
+        setUpstream(entry);
+    else if (entry.key.starts_with(memberPrefix))
+        updatePeers();
+}
+
+void GatewayCore::onRemoved(const std::string& key)
+{
+    if (key.starts_with(m_format->upstreamPrefix())) {
+        base::UpstreamId id(key.substr(m_format->upstreamPrefix().size()));
+        base::LogLine("upstream_gone").add("upstream", id);
+        m_calls.upstreams().remove(id);
+        m_orders.onUpstreamGone(id);
+        m_client.forget(id.value());
+    } else if (key.starts_with(memberPrefix)) {
+        updatePeers();
+    }
+}
+
+void GatewayCore::onDirectoryUpdated()
+{
+    onDutySeen();
+    m_calls.wakeWaiting();
+}
+
+void GatewayCore::setDesiredState(const base::KeyValue& entry)
+{
+    std::string reason;
+    auto state = m_format->readDesiredState(entry.value, reason);
+    if (!state) {
+        base::LogLine("desired_state_unreadable").add("revision", entry.modified).add("reason", reason);
+        m_metrics.count("toucanstep_unreadable_entries_total", "what=\"desired_state\"");
+        return;
+    }
+    auto inForce = m_calls.desiredState();
+    if (inForce && inForce->version >= state->version)
+        return;
+    base::LogLine("desired_state_in_force").add("version", state->version).add("routes", state->routes.size()).add("accounts", state->accounts.size());
+    http1::ServerBounds bounds;
+    bounds.headBytes = state->callers.headBytes;
+    bounds.bodyBytes = state->callers.bodyBytes;
+    bounds.requestTimeout = state->callers.headTimeout;
+    bounds.idleTimeout = state->callers.idleTimeout;
+    m_callers->setBounds(bounds);
+    m_calls.setDesiredState(std::move(state));
+}
+
+void GatewayCore::setUpstream(const base::KeyValue& entry)
+{
+    std::string reason;
+    auto description = m_format->readUpstream(entry.key, entry.value, reason);
+    if (!description) {
+        base::LogLine("upstream_entry_unreadable").add("key", entry.key).add("reason", reason);
+        m_metrics.count("toucanstep_unreadable_entries_total", "what=\"upstream\"");
+        return;
+    }
+    const UpstreamEntry* known = m_calls.upstreams().find(description->id);
+    if (!known || known->description.draining != description->draining || known->description.start != description->start) {
+        base::LogLine("upstream_seen").add("upstream", description->id).add("service", description->service).add("endpoint", description->endpoint.text()).add("draining", description->draining ? "yes" : "no").add("models", description->loaded.size());
+    }
+    m_orders.onUpstream(*description);
+    m_calls.upstreams().put(std::move(*description), m_loop.now());
+}
+
+void GatewayCore::updatePeers()
+{
+    std::map<base::InstanceId, base::Endpoint> peers;
+    std::set<base::InstanceId> ids;
+    for (auto entry = m_directory.entries().lower_bound(std::string(memberPrefix)); entry != m_directory.entries().end() && entry->first.starts_with(memberPrefix); ++entry) {
+        base::InstanceId id(entry->first.substr(memberPrefix.size()));
+        auto endpoint = base::parseEndpoint(entry->second.value);
+        if (id == m_settings.instance || !endpoint)
+            continue;
+        peers.emplace(id, *endpoint);
+        ids.insert(id);
+    }
+    // A peer whose key lapsed with its lease still reports while it is only cut off from the store.
+    for (const auto& [id, state] : m_peers) {
+        auto known = m_link->peers().find(id);
+        if (!peers.contains(id) && known != m_link->peers().end() && m_loop.now() - state.heard < reportLife)
+            peers.emplace(id, known->second);
+    }
+    m_link->setPeers(std::move(peers));
+    m_calls.limits().setPeers(ids, m_loop.now());
+}
+
+void GatewayCore::catchUpFromPeer()
+{
+    base::Instant now = m_loop.now();
+    bool heardStore = m_directory.lastAnswer() && now - *m_directory.lastAnswer() < storeSilence;
+    if (heardStore || m_catchingUp || now < m_nextCatchUp)
+        return;
+    for (const auto& [id, state] : m_peers) {
+        auto endpoint = m_link->peers().find(id);
+        if (state.load.directory <= m_directory.revision() || now - state.heard > reportLife || endpoint == m_link->peers().end())
+            continue;
+        m_catchingUp = true;
+        m_nextCatchUp = now + catchUpInterval;
+        http1::fetch(m_loop, m_client, { id.value(), endpoint->second }, "GET", copyTarget, {}, "", now + storeCallTimeout, [this, id = id](base::Result<http1::FetchedAnswer> result) {
+            m_catchingUp = false;
+            base::Error error;
+            auto answer = base::valueOr(error, [&] { return std::move(result); });
+            auto copy = answer ? decodeCopy(answer->body) : std::nullopt;
+            if (copy && m_directory.adopt(*copy))
+                base::LogLine("directory_from_peer").add("peer", id).add("revision", m_directory.revision());
+        });
+        return;
+    }
+}
+
+// ---- reports between gateways
+
+ReportSender GatewayCore::nextSender()
+{
+    return { m_settings.instance, m_incarnation, ++m_sequence };
+}
+
+void GatewayCore::sendLoadReport()
+{
+    LoadReport report;
+    report.sender = nextSender();
+    if (auto state = m_calls.desiredState())
+        report.configuration = state->version;
+    report.directory = m_directory.revision();
+    report.leaving = m_leavingSince.has_value();
+    for (const auto& [id, entry] : m_calls.upstreams().all()) {
+        if (entry.ownInFlight)
+            report.use.push_back({ id, entry.ownInFlight });
+    }
+    report.charges = m_calls.limits().ownCharges();
+    report.strikes = m_calls.recentStrikes();
+    m_link->sendToAll(report);
+}
+
+void GatewayCore::sendDemand()
+{
+    base::Instant now = m_loop.now();
+    if (now < m_nextDemand || !m_plannerPeer || m_duty.holds())
+        return;
+    m_nextDemand = now + demandInterval;
+    m_link->sendTo(*m_plannerPeer, DemandReport { nextSender(), m_calls.demand().summary(now) });
+}
+
+void GatewayCore::sendPlan()
+{
+    base::Instant now = m_loop.now();
+    if (!m_duty.holds() || now < m_nextPlanReport)
+        return;
+    m_nextPlanReport = now + planReportInterval;
+    PlanReport report { nextSender(), m_duty.fence(), m_orders.notices(), m_expected };
+    m_link->sendToAll(report);
+    onPlanReport(report);
+}
+
+void GatewayCore::onReport(const FleetReport& report)
+{
+    if (const auto* load = std::get_if<LoadReport>(&report))
+        onLoadReport(*load);
+    else if (const auto* demand = std::get_if<DemandReport>(&report))
+        m_peerDemand[demand->sender.instance] = { m_loop.now(), demand->demand };
+    else if (const auto* plan = std::get_if<PlanReport>(&report))
+        onPlanReport(*plan);
+}
+
+void GatewayCore::onLoadReport(const LoadReport& report)
+{
+    base::Instant now = m_loop.now();
+    m_peers[report.sender.instance] = { report, now };
+    m_calls.limits().onReport(report.sender.instance, report.sender.incarnation, report.charges, now);
+    m_calls.quarantine().merge(report.strikes, now);
+    setPeersInFlight();
+    m_calls.wakeWaiting();
+}
+
+void GatewayCore::setPeersInFlight()
+{
+    std::map<base::UpstreamId, int64_t> counts;
+    for (const auto& [id, state] : m_peers) {
+        if (m_loop.now() - state.heard > reportLife)
+            continue;
+        for (const auto& use : state.load.use)
+            counts[use.upstream] += use.inFlight;
+    }
+    m_calls.upstreams().setPeersInFlight(counts);
+}
+
+void GatewayCore::onPlanReport(const PlanReport& report)
+{
+    if (report.fence < m_planFence)
+        return;
+    m_planFence = report.fence;
+    if (report.sender.instance != m_settings.instance) {
+        m_plannerPeer = report.sender.instance;
+        if (m_duty.holds() && report.fence > m_duty.fence())
+            loseDuty("another gateway plans with a newer fence");
+    }
+    base::Instant until = m_loop.now() + noticeLife;
+    for (const auto& notice : report.notices)
+        m_calls.upstreams().notice(notice, until);
+    m_calls.setExpectedLoads(report.expected);
+    m_calls.notePlanner();
+    m_calls.wakeWaiting();
+}
+
+// ---- the planner's duty
+
+void GatewayCore::plan()
+{
+    auto state = m_calls.desiredState();
+    if (!state)
+        return;
+    base::Instant now = m_loop.now();
+    m_orders.tick(now);
+    std::map<ModelTarget, TargetDemand> demand;
+    auto add = [&](const std::vector<TargetDemand>& entries) {
+        for (const auto& entry : entries) {
+            TargetDemand& sum = demand[entry.target];
+            sum.target = entry.target;
+            sum.waiting += entry.waiting;
+            sum.running += entry.running;
+            sum.arrivalsPerKilosecond += entry.arrivalsPerKilosecond;
+        }
+    };
+    add(m_calls.demand().summary(now));
+    for (const auto& [id, reported] : m_peerDemand) {
+        if (now - reported.first < reportLife)
+            add(reported.second);
+    }
+    m_expected.clear();
+    for (const auto& service : state->services) {
+        if (!service.engine)
+            continue;
+        PlacementInput input;
+        input.now = now;
+        input.traits = &*service.engine;
+        input.engines = m_orders.engines(m_calls.upstreams(), service.id, now);
+        for (const auto& [target, entry] : demand) {
+            if (service.engine->findModel(target.model))
+                input.demand.push_back(entry);
+        }
+        Placement placement = m_planner.plan(input);
+        for (const auto& order : placement.orders)
+            m_orders.execute(order, now);
+        m_expected.insert(m_expected.end(), placement.expected.begin(), placement.expected.end());
+    }
+}
+
+void GatewayCore::keepLease()
+{
+    base::Instant now = m_loop.now();
+    if (m_leavingSince || m_leaseCall)
+        return;
+    if (!m_lease) {
+        if (now >= m_nextRenewal)
+            grantLease();
+        return;
+    }
+    if (!m_joined && !m_joining)
+        joinFleet();
+    if (now >= m_nextRenewal)
+        renewLease();
+    if (m_joined && !m_duty.holds() && now >= m_nextDutyTry && m_directory.known() && !m_directory.entries().contains(std::string(plannerKey)))
+        seekDuty();
+}
+
+void GatewayCore::grantLease()
+{
+    m_leaseCall = true;
+    base::Instant sent = m_loop.now();
+    m_nextRenewal = sent + m_settings.plannerLease / renewalsPerLease;
+    m_store->grantLease(m_settings.plannerLease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
+        m_leaseCall = false;
+        if (const auto* lease = std::get_if<base::LeaseId>(&outcome)) {
+            m_lease = *lease;
+            m_leaseSent = sent;
+            m_joined = false;
+            joinFleet();
+        }
+    });
+}
+
+void GatewayCore::renewLease()
+{
+    m_leaseCall = true;
+    base::Instant sent = m_loop.now();
+    m_nextRenewal = sent + m_settings.plannerLease / renewalsPerLease;
+    m_store->keepLeaseAlive(*m_lease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
+        m_leaseCall = false;
+        if (std::holds_alternative<base::LeaseId>(outcome)) {
+            m_leaseSent = sent;
+            m_duty.onRenewed(sent);
+            return;
+        }
+        const base::Error& error = std::get<base::Error>(outcome);
+        base::LogLine("lease_not_renewed").add("reason", error.message);
+        if (error.kind != base::ErrorKind::Rejected)
+            return;
+        m_lease.reset();
+        m_joined = false;
+        m_nextRenewal = {};
+        if (m_duty.holds())
+            loseDuty("the lease has ended");
+    });
+}
+
+void GatewayCore::joinFleet()
+{
+    m_joining = true;
+    base::Transaction transaction;
+    transaction.operations.emplace_back(base::PutOperation { base::concat(memberPrefix, m_settings.instance), m_settings.peers.text(), m_lease });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
+        m_joining = false;
+        const auto* reply = std::get_if<base::TransactionReply>(&outcome);
+        m_joined = reply && reply->committed;
+        if (!m_joined)
+            base::LogLine("join_failed").add("reason", reply ? "refused" : std::get<base::Error>(outcome).message);
+    });
+}
+
+void GatewayCore::seekDuty()
+{
+    if (m_dutyCall || m_leavingSince)
+        return;
+    m_dutyCall = true;
+    m_nextDutyTry = m_loop.now() + dutyRetry;
+    base::Transaction transaction;
+    transaction.comparisons.push_back({ std::string(plannerKey), base::Revision(0) });
+    transaction.operations.emplace_back(base::PutOperation { std::string(plannerKey), m_settings.instance.value(), m_lease });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
+        m_dutyCall = false;
+        const auto* reply = std::get_if<base::TransactionReply>(&outcome);
+        if (!reply || !reply->committed || m_leavingSince)
+            return;
+        m_duty.onAcquired(base::Epoch(reply->revision.value()), m_leaseSent, m_loop.now(), !m_settings.firstStart);
+        m_orders.begin(m_duty.fence());
+        m_plannerPeer.reset();
+        base::LogLine("planner_duty_taken").add("fence", m_duty.fence());
+    });
+}
+
+// The key in the store is another's, or gone, although this gateway believes that it holds the duty.
+void GatewayCore::onDutySeen()
+{
+    auto entry = m_directory.entries().find(std::string(plannerKey));
+    if (!m_duty.holds()) {
+        if (entry != m_directory.entries().end() && entry->second.value != m_settings.instance.value())
+            m_plannerPeer = base::InstanceId(entry->second.value);
+        return;
+    }
+    // An older copy of the store does not show this gateway's key yet.
+    if (m_directory.revision().value() < m_duty.fence().value())
+        return;
+    if (entry == m_directory.entries().end() || entry->second.created.value() != m_duty.fence().value())
+        loseDuty("the key is not this gateway's any more");
+}
+
+void GatewayCore::loseDuty(std::string_view why)
+{
+    if (!m_duty.holds())
+        return;
+    base::LogLine("planner_duty_lost").add("fence", m_duty.fence()).add("reason", why);
+    base::Revision created(m_duty.fence().value());
+    m_duty.onLost();
+    m_nextDutyTry = m_loop.now() + m_settings.plannerLease;
+    base::Transaction transaction;
+    transaction.comparisons.push_back({ std::string(plannerKey), created });
+    transaction.operations.emplace_back(base::DeleteOperation { std::string(plannerKey) });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
+}
+
+std::string GatewayCore::statusText() const
+{
+    auto state = m_calls.desiredState();
+    Json status {
+        { "instance", m_settings.instance.value() },
+        { "ready", ready() },
+        { "version", state ? state->version.value() : 0 },
+        { "directory_revision", m_directory.revision().value() },
+        { "upstreams", 0 },
+        { "planner", m_duty.holds() },
+        { "running", m_calls.running() },
+        { "waiting", m_calls.waiting() },
+    };
+    return status.dump() + "\n";
+}
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/GatewayCore.h
@@ -0,0 +1,110 @@
+// The parts of a direct gateway and the beats that drive them, all on the loop's thread.
+
+#pragma once
+
+#include "CallDesk.h"
+#include "FleetLink.h"
+#include "OrderDesk.h"
+#include "toucanstep/direct/DirectGateway.h"
+#include "toucanstep/direct/Directory.h"
+#include "toucanstep/direct/PlannerDuty.h"
+
+#include <atomic>
+
+namespace toucanstep::direct {
+
+class GatewayCore final : public DirectoryListener {
+public:
+    GatewayCore(io::EventLoop&, DirectGatewaySettings, std::shared_ptr<const WireFormat>, const StoreFactory&);
+    ~GatewayCore() override;
+
+    base::Result<void> start();
+    void leave();
+    bool drained() const { return m_drained.load(); }
+    base::Endpoint callerEndpoint() const { return m_callers->endpoint(); }
+
+    void onEntry(const base::KeyValue&) override;
+    void onRemoved(const std::string& key) override;
+    void onDirectoryUpdated() override;
+
+private:
+    // Answers on the operators' port: readiness, metrics, the copy of the store for peers.
+    class OperatorHandler;
+    struct PeerState {
+        LoadReport load;
+        base::Instant heard;
+    };
+
+    void beat();
+    void onReport(const FleetReport&);
+    void onLoadReport(const LoadReport&);
+    void onPlanReport(const PlanReport&);
+    void sendLoadReport();
+    void sendDemand();
+    void sendPlan();
+    void plan();
+    void setPeersInFlight();
+    void updatePeers();
+    void setDesiredState(const base::KeyValue&);
+    void setUpstream(const base::KeyValue&);
+    void catchUpFromPeer();
+
+    // Lease, membership and the planner's duty.
+    void keepLease();
+    void grantLease();
+    void renewLease();
+    void joinFleet();
+    void seekDuty();
+    void onDutySeen();
+    void loseDuty(std::string_view why);
+
+    ReportSender nextSender();
+    bool ready() const;
+    std::string statusText() const;
+
+    io::EventLoop& m_loop;
+    DirectGatewaySettings m_settings;
+    std::shared_ptr<const WireFormat> m_format;
+    base::MetricsRegistry m_metrics;
+    http1::Client m_client;
+    http1::Client m_storeClient;
+    std::unique_ptr<base::KeyValueStore> m_store;
+    CallDesk m_calls;
+    OrderDesk m_orders;
+    PlannerDuty m_duty;
+    PlacementPlanner m_planner;
+    Directory m_directory;
+    std::unique_ptr<OperatorHandler> m_operatorHandler;
+    std::unique_ptr<FleetLink> m_link;
+    std::unique_ptr<http1::Server> m_callers;
+    std::unique_ptr<http1::Server> m_readiness;
+    std::unique_ptr<http1::Server> m_operators;
+
+    Incarnation m_incarnation;
+    int64_t m_sequence = 0;
+    std::map<base::InstanceId, PeerState> m_peers;
+    std::map<base::InstanceId, std::pair<base::Instant, std::vector<TargetDemand>>> m_peerDemand;
+    std::vector<ExpectedLoad> m_expected;
+    base::Epoch m_planFence;
+    std::optional<base::InstanceId> m_plannerPeer;
+
+    std::optional<base::LeaseId> m_lease;
+    base::Instant m_leaseSent;
+    bool m_leaseCall = false;
+    bool m_joined = false;
+    bool m_joining = false;
+    bool m_dutyCall = false;
+    base::Instant m_nextRenewal;
+    base::Instant m_nextDutyTry;
+    base::Instant m_nextDemand;
+    base::Instant m_nextPlanReport;
+    base::Instant m_nextSweep;
+    base::Instant m_nextCatchUp;
+    bool m_catchingUp = false;
+
+    io::EventLoop::TimerId m_beatTimer = 0;
+    std::optional<base::Instant> m_leavingSince;
+    std::atomic<bool> m_drained = false;
+};
+
+} // namespace toucanstep::direct
--- /dev/null
+++ b/packages/direct/src/UpstreamTable.cpp
@@ -0,0 +1,171 @@
+#include "toucanstep/direct/UpstreamTable.h"
+
+#include <cmath>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// An upstream that failed is tried less for a few seconds: as long as one needs that has crashed and starts again.
+constexpr double failureHalfLifeSeconds = 2;
+// No connection within its time: long enough that a call is not held up twice in a row, short enough for a restart.
+constexpr auto avoidUnreachable = std::chrono::milliseconds(700);
+// Engines make an event every few milliseconds and answer plain calls within tens of them; one that runs calls and
+// sends nothing for this long has stopped or cannot be reached.
+constexpr auto silentAfter = std::chrono::milliseconds(1000);
+
+} // namespace
+
+void UpstreamTable::put(UpstreamDescription description, base::Instant now)
+{
+    auto [place, isNew] = m_entries.try_emplace(description.id);
+    UpstreamEntry& entry = place->second;
+    if (!isNew && entry.description.start != description.start) {
+        int64_t stillRunning = entry.ownInFlight;
+        entry = UpstreamEntry();
+        entry.ownInFlight = stillRunning;
+        m_notices.erase(description.id);
+        isNew = true;
+    }
+    if (isNew)
+        entry.lastHeard = now;
+    entry.description = std::move(description);
+}
+
+void UpstreamTable::remove(const base::UpstreamId& id)
+{
+    m_entries.erase(id);
+    m_notices.erase(id);
+}
+
+UpstreamEntry* UpstreamTable::find(const base::UpstreamId& id)
+{
+    auto found = m_entries.find(id);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void UpstreamTable::notice(const LoadedNotice& notice, base::Instant until)
+{
+    m_notices[notice.upstream][notice.target] = { notice.start, notice.loaded, until };
+}
+
+bool UpstreamTable::holds(const UpstreamEntry& entry, const ModelTarget& target, base::Instant now) const
+{
+    if (target.empty())
+        return true;
+    auto told = [&](const ModelTarget& wanted) -> std::optional<bool> {
+        auto notices = m_notices.find(entry.description.id);
+        if (notices == m_notices.end())
+            return std::nullopt;
+        auto found = notices->second.find(wanted);
+        if (found == notices->second.end() || found->second.until <= now || found->second.start != entry.description.start)
+            return std::nullopt;
+        return found->second.loaded;
+    };
+    auto model = entry.description.loaded.find(target.model);
+    bool listed = model != entry.description.loaded.end();
+    if (!told({ target.model, AdapterId() }).value_or(listed))
+        return false;
+    if (target.adapter.empty())
+        return true;
+    return told(target).value_or(listed && model->second.contains(target.adapter));
+}
+
+LoadedModels UpstreamTable::loadedAt(const UpstreamEntry& entry, base::Instant now) const
+{
+    LoadedModels loaded = entry.description.loaded;
+    auto notices = m_notices.find(entry.description.id);
+    if (notices == m_notices.end())
+        return loaded;
+    for (const auto& [target, notice] : notices->second) {
+        if (notice.until <= now || notice.start != entry.description.start)
+            continue;
+        if (target.adapter.empty()) {
+            if (notice.loaded)
+                loaded.try_emplace(target.model);
+            else
+                loaded.erase(target.model);
+        } else if (auto model = loaded.find(target.model); model != loaded.end()) {
+            if (notice.loaded)
+                model->second.insert(target.adapter);
+            else
+                model->second.erase(target.adapter);
+        }
+    }
+    return loaded;
+}
+
+void UpstreamTable::expireNotices(base::Instant now)
+{
+    for (auto& [upstream, notices] : m_notices)
+        std::erase_if(notices, [&](const auto& entry) { return entry.second.until <= now; });
+    std::erase_if(m_notices, [](const auto& entry) { return entry.second.empty(); });
+}
+
+void UpstreamTable::setPeersInFlight(const std::map<base::UpstreamId, int64_t>& counts)
+{
+    for (auto& [id, entry] : m_entries) {
+        auto found = counts.find(id);
+        entry.peersInFlight = found == counts.end() ? 0 : found->second;
+    }
+}
+
+void UpstreamTable::onDispatched(const base::UpstreamId& id, base::Instant now)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry)
+        return;
+    ++entry->ownInFlight;
+    if (!entry->awaitingSince)
+        entry->awaitingSince = now;
+}
+
+void UpstreamTable::onEnded(const base::UpstreamId& id)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry || !entry->ownInFlight)
+        return;
+    if (!--entry->ownInFlight)
+        entry->awaitingSince.reset();
+}
+
+void UpstreamTable::onHeard(const base::UpstreamId& id, base::Instant now)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry)
+        return;
+    entry->lastHeard = now;
+    if (entry->awaitingSince)
+        entry->awaitingSince = now;
+}
+
+void UpstreamTable::onFailure(const base::UpstreamId& id, base::Instant now)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry)
+        return;
+    entry->failures = recentFailures(*entry, now) + 1;
+    entry->failuresAsOf = now;
+}
+
+void UpstreamTable::onUnreachable(const base::UpstreamId& id, base::Instant now)
+{
+    onFailure(id, now);
+    if (UpstreamEntry* entry = find(id))
+        entry->avoidUntil = now + avoidUnreachable;
+}
+
+double UpstreamTable::recentFailures(const UpstreamEntry& entry, base::Instant now)
+{
+    if (entry.failures == 0)
+        return 0;
+    double halfLives = base::toSeconds(now - entry.failuresAsOf) / failureHalfLifeSeconds;
+    return entry.failures * std::exp2(-halfLives);
+}
+
+bool UpstreamTable::silent(const UpstreamEntry& entry, base::Instant now)
+{
+    return entry.awaitingSince && now - *entry.awaitingSince > silentAfter;
+}
+
+} // namespace toucanstep::direct
--- a/packages/fakes/include/toucanstep/fakes/FakeEngine.h
+++ b/packages/fakes/include/toucanstep/fakes/FakeEngine.h
@@ -12,7 +12,7 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <functional>
 #include <memory>
@@ -105,7 +105,7 @@
 // One request for generation, as it arrived; headers included, so that a test can show that no caller's key got here.
 struct FakeEngineRequest {
     std::string path;
-    platform::HttpHeaders headers;
+    formats::HttpHeaders headers;
     std::string body;
 };
 
--- a/packages/fakes/include/toucanstep/fakes/FakeKeyValueService.h
+++ b/packages/fakes/include/toucanstep/fakes/FakeKeyValueService.h
@@ -1,7 +1,7 @@
 // A stand-in for the platform's key-value service: the JSON gateway of etcd v3 over HTTP, in memory, with faults on demand.
 //
 //     FakeKeyValueService service;
-//     auto store = platform::makeEtcdStore(service.url(), client);
+//     auto store = formats::makeEtcdStore(service.url(), client);
 //     service.setDown(true);
 
 #pragma once
--- a/packages/fakes/include/toucanstep/fakes/FakeService.h
+++ b/packages/fakes/include/toucanstep/fakes/FakeService.h
@@ -5,7 +5,7 @@
 #pragma once
 
 #include "toucanstep/base/Time.h"
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <map>
 #include <memory>
@@ -43,7 +43,7 @@
     std::map<std::string, int64_t> allRuns() const;
     int64_t crashes() const;
     // The newest ten thousand calls at most, in the order in which they arrived.
-    std::vector<platform::HttpRequest> requests() const;
+    std::vector<formats::HttpRequest> requests() const;
 
 private:
     class Implementation;
--- a/packages/fakes/src/EngineStream.cpp
+++ b/packages/fakes/src/EngineStream.cpp
@@ -13,9 +13,9 @@
 
 namespace {
 
-int64_t numberHeader(const platform::HttpHeaders& headers, std::string_view name)
+int64_t numberHeader(const formats::HttpHeaders& headers, std::string_view name)
 {
-    auto text = platform::findHeader(headers, name);
+    auto text = formats::findHeader(headers, name);
     int64_t number = 0;
     std::from_chars(text.data(), text.data() + text.size(), number);
     return number;
@@ -40,7 +40,7 @@
 
 } // namespace
 
-EngineStream::EngineStream(std::shared_ptr<platform::HttpExchange> exchange, int64_t defaultTokens, bool honoursResume)
+EngineStream::EngineStream(std::shared_ptr<formats::HttpExchange> exchange, int64_t defaultTokens, bool honoursResume)
     : m_exchange(std::move(exchange))
 {
     const auto& request = m_exchange->request();
@@ -52,7 +52,7 @@
     m_tokens = tokensOf(body, defaultTokens);
     m_streaming = body.value("stream", false);
     m_includeUsage = body.contains("stream_options") && body.at("stream_options").value("include_usage", false);
-    m_id = std::string(platform::findHeader(request.headers, "X-Request-Id"));
+    m_id = std::string(formats::findHeader(request.headers, "X-Request-Id"));
     m_priority = numberHeader(request.headers, "X-Request-Priority");
     if (honoursResume)
         m_firstToken = m_nextToken = std::min(m_tokens, numberHeader(request.headers, "X-Resume-Offset"));
--- a/packages/fakes/src/EngineStream.h
+++ b/packages/fakes/src/EngineStream.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -13,14 +13,14 @@
 class EngineStream {
 public:
     // Throws a JSON exception where the body does not have the published form.
-    EngineStream(std::shared_ptr<platform::HttpExchange>, int64_t defaultTokens, bool honoursResume);
+    EngineStream(std::shared_ptr<formats::HttpExchange>, int64_t defaultTokens, bool honoursResume);
 
     const std::string& model() const { return m_model; }
     const std::string& prompt() const { return m_prompt; }
     int64_t priority() const { return m_priority; }
     int64_t promptTokens() const { return m_promptTokens; }
     int64_t tokensHeld() const { return m_promptTokens + m_nextToken; }
-    platform::HttpExchange& exchange() const { return *m_exchange; }
+    formats::HttpExchange& exchange() const { return *m_exchange; }
 
     // Prompt tokens that are still to be read before the first token comes.
     int64_t promptLeft = 0;
@@ -37,7 +37,7 @@
     nlohmann::json usage() const;
     void finish();
 
-    std::shared_ptr<platform::HttpExchange> m_exchange;
+    std::shared_ptr<formats::HttpExchange> m_exchange;
     std::string m_id;
     std::string m_model;
     std::string m_prompt;
--- a/packages/fakes/src/FakeEngine.cpp
+++ b/packages/fakes/src/FakeEngine.cpp
@@ -7,7 +7,7 @@
 #include "PrefixCache.h"
 #include "RestartableServer.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <algorithm>
 #include <charconv>
@@ -21,7 +21,7 @@
 using internal::HeldModel;
 using internal::ModelPhase;
 using Json = nlohmann::json;
-using ExchangePointer = std::shared_ptr<platform::HttpExchange>;
+using ExchangePointer = std::shared_ptr<formats::HttpExchange>;
 
 namespace {
 
@@ -34,15 +34,15 @@
 
 Instant now() { return std::chrono::steady_clock::now(); }
 
-void respondJson(platform::HttpExchange& exchange, int status, const Json& body)
+void respondJson(formats::HttpExchange& exchange, int status, const Json& body)
 {
     exchange.respond(status, { { "Content-Type", "application/json" } }, body.dump());
 }
 
 // The repository's orders and the OpenAI side have errors of different shape.
-void refuseOrder(platform::HttpExchange& exchange, int status, const std::string& reason) { respondJson(exchange, status, { { "error", reason } }); }
+void refuseOrder(formats::HttpExchange& exchange, int status, const std::string& reason) { respondJson(exchange, status, { { "error", reason } }); }
 
-void refuseGeneration(platform::HttpExchange& exchange, int status, const std::string& reason)
+void refuseGeneration(formats::HttpExchange& exchange, int status, const std::string& reason)
 {
     respondJson(exchange, status, { { "error", { { "message", reason }, { "type", "invalid_request_error" }, { "code", status } } } });
 }
@@ -86,7 +86,7 @@
         , m_models(m_options.memoryLimit)
         , m_cache(m_options.hostMemoryLimit, m_options.diskLimit)
         , m_prefixes(m_options.prefixCacheTokens)
-        , m_client(m_options.weightStoreUrl.empty() ? nullptr : std::make_unique<platform::HttpClient>())
+        , m_client(m_options.weightStoreUrl.empty() ? nullptr : std::make_unique<formats::HttpClient>())
         , m_server([this](const ExchangePointer& exchange) { receive(exchange); })
     {
         m_models.account(now());
@@ -227,7 +227,7 @@
             refuseGeneration(*exchange, 404, "no such path");
     }
 
-    static std::string adapterName(const platform::HttpExchange& exchange)
+    static std::string adapterName(const formats::HttpExchange& exchange)
     {
         return Json::parse(exchange.request().body).at("lora_name").get<std::string>();
     }
@@ -242,15 +242,15 @@
         return path.substr(modelsPath.size(), nameSize);
     }
 
-    static Order orderFor(const platform::HttpExchange& exchange, std::string name)
+    static Order orderFor(const formats::HttpExchange& exchange, std::string name)
     {
-        auto text = platform::findHeader(exchange.request().headers, "X-Fencing-Epoch");
+        auto text = formats::findHeader(exchange.request().headers, "X-Fencing-Epoch");
         int64_t fence = 0;
         std::from_chars(text.data(), text.data() + text.size(), fence);
         return { std::move(name), Epoch(fence) };
     }
 
-    void showIndex(platform::HttpExchange& exchange)
+    void showIndex(formats::HttpExchange& exchange)
     {
         std::lock_guard lock(m_mutex);
         Json index = Json::array();
@@ -261,7 +261,7 @@
         respondJson(exchange, 200, index);
     }
 
-    void listModels(platform::HttpExchange& exchange)
+    void listModels(formats::HttpExchange& exchange)
     {
         std::lock_guard lock(m_mutex);
         Json data = Json::array();
@@ -273,7 +273,7 @@
         respondJson(exchange, 200, { { "object", "list" }, { "data", std::move(data) } });
     }
 
-    void showMetrics(platform::HttpExchange& exchange)
+    void showMetrics(formats::HttpExchange& exchange)
     {
         std::lock_guard lock(m_mutex);
         Instant asOf = now() - m_options.metricsLag;
@@ -300,7 +300,7 @@
     }
 
     // Refuses an order with an old fencing number, if this engine looks at them.
-    bool admit(platform::HttpExchange& exchange, const Order& order)
+    bool admit(formats::HttpExchange& exchange, const Order& order)
     {
         if (!m_options.honoursFencing || m_models.takeFence(order.fence))
             return true;
@@ -379,8 +379,8 @@
 
     void fetch(const FakeCheckpoint& checkpoint, int64_t number)
     {
-        platform::HttpCall call { .url = concat(m_options.weightStoreUrl, "/weights/", checkpoint.name), .deadline = now() + longestFetch };
-        m_client->fetchAsync(std::move(call), [this, checkpoint, number](const platform::HttpReply& reply) {
+        formats::HttpCall call { .url = concat(m_options.weightStoreUrl, "/weights/", checkpoint.name), .deadline = now() + longestFetch };
+        m_client->fetchAsync(std::move(call), [this, checkpoint, number](const formats::HttpReply& reply) {
             if (reply.ok())
                 m_tasks.runAfter(timeFor(checkpoint.size, m_options.memoryRate), [this, name = checkpoint.name, number] { finishLoad(name, number); });
             else
@@ -418,7 +418,7 @@
         return waiters;
     }
 
-    void unload(platform::HttpExchange& exchange, const Order& order)
+    void unload(formats::HttpExchange& exchange, const Order& order)
     {
         std::lock_guard lock(m_mutex);
         if (!admit(exchange, order))
@@ -644,7 +644,7 @@
     std::vector<StreamPointer> m_waiting;
     std::vector<StreamPointer> m_running;
     bool m_ticking = false;
-    std::unique_ptr<platform::HttpClient> m_client;
+    std::unique_ptr<formats::HttpClient> m_client;
     internal::DelayedTasks m_tasks;
     internal::RestartableServer m_server;
 };
--- a/packages/fakes/src/FakeInstanceList.cpp
+++ b/packages/fakes/src/FakeInstanceList.cpp
@@ -60,7 +60,7 @@
 public:
     explicit Implementation(const FakeInstanceListOptions& options)
         : m_lag(options.lag)
-        , m_server([this](const std::shared_ptr<platform::HttpExchange>& exchange) { answer(*exchange); })
+        , m_server([this](const std::shared_ptr<formats::HttpExchange>& exchange) { answer(*exchange); })
     {
     }
 
@@ -100,7 +100,7 @@
     }
 
 private:
-    void answer(platform::HttpExchange& exchange)
+    void answer(formats::HttpExchange& exchange)
     {
         const auto& request = exchange.request();
         if (request.path != listPath || request.query.rfind(selector, 0) != 0) {
--- a/packages/fakes/src/FakeKeyValueService.cpp
+++ b/packages/fakes/src/FakeKeyValueService.cpp
@@ -4,7 +4,7 @@
 #include "KeyValueTable.h"
 #include "RestartableServer.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/platform/Base64.h"
+#include "toucanstep/formats/Base64.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +14,7 @@
 using internal::KeyRange;
 using internal::KeyValueTable;
 using Json = nlohmann::json;
-using ExchangePointer = std::shared_ptr<platform::HttpExchange>;
+using ExchangePointer = std::shared_ptr<formats::HttpExchange>;
 
 namespace {
 
@@ -35,7 +35,7 @@
 
 std::string decoded(const Json& json, const char* name)
 {
-    auto bytes = platform::decodeBase64(json.value(name, ""));
+    auto bytes = formats::decodeBase64(json.value(name, ""));
     if (!bytes)
         throw invalid("illegal base64 data");
     return std::move(*bytes);
@@ -54,12 +54,12 @@
 
 Json toJson(const KeyValue& entry)
 {
-    Json json = { { "key", platform::encodeBase64(entry.key) }, { "mod_revision", concat(entry.modified) } };
+    Json json = { { "key", formats::encodeBase64(entry.key) }, { "mod_revision", concat(entry.modified) } };
     // Members that are zero or empty are left out, as proto3's mapping does.
     if (entry.created.value() > 0)
         json["create_revision"] = concat(entry.created);
     if (!entry.value.empty())
-        json["value"] = platform::encodeBase64(entry.value);
+        json["value"] = formats::encodeBase64(entry.value);
     return json;
 }
 
@@ -176,7 +176,7 @@
     KeyValueTable m_table;
 
 private:
-    static void fail(platform::HttpExchange& exchange, const GatewayError& error)
+    static void fail(formats::HttpExchange& exchange, const GatewayError& error)
     {
         Json body = { { "error", error.message }, { "code", error.code }, { "message", error.message } };
         exchange.respond(error.status, { { "Content-Type", "application/json" } }, body.dump());
@@ -200,7 +200,7 @@
         }
     }
 
-    void reply(platform::HttpExchange& exchange, const std::string& path, const Json& body)
+    void reply(formats::HttpExchange& exchange, const std::string& path, const Json& body)
     {
         std::lock_guard lock(m_mutex);
         bool lose = false;
@@ -356,7 +356,7 @@
 
     const FakeKeyValueServiceOptions m_options;
     std::mutex m_mutex;
-    std::map<platform::HttpExchange*, Watcher> m_watchers;
+    std::map<formats::HttpExchange*, Watcher> m_watchers;
     FakeKeyValueCounters m_counters;
     internal::DelayedTasks m_tasks;
     internal::RestartableServer m_server;
--- a/packages/fakes/src/FakeService.cpp
+++ b/packages/fakes/src/FakeService.cpp
@@ -9,7 +9,7 @@
 namespace toucanstep::fakes {
 
 using namespace base;
-using ExchangePointer = std::shared_ptr<platform::HttpExchange>;
+using ExchangePointer = std::shared_ptr<formats::HttpExchange>;
 
 namespace {
 constexpr size_t keptRequests = 10'000;
@@ -48,7 +48,7 @@
     int m_failureStatus = 0;
     int64_t m_crashes = 0;
     std::map<std::string, int64_t> m_runs;
-    std::deque<platform::HttpRequest> m_requests;
+    std::deque<formats::HttpRequest> m_requests;
 
 private:
     void receive(const ExchangePointer& exchange)
@@ -75,10 +75,10 @@
             run(*exchange);
     }
 
-    void run(platform::HttpExchange& exchange)
+    void run(formats::HttpExchange& exchange)
     {
         const auto& request = exchange.request();
-        std::string key(platform::findHeader(request.headers, "Idempotency-Key"));
+        std::string key(formats::findHeader(request.headers, "Idempotency-Key"));
         int64_t run = 0;
         bool cut = false;
         {
@@ -156,9 +156,9 @@
     return m_implementation->locked([](auto& self) { return self.m_crashes; });
 }
 
-std::vector<platform::HttpRequest> FakeService::requests() const
+std::vector<formats::HttpRequest> FakeService::requests() const
 {
-    return m_implementation->locked([](auto& self) { return std::vector<platform::HttpRequest>(self.m_requests.begin(), self.m_requests.end()); });
+    return m_implementation->locked([](auto& self) { return std::vector<formats::HttpRequest>(self.m_requests.begin(), self.m_requests.end()); });
 }
 
 } // namespace toucanstep::fakes
--- a/packages/fakes/src/FakeWeightStore.cpp
+++ b/packages/fakes/src/FakeWeightStore.cpp
@@ -9,7 +9,7 @@
 namespace toucanstep::fakes {
 
 using namespace base;
-using ExchangePointer = std::shared_ptr<platform::HttpExchange>;
+using ExchangePointer = std::shared_ptr<formats::HttpExchange>;
 
 namespace {
 
@@ -74,14 +74,14 @@
             exchange->respond(404, {}, "");
             return;
         }
-        platform::HttpHeaders headers = { { "Content-Type", "application/octet-stream" }, { "X-Checkpoint-Bytes", concat(found->second.size) } };
+        formats::HttpHeaders headers = { { "Content-Type", "application/octet-stream" }, { "X-Checkpoint-Bytes", concat(found->second.size) } };
         if (request.method == "HEAD")
             exchange->respond(200, std::move(headers), "");
         else if (begin(exchange, found->second, std::move(headers)))
             exchange->onCallerGone([this, left = exchange.get()] { remove(left); });
     }
 
-    bool begin(const ExchangePointer& exchange, const FakeWeight& weight, platform::HttpHeaders headers)
+    bool begin(const ExchangePointer& exchange, const FakeWeight& weight, formats::HttpHeaders headers)
     {
         std::lock_guard lock(m_mutex);
         if (m_loads.size() >= m_options.refuseBeyond) {
@@ -101,7 +101,7 @@
         return true;
     }
 
-    void remove(const platform::HttpExchange* exchange)
+    void remove(const formats::HttpExchange* exchange)
     {
         std::lock_guard lock(m_mutex);
         std::erase_if(m_loads, [&](const Load& load) { return load.exchange.get() == exchange; });
--- a/packages/fakes/src/RestartableServer.cpp
+++ b/packages/fakes/src/RestartableServer.cpp
@@ -9,7 +9,7 @@
 
 namespace toucanstep::fakes::internal {
 
-RestartableServer::RestartableServer(platform::HttpServer::Handler handler)
+RestartableServer::RestartableServer(formats::HttpServer::Handler handler)
     : m_handler(std::move(handler))
 {
     open(0);
@@ -41,7 +41,7 @@
 void RestartableServer::open(uint16_t port)
 {
     base::Error error;
-    auto server = base::valueOr(error, [&] { return platform::HttpServer::start({ .port = port }, m_handler); });
+    auto server = base::valueOr(error, [&] { return formats::HttpServer::start({ .port = port }, m_handler); });
     CHECK(server) << error.message;
     m_server = std::move(*server);
 }
--- a/packages/fakes/src/RestartableServer.h
+++ b/packages/fakes/src/RestartableServer.h
@@ -2,7 +2,7 @@
 
 #pragma once
 
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <mutex>
 
@@ -10,7 +10,7 @@
 
 class RestartableServer {
 public:
-    explicit RestartableServer(platform::HttpServer::Handler);
+    explicit RestartableServer(formats::HttpServer::Handler);
     ~RestartableServer();
     RestartableServer(const RestartableServer&) = delete;
     RestartableServer& operator=(const RestartableServer&) = delete;
@@ -26,10 +26,10 @@
     void open(uint16_t port);
     void holdPort();
 
-    const platform::HttpServer::Handler m_handler;
+    const formats::HttpServer::Handler m_handler;
     uint16_t m_port = 0;
     std::mutex m_mutex;
-    std::unique_ptr<platform::HttpServer> m_server;
+    std::unique_ptr<formats::HttpServer> m_server;
     int m_placeholder = -1;
 };
 
--- a/packages/fakes/test/FakesTest.cpp
+++ b/packages/fakes/test/FakesTest.cpp
@@ -2,7 +2,7 @@
 #include "toucanstep/fakes/FakeEngine.h"
 #include "toucanstep/fakes/FakeService.h"
 #include "toucanstep/fakes/FakeWeightStore.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <CppUTest/TestHarness.h>
 #include <thread>
@@ -10,7 +10,7 @@
 using namespace toucanstep;
 using namespace toucanstep::base;
 using namespace toucanstep::fakes;
-using namespace toucanstep::platform;
+using namespace toucanstep::formats;
 
 namespace {
 
--- a/packages/fleet/include/toucanstep/fleet/EmbeddedFleet.h
+++ b/packages/fleet/include/toucanstep/fleet/EmbeddedFleet.h
@@ -13,7 +13,7 @@
 #include "toucanstep/fakes/FakeService.h"
 #include "toucanstep/fakes/FakeWeightStore.h"
 #include "toucanstep/gateway/Gateway.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 #include "toucanstep/sidecar/Sidecar.h"
 
 #include <memory>
@@ -39,13 +39,13 @@
     std::string path;
     std::string key;
     std::string body;
-    platform::HttpHeaders headers;
+    formats::HttpHeaders headers;
     base::Duration timeout = std::chrono::seconds(20);
     int gateway = 0;
 };
 
 struct CallerReply {
-    platform::HttpReply http;
+    formats::HttpReply http;
     base::Duration took {};
     // The refusal's stable code and `ran`; empty for an answer.
     std::string code;
@@ -81,7 +81,7 @@
     fakes::FakeInstanceList& list() { return m_list; }
     fakes::FakeEngine& engine(int index) { return *m_engines.at(static_cast<size_t>(index)); }
     fakes::FakeService& service(int index) { return *m_services.at(static_cast<size_t>(index)); }
-    platform::HttpClient& client() { return *m_client; }
+    formats::HttpClient& client() { return *m_client; }
 
 private:
     config::ProcessSettings settingsFor(config::Role, const std::string& instance, int domain) const;
@@ -95,7 +95,7 @@
     std::vector<std::unique_ptr<fakes::FakeService>> m_services;
     std::vector<std::unique_ptr<sidecar::Sidecar>> m_sidecars;
     std::vector<std::unique_ptr<gateway::Gateway>> m_gateways;
-    std::shared_ptr<platform::HttpClient> m_client;
+    std::shared_ptr<formats::HttpClient> m_client;
 };
 
 } // namespace toucanstep::fleet
--- a/packages/fleet/src/EmbeddedFleet.cpp
+++ b/packages/fleet/src/EmbeddedFleet.cpp
@@ -63,7 +63,7 @@
 EmbeddedFleet::EmbeddedFleet(FleetOptions options)
     : m_options(std::move(options))
     , m_weights(weightsOf(m_options.engine))
-    , m_client(std::make_shared<platform::HttpClient>())
+    , m_client(std::make_shared<formats::HttpClient>())
 {
     m_gateways.resize(static_cast<size_t>(m_options.gateways));
     for (int index = 0; index < m_options.engines; ++index) {
@@ -166,10 +166,10 @@
     }
     while (!ports.empty() && std::chrono::steady_clock::now() < deadline) {
         std::erase_if(ports, [&](uint16_t port) {
-            platform::HttpCall call;
+            formats::HttpCall call;
             call.url = base::concat("http://127.0.0.1:", port, "/status");
             call.deadline = std::chrono::steady_clock::now() + statusTimeout;
-            platform::HttpReply reply = m_client->fetch(call);
+            formats::HttpReply reply = m_client->fetch(call);
             constexpr bool throwing = false;
             auto status = nlohmann::json::parse(reply.body, nullptr, throwing);
             return status.is_object() && status.value("configuration", int64_t { 0 }) >= version.value();
@@ -194,7 +194,7 @@
 
 CallerReply EmbeddedFleet::call(const CallerCall& call)
 {
-    platform::HttpCall http;
+    formats::HttpCall http;
     http.method = call.method;
     http.url = base::concat("http://127.0.0.1:", callerPort(call.gateway), call.path);
     http.headers = call.headers;
--- a/packages/fleet/test/WholePathTest.cpp
+++ b/packages/fleet/test/WholePathTest.cpp
@@ -198,12 +198,12 @@
     m_fleet->call(orderCall("order-4", "{}"));
     for (int index = 0; index < 2; ++index) {
         for (const fakes::FakeEngineRequest& request : m_fleet->engine(index).requests()) {
-            for (const platform::HttpHeader& header : request.headers)
+            for (const formats::HttpHeader& header : request.headers)
                 CHECK_TRUE_TEXT(header.value.find(farmKey) == std::string::npos, header.name.c_str());
         }
     }
-    for (const platform::HttpRequest& request : m_fleet->service(0).requests()) {
-        for (const platform::HttpHeader& header : request.headers)
+    for (const formats::HttpRequest& request : m_fleet->service(0).requests()) {
+        for (const formats::HttpHeader& header : request.headers)
             CHECK_TRUE_TEXT(header.value.find(farmKey) == std::string::npos, header.name.c_str());
     }
 }
--- a/packages/platform/include/toucanstep/platform/Base64.h
+++ b/packages/formats/include/toucanstep/formats/Base64.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <string_view>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 std::string encodeBase64(std::string_view bytes);
 
 // Nothing where the text is not Base64.
 std::optional<std::string> decodeBase64(std::string_view text);
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/include/toucanstep/platform/EngineClient.h
+++ b/packages/formats/include/toucanstep/formats/EngineClient.h
@@ -8,7 +8,7 @@
 #include "toucanstep/base/Result.h"
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <functional>
 #include <memory>
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 enum class EngineModelPhase {
     Loading,
@@ -94,4 +94,4 @@
 
 std::unique_ptr<EngineClient> makeEngineClient(std::string url, std::shared_ptr<HttpClient>);
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/include/toucanstep/platform/EtcdStore.h
+++ b/packages/formats/include/toucanstep/formats/EtcdStore.h
@@ -12,9 +12,9 @@
 #pragma once
 
 #include "toucanstep/base/KeyValue.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 struct EtcdStoreOptions {
     // A watch on which nothing arrives for this long ends with Timeout, because a connection may have gone silent. The
@@ -24,4 +24,4 @@
 
 std::unique_ptr<base::KeyValueStore> makeEtcdStore(std::string url, std::shared_ptr<HttpClient>, const EtcdStoreOptions& = {});
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/include/toucanstep/platform/HttpClient.h
+++ b/packages/formats/include/toucanstep/formats/HttpClient.h
@@ -7,14 +7,14 @@
 
 #include "toucanstep/base/Result.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 struct HttpCall {
     std::string method = "GET";
@@ -74,4 +74,4 @@
     std::shared_ptr<Implementation> m_implementation;
 };
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/include/toucanstep/platform/HttpServer.h
+++ b/packages/formats/include/toucanstep/formats/HttpServer.h
@@ -19,7 +19,7 @@
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 struct HttpHeader {
     std::string name;
@@ -89,4 +89,4 @@
     virtual size_t openExchanges() const = 0;
 };
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/include/toucanstep/platform/InstanceList.h
+++ b/packages/formats/include/toucanstep/formats/InstanceList.h
@@ -7,7 +7,7 @@
 #include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/base/StrongTypes.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <cstdint>
 #include <functional>
@@ -16,7 +16,7 @@
 #include <string>
 #include <vector>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 struct ListedInstance {
     base::InstanceId instance;
@@ -41,4 +41,4 @@
 
 std::unique_ptr<InstanceList> makeInstanceList(std::string url, std::shared_ptr<HttpClient>);
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/Acceptor.cpp
+++ b/packages/formats/src/Acceptor.cpp
@@ -10,7 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 namespace {
 constexpr int listenBacklog = 1024;
@@ -79,4 +79,4 @@
     }
 }
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/Acceptor.h
+++ b/packages/formats/src/Acceptor.h
@@ -12,7 +12,7 @@
 #include <string>
 #include <thread>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 class Acceptor {
 public:
@@ -39,4 +39,4 @@
     std::thread m_thread;
 };
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/Base64.cpp
+++ b/packages/formats/src/Base64.cpp
@@ -1,8 +1,8 @@
-#include "toucanstep/platform/Base64.h"
+#include "toucanstep/formats/Base64.h"
 
 #include <openssl/evp.h>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 std::string encodeBase64(std::string_view bytes)
 {
@@ -32,4 +32,4 @@
     return bytes;
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/CallerWatch.cpp
+++ b/packages/formats/src/CallerWatch.cpp
@@ -6,7 +6,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 namespace {
 constexpr uint64_t stopToken = 0;
@@ -85,4 +85,4 @@
     }
 }
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/CallerWatch.h
+++ b/packages/formats/src/CallerWatch.h
@@ -11,7 +11,7 @@
 #include <thread>
 #include <unordered_map>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 class CallerWatch {
 public:
@@ -40,4 +40,4 @@
     std::thread m_thread;
 };
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/EngineClient.cpp
+++ b/packages/formats/src/EngineClient.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/platform/EngineClient.h"
+#include "toucanstep/formats/EngineClient.h"
 
 #include "JsonAccess.h"
 #include "ServerSentEvents.h"
@@ -7,7 +7,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 namespace {
 
@@ -225,4 +225,4 @@
     return std::make_unique<HttpEngineClient>(std::move(url), std::move(client));
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/EtcdStore.cpp
+++ b/packages/formats/src/EtcdStore.cpp
@@ -1,12 +1,12 @@
-#include "toucanstep/platform/EtcdStore.h"
+#include "toucanstep/formats/EtcdStore.h"
 
 #include "JsonAccess.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/platform/Base64.h"
+#include "toucanstep/formats/Base64.h"
 
 #include <atomic>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 namespace {
 
@@ -327,4 +327,4 @@
     return std::make_unique<EtcdStore>(std::move(url), std::move(client), options);
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/HttpClient.cpp
+++ b/packages/formats/src/HttpClient.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include "toucanstep/base/Text.h"
 
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 namespace {
 
@@ -527,4 +527,4 @@
     return std::move(*result);
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/HttpServer.cpp
+++ b/packages/formats/src/HttpServer.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include "Acceptor.h"
 #include "CallerWatch.h"
@@ -19,7 +19,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 std::string_view findHeader(const HttpHeaders& headers, std::string_view name)
 {
@@ -619,4 +619,4 @@
     return std::unique_ptr<HttpServer>(std::move(server));
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/InstanceList.cpp
+++ b/packages/formats/src/InstanceList.cpp
@@ -1,11 +1,11 @@
-#include "toucanstep/platform/InstanceList.h"
+#include "toucanstep/formats/InstanceList.h"
 
 #include "JsonAccess.h"
 #include "toucanstep/base/Text.h"
 
 #include <charconv>
 
-namespace toucanstep::platform {
+namespace toucanstep::formats {
 
 namespace {
 
@@ -128,4 +128,4 @@
     return std::make_unique<EndpointSliceList>(std::move(url), std::move(client));
 }
 
-} // namespace toucanstep::platform
+} // namespace toucanstep::formats
--- a/packages/platform/src/JsonAccess.cpp
+++ b/packages/formats/src/JsonAccess.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 std::optional<Json> parseJson(std::string_view text)
 {
@@ -46,4 +46,4 @@
     return number;
 }
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/JsonAccess.h
+++ b/packages/formats/src/JsonAccess.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 using Json = nlohmann::json;
 
@@ -21,4 +21,4 @@
 // Takes numbers and, as proto3 writes 64-bit ones, numbers in quotes.
 int64_t numberMember(const Json&, const char* name);
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/ServerSentEvents.cpp
+++ b/packages/formats/src/ServerSentEvents.cpp
@@ -1,6 +1,6 @@
 #include "ServerSentEvents.h"
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 namespace {
 
@@ -53,4 +53,4 @@
     return begin != std::string_view::npos && end != std::string_view::npos && event.substr(begin, end + 1 - begin) == "[DONE]";
 }
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/src/ServerSentEvents.h
+++ b/packages/formats/src/ServerSentEvents.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::platform::internal {
+namespace toucanstep::formats::internal {
 
 class ServerSentEvents {
 public:
@@ -23,4 +23,4 @@
 // Whether this event is the one that ends an OpenAI-style stream.
 bool isEndMark(std::string_view event);
 
-} // namespace toucanstep::platform::internal
+} // namespace toucanstep::formats::internal
--- a/packages/platform/test/EngineClientTest.cpp
+++ b/packages/formats/test/EngineClientTest.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/platform/EngineClient.h"
+#include "toucanstep/formats/EngineClient.h"
 #include "ServerSentEvents.h"
 #include "Waiting.h"
 #include "toucanstep/base/Text.h"
@@ -10,8 +10,8 @@
 
 using namespace toucanstep;
 using namespace toucanstep::base;
-using namespace toucanstep::platform;
-using namespace toucanstep::platform::test;
+using namespace toucanstep::formats;
+using namespace toucanstep::formats::test;
 using fakes::FakeEngine;
 
 namespace {
@@ -40,9 +40,9 @@
 std::string tokensIn(const std::string& events)
 {
     std::string text;
-    platform::internal::ServerSentEvents reader;
+    formats::internal::ServerSentEvents reader;
     for (const auto& event : reader.take(events)) {
-        if (!platform::internal::isEndMark(event))
+        if (!formats::internal::isEndMark(event))
             text += nlohmann::json::parse(event.substr(5)).at("choices").at(0).at("text").get<std::string>();
     }
     return text;
@@ -330,7 +330,7 @@
 {
     const std::string stream = "data: a\n\ndata: b\r\n\r\n: c\n\ndata: [DONE]\n\nrest";
     CHECK_PROPERTY([&](const std::vector<uint8_t>& steps) {
-        platform::internal::ServerSentEvents reader;
+        formats::internal::ServerSentEvents reader;
         std::vector<std::string> events;
         size_t position = 0;
         auto feed = [&](size_t size) {
@@ -344,6 +344,6 @@
         RC_ASSERT(events == (std::vector<std::string> { "data: a\n\n", "data: b\r\n\r\n", ": c\n\n", "data: [DONE]\n\n" }));
         RC_ASSERT(reader.rest() == "rest");
     });
-    CHECK_TRUE(platform::internal::isEndMark("data: [DONE]\n\n") && platform::internal::isEndMark("data:[DONE]\r\n\r\n"));
-    CHECK_FALSE(platform::internal::isEndMark("data: \n\n") || platform::internal::isEndMark("data: [DONE] x\n\n") || platform::internal::isEndMark(""));
+    CHECK_TRUE(formats::internal::isEndMark("data: [DONE]\n\n") && formats::internal::isEndMark("data:[DONE]\r\n\r\n"));
+    CHECK_FALSE(formats::internal::isEndMark("data: \n\n") || formats::internal::isEndMark("data: [DONE] x\n\n") || formats::internal::isEndMark(""));
 }
--- a/packages/platform/test/EtcdStoreTest.cpp
+++ b/packages/formats/test/EtcdStoreTest.cpp
@@ -1,15 +1,15 @@
-#include "toucanstep/platform/EtcdStore.h"
+#include "toucanstep/formats/EtcdStore.h"
 #include "Waiting.h"
 #include "toucanstep/fakes/FakeKeyValueService.h"
-#include "toucanstep/platform/Base64.h"
+#include "toucanstep/formats/Base64.h"
 #include "toucanstep/testing/Property.h"
 
 #include <thread>
 
 using namespace toucanstep;
 using namespace toucanstep::base;
-using namespace toucanstep::platform;
-using namespace toucanstep::platform::test;
+using namespace toucanstep::formats;
+using namespace toucanstep::formats::test;
 
 namespace {
 
--- a/packages/platform/test/HttpTest.cpp
+++ b/packages/formats/test/HttpTest.cpp
@@ -1,6 +1,6 @@
 #include "Waiting.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 #include "toucanstep/testing/Property.h"
 
 #include <arpa/inet.h>
@@ -10,8 +10,8 @@
 #include <unistd.h>
 
 using namespace toucanstep;
-using namespace toucanstep::platform;
-using namespace toucanstep::platform::test;
+using namespace toucanstep::formats;
+using namespace toucanstep::formats::test;
 
 namespace {
 
--- a/packages/platform/test/InstanceListTest.cpp
+++ b/packages/formats/test/InstanceListTest.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/platform/InstanceList.h"
+#include "toucanstep/formats/InstanceList.h"
 #include "Waiting.h"
 #include "toucanstep/fakes/FakeInstanceList.h"
 
@@ -6,8 +6,8 @@
 
 using namespace toucanstep;
 using namespace toucanstep::base;
-using namespace toucanstep::platform;
-using namespace toucanstep::platform::test;
+using namespace toucanstep::formats;
+using namespace toucanstep::formats::test;
 
 TEST_GROUP(InstanceList)
 {
--- a/packages/gateway/fuzz/CallerRequestFuzz.cpp
+++ b/packages/gateway/fuzz/CallerRequestFuzz.cpp
@@ -28,7 +28,7 @@
         abort();
     std::string input(reinterpret_cast<const char*>(data), size);
     base::Instant now(std::chrono::hours(1));
-    platform::HttpRequest http { "POST", "/v1/chat/completions", "", { { "Authorization", "Bearer k" }, { "Request-Timeout", input.substr(0, 6) } }, input };
+    formats::HttpRequest http { "POST", "/v1/chat/completions", "", { { "Authorization", "Bearer k" }, { "Request-Timeout", input.substr(0, 6) } }, input };
     gateway::parseCallerRequest(http, *text, now);
     http.path = "/v1/completions";
     http.headers.pop_back();
--- a/packages/gateway/include/toucanstep/gateway/CallerRequest.h
+++ b/packages/gateway/include/toucanstep/gateway/CallerRequest.h
@@ -7,7 +7,7 @@
 #include "toucanstep/base/Refusal.h"
 #include "toucanstep/config/Configuration.h"
 #include "toucanstep/peers/Messages.h"
-#include "toucanstep/platform/HttpServer.h"
+#include "toucanstep/formats/HttpServer.h"
 
 #include <string>
 #include <variant>
@@ -55,11 +55,11 @@
 
 using ParsedCallerRequest = std::variant<CallerRequest, ModelListRequest, base::Refusal>;
 
-ParsedCallerRequest parseCallerRequest(const platform::HttpRequest&, const config::Configuration&, base::Instant now);
+ParsedCallerRequest parseCallerRequest(const formats::HttpRequest&, const config::Configuration&, base::Instant now);
 
 // The one JSON shape of refusals.
 std::string refusalBody(const base::Refusal&, base::Instant now);
-platform::HttpHeaders refusalHeaders(const base::Refusal&, base::Instant now);
+formats::HttpHeaders refusalHeaders(const base::Refusal&, base::Instant now);
 // The list of models in OpenAI's shape.
 std::string modelListBody(const config::Configuration&);
 
--- a/packages/gateway/src/CallerRequest.cpp
+++ b/packages/gateway/src/CallerRequest.cpp
@@ -26,18 +26,18 @@
 }
 
 // Unknown, withdrawn and missing keys take the same way, so that neither answer nor time tells them apart.
-const config::ClientAccount* authenticate(const platform::HttpRequest& request, const config::Configuration& configuration, base::KeyFingerprint& fingerprint)
+const config::ClientAccount* authenticate(const formats::HttpRequest& request, const config::Configuration& configuration, base::KeyFingerprint& fingerprint)
 {
-    std::string_view header = platform::findHeader(request.headers, "Authorization");
+    std::string_view header = formats::findHeader(request.headers, "Authorization");
     std::string_view key = header.substr(0, bearerPrefix.size()) == bearerPrefix ? header.substr(bearerPrefix.size()) : std::string_view();
     fingerprint = base::KeyFingerprint(base::sha256Hex(key));
     return configuration.findAccountByKey(fingerprint);
 }
 
 // Seconds, with a fraction, as in the Request-Timeout header; nothing where there is none.
-std::variant<base::Duration, base::Refusal> timeoutOf(const platform::HttpRequest& request, base::Duration byDefault)
+std::variant<base::Duration, base::Refusal> timeoutOf(const formats::HttpRequest& request, base::Duration byDefault)
 {
-    std::string_view header = platform::findHeader(request.headers, "Request-Timeout");
+    std::string_view header = formats::findHeader(request.headers, "Request-Timeout");
     if (header.empty())
         return byDefault;
     double seconds = 0;
@@ -97,7 +97,7 @@
     return std::nullopt;
 }
 
-ParsedCallerRequest parseModelRequest(const platform::HttpRequest& http, const config::Configuration& configuration, CallerRequest request, base::Instant now)
+ParsedCallerRequest parseModelRequest(const formats::HttpRequest& http, const config::Configuration& configuration, CallerRequest request, base::Instant now)
 {
     constexpr bool throwing = false;
     Json body = Json::parse(http.body, nullptr, throwing);
@@ -137,7 +137,7 @@
     return request;
 }
 
-ParsedCallerRequest parseServiceRequest(const platform::HttpRequest& http, const config::Configuration& configuration, CallerRequest request, base::Instant now)
+ParsedCallerRequest parseServiceRequest(const formats::HttpRequest& http, const config::Configuration& configuration, CallerRequest request, base::Instant now)
 {
     std::string rest = http.path.substr(servicesPrefix.size());
     size_t slash = rest.find('/');
@@ -151,7 +151,7 @@
         base::append(request.path, "?", http.query);
 
     request.idempotent = service->idempotent || http.method == "GET" || http.method == "HEAD";
-    request.idempotencyKey = std::string(platform::findHeader(http.headers, "Idempotency-Key"));
+    request.idempotencyKey = std::string(formats::findHeader(http.headers, "Idempotency-Key"));
     if (!request.idempotent && request.idempotencyKey.empty())
         return refuse(base::RefusalCode::IdempotencyKeyRequired, "calls of this service may run only once: send an Idempotency-Key header, and the same one when you repeat the call");
     if (request.idempotencyKey.size() > longestIdempotencyKey)
@@ -182,7 +182,7 @@
 
 } // namespace
 
-ParsedCallerRequest parseCallerRequest(const platform::HttpRequest& http, const config::Configuration& configuration, base::Instant now)
+ParsedCallerRequest parseCallerRequest(const formats::HttpRequest& http, const config::Configuration& configuration, base::Instant now)
 {
     CallerRequest request;
     const config::ClientAccount* account = authenticate(http, configuration, request.key);
@@ -191,7 +191,7 @@
     request.account = account->id;
     request.httpMethod = http.method;
     request.path = http.path;
-    request.contentType = std::string(platform::findHeader(http.headers, "Content-Type"));
+    request.contentType = std::string(formats::findHeader(http.headers, "Content-Type"));
     request.fingerprint = base::sha256Hex(base::concat(account->id, "\n", http.path, "\n", http.body));
 
     if (http.path == "/v1/models" && http.method == "GET")
@@ -218,9 +218,9 @@
     return Json { { "error", error } }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-platform::HttpHeaders refusalHeaders(const base::Refusal& refusal, base::Instant now)
+formats::HttpHeaders refusalHeaders(const base::Refusal& refusal, base::Instant now)
 {
-    platform::HttpHeaders headers { { "Content-Type", "application/json" } };
+    formats::HttpHeaders headers { { "Content-Type", "application/json" } };
     if (refusal.retryAt) {
         constexpr int64_t millisecondsPerSecond = 1000;
         int64_t seconds = (retryMilliseconds(now, *refusal.retryAt) + millisecondsPerSecond - 1) / millisecondsPerSecond;
--- a/packages/gateway/src/Gateway.cpp
+++ b/packages/gateway/src/Gateway.cpp
@@ -84,13 +84,13 @@
         BOOST_LEAF_CHECK(m_node.start());
         m_node.traffic().post([this] { tick(); });
 
-        platform::HttpServerOptions options;
+        formats::HttpServerOptions options;
         options.address = m_node.settings().callerListen.address;
         options.port = m_node.settings().callerListen.port;
         options.threads = callerThreads;
         base::Refusal tooLarge { base::RefusalCode::BodyTooLarge, base::RanState::NotRun, "the body is larger than this system takes", std::nullopt };
         options.bodyTooLargeAnswer = refusalBody(tooLarge, {});
-        BOOST_LEAF_ASSIGN(m_callers, platform::HttpServer::start(options, [this](const std::shared_ptr<platform::HttpExchange>& exchange) { onCaller(exchange); }));
+        BOOST_LEAF_ASSIGN(m_callers, formats::HttpServer::start(options, [this](const std::shared_ptr<formats::HttpExchange>& exchange) { onCaller(exchange); }));
         return {};
     }
 
@@ -129,7 +129,7 @@
     }
 
     // Runs on the callers' threads: parsing and hashing keep off the traffic loop.
-    void onCaller(const std::shared_ptr<platform::HttpExchange>& exchange)
+    void onCaller(const std::shared_ptr<formats::HttpExchange>& exchange)
     {
         base::Instant now = m_node.traffic().now();
         auto configuration = m_node.configuration();
@@ -180,7 +180,7 @@
     std::unique_ptr<internal::GatewayCore> m_core;
     std::unique_ptr<internal::FleetPlanner> m_planner;
     std::vector<placement::ModelDemand> m_demand;
-    std::unique_ptr<platform::HttpServer> m_callers;
+    std::unique_ptr<formats::HttpServer> m_callers;
     // Once true it stays so: what was learnt serves on through any outage.
     std::atomic<bool> m_complete { false };
     std::atomic<bool> m_leaving { false };
--- a/packages/gateway/src/GatewayCore.cpp
+++ b/packages/gateway/src/GatewayCore.cpp
@@ -116,7 +116,7 @@
 
 // ---- arrival
 
-void GatewayCore::begin(CallerRequest request, std::shared_ptr<platform::HttpExchange> exchange)
+void GatewayCore::begin(CallerRequest request, std::shared_ptr<formats::HttpExchange> exchange)
 {
     auto entry = std::make_unique<CallerEntry>();
     // The start nonce and the counter make an id unique over instances and restarts, so that an answer which comes late
@@ -377,7 +377,7 @@
         refuse(*entry, *result.refusal);
         return;
     }
-    platform::HttpHeaders headers { { "Content-Type", result.answer->contentType }, { "Idempotency-Replayed", result.repeated ? "true" : "false" }, { "X-Request-Id", id.value() } };
+    formats::HttpHeaders headers { { "Content-Type", result.answer->contentType }, { "Idempotency-Replayed", result.repeated ? "true" : "false" }, { "X-Request-Id", id.value() } };
     if (result.answer->bodyDropped)
         headers.push_back({ "Idempotency-Body", "dropped" });
     entry->exchange->respond(result.answer->status, headers, result.answer->body);
@@ -708,7 +708,7 @@
         // The caller must not take the part it has for the whole answer: it gets the refusal, and no end mark.
         entry.exchange->abortAfter(base::concat("data: ", refusalBody(refusal, now()), "\n\n"));
     } else {
-        platform::HttpHeaders headers = refusalHeaders(refusal, now());
+        formats::HttpHeaders headers = refusalHeaders(refusal, now());
         headers.push_back({ "X-Request-Id", entry.id.value() });
         entry.exchange->respond(httpStatus(refusal.code), std::move(headers), refusalBody(refusal, now()));
     }
--- a/packages/gateway/src/GatewayCore.h
+++ b/packages/gateway/src/GatewayCore.h
@@ -27,7 +27,7 @@
 struct CallerEntry {
     base::RequestId id;
     CallerRequest request;
-    std::shared_ptr<platform::HttpExchange> exchange;
+    std::shared_ptr<formats::HttpExchange> exchange;
     base::Instant arrivedAt;
     bool charged = false;
     // Dispatches so far; the current one's number is the attempt that travels.
@@ -59,7 +59,7 @@
     GatewayCore(node::Node&, GatewayOptions, std::unique_ptr<LimitGate>);
     ~GatewayCore() override;
 
-    void begin(CallerRequest, std::shared_ptr<platform::HttpExchange>);
+    void begin(CallerRequest, std::shared_ptr<formats::HttpExchange>);
     void onConfiguration(const std::shared_ptr<const config::Configuration>&);
     void tick();
     void setLeaving() { m_leaving = true; }
--- a/packages/gateway/src/ShareLimitGate.h
+++ b/packages/gateway/src/ShareLimitGate.h
@@ -42,7 +42,7 @@
         limits::ChargePlanner planner;
         Callback callback;
         base::ClientAccountId account;
-        peers::EventLoop::TimerId timer = 0;
+        io::EventLoop::TimerId timer = 0;
     };
     struct KnownHint {
         limits::ShareHint hint;
--- a/packages/gateway/test/CallerRequestTest.cpp
+++ b/packages/gateway/test/CallerRequestTest.cpp
@@ -39,19 +39,19 @@
         m_configuration = parsed.configuration;
     }
 
-    platform::HttpRequest chat(std::string body) const
+    formats::HttpRequest chat(std::string body) const
     {
         return { "POST", "/v1/chat/completions", "", { { "authorization", "Bearer " + std::string(key) } }, std::move(body) };
     }
 
-    base::Refusal refusalOf(const platform::HttpRequest& http) const
+    base::Refusal refusalOf(const formats::HttpRequest& http) const
     {
         auto parsed = parseCallerRequest(http, *m_configuration, m_now);
         CHECK_TRUE(std::holds_alternative<base::Refusal>(parsed));
         return std::get<base::Refusal>(parsed);
     }
 
-    CallerRequest requestOf(const platform::HttpRequest& http) const
+    CallerRequest requestOf(const formats::HttpRequest& http) const
     {
         auto parsed = parseCallerRequest(http, *m_configuration, m_now);
         if (auto* refusal = std::get_if<base::Refusal>(&parsed))
@@ -113,7 +113,7 @@
 // A sealing order without an idempotency key cannot be told from its own repeat: run twice, it sends two crews.
 TEST(CallerRequest, ACallThatMayRunOnceNeedsItsKey)
 {
-    platform::HttpRequest http { "POST", "/v1/services/orders/clamps/7", "a=b", { { "Authorization", "Bearer " + std::string(key) } }, "x" };
+    formats::HttpRequest http { "POST", "/v1/services/orders/clamps/7", "a=b", { { "Authorization", "Bearer " + std::string(key) } }, "x" };
     CHECK_TRUE(refusalOf(http).code == base::RefusalCode::IdempotencyKeyRequired);
     http.headers.push_back({ "idempotency-key", "k" });
     CallerRequest request = requestOf(http);
@@ -130,5 +130,5 @@
     auto body = nlohmann::json::parse(refusalBody(refusal, m_now));
     CHECK_EQUAL(1501, body["error"]["retry_after_ms"].get<int>());
     STRCMP_EQUAL("not_run", body["error"]["ran"].get<std::string>().c_str());
-    STRCMP_EQUAL("2", std::string(platform::findHeader(refusalHeaders(refusal, m_now), "Retry-After")).c_str());
+    STRCMP_EQUAL("2", std::string(formats::findHeader(refusalHeaders(refusal, m_now), "Retry-After")).c_str());
 }
--- /dev/null
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -0,0 +1,84 @@
+// An HTTP/1.1 server on an event loop.
+//
+// A request is handed over once it is whole; requests of one connection one after another. The answer is written piece by
+// piece. An answer that is given up midway ends its connection, so that it never looks whole.
+
+#pragma once
+
+#include "toucanstep/base/Endpoint.h"
+#include "toucanstep/base/Result.h"
+#include "toucanstep/base/Time.h"
+#include "toucanstep/http1/Message.h"
+#include "toucanstep/io/EventLoop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace toucanstep::http1 {
+
+// What callers may send, and how long they may take.
+struct ServerBounds {
+    size_t headBytes = 16 * 1024;
+    size_t bodyBytes = 4 * 1024 * 1024;
+    // From a request's first byte to its last.
+    base::Duration requestTimeout = std::chrono::seconds(10);
+    // Between requests.
+    base::Duration idleTimeout = std::chrono::seconds(15);
+};
+
+struct AnswerHead {
+    int status = 200;
+    // Empty for the standard phrase.
+    std::string reason;
+    // Without those that concern the connection and the framing.
+    HeaderList headers;
+    // The body's length; nothing for a body that is sent in chunks until end().
+    std::optional<size_t> length;
+};
+
+// One request and its answer. Kept alive by whoever answers it.
+class ServerExchange {
+public:
+    virtual ~ServerExchange() = default;
+    virtual const RequestHead& head() const = 0;
+    virtual const std::string& body() const = 0;
+    // Called once if the caller leaves before the answer is whole; nothing that is written afterwards goes anywhere.
+    virtual void onGone(std::function<void()>) = 0;
+    virtual bool gone() const = 0;
+
+    virtual void begin(AnswerHead) = 0;
+    virtual void write(std::string_view piece) = 0;
+    virtual void end() = 0;
+    // Ends the connection: the caller sees that the answer is not whole.
+    virtual void abort() = 0;
+    // Bytes of the answer that the caller has not taken yet.
+    virtual size_t unsentBytes() const = 0;
+    // A whole answer at once.
+    void answer(AnswerHead, std::string_view body);
+};
+
+class RequestHandler {
+public:
+    virtual ~RequestHandler() = default;
+    virtual void onRequest(std::shared_ptr<ServerExchange>) = 0;
+    // A request that cannot be read was answered with this status and its connection closed.
+    virtual void onUnreadable(int /*status*/) { }
+};
+
+class Server {
+public:
+    static base::Result<std::unique_ptr<Server>> listen(io::EventLoop&, const base::Endpoint&, RequestHandler&);
+    virtual ~Server() = default;
+    // Applies to what is read from now on.
+    virtual void setBounds(ServerBounds) = 0;
+    // Every answer from now on says that its connection closes.
+    virtual void closeAfterAnswers() = 0;
+    // Takes no new connections, and closes those that wait for a request.
+    virtual void stop() = 0;
+    virtual size_t connections() const = 0;
+    virtual base::Endpoint endpoint() const = 0;
+};
+
+} // namespace toucanstep::http1
--- /dev/null
+++ b/packages/http1/src/Parser.cpp
@@ -0,0 +1,302 @@
+#include "toucanstep/http1/Parser.h"
+
+#include <http_parser.h>
+
+namespace toucanstep::http1 {
+
+namespace {
+
+// Collects a head from http_parser's pieces; shared by both directions.
+struct HeadCollector {
+    HeaderList headers;
+    std::string text;
+    std::string name;
+    std::string value;
+    bool valueBegun = false;
+    size_t bytes = 0;
+
+    void addName(const char* at, size_t size)
+    {
+        if (valueBegun)
+            finishHeader();
+        name.append(at, size);
+        bytes += size;
+    }
+    void addValue(const char* at, size_t size)
+    {
+        valueBegun = true;
+        value.append(at, size);
+        bytes += size;
+    }
+    void addText(const char* at, size_t size)
+    {
+        text.append(at, size);
+        bytes += size;
+    }
+    void finishHeader()
+    {
+        if (!name.empty())
+            headers.add(std::move(name), std::string(trimmed(value)));
+        name.clear();
+        value.clear();
+        valueBegun = false;
+    }
+    void clear()
+    {
+        headers = HeaderList();
+        text.clear();
+        name.clear();
+        value.clear();
+        valueBegun = false;
+        bytes = 0;
+    }
+};
+
+// An answer's head of an upstream; far above what any sends.
+constexpr size_t maximumResponseHeadBytes = 64 * 1024;
+
+// http_parser calls back into C functions; what they share is reached through the parser's data pointer.
+template <typename State>
+State& stateOf(http_parser* parser) { return *static_cast<State*>(parser->data); }
+
+template <typename State>
+http_parser_settings makeSettings()
+{
+    http_parser_settings settings;
+    http_parser_settings_init(&settings);
+    settings.on_header_field = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onName(at, size); };
+    settings.on_header_value = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onValue(at, size); };
+    settings.on_headers_complete = [](http_parser* parser) { return stateOf<State>(parser).onHead(); };
+    settings.on_body = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onBody(std::string_view(at, size)); };
+    settings.on_message_begin = [](http_parser* parser) { return stateOf<State>(parser).onBegin(); };
+    settings.on_message_complete = [](http_parser* parser) { return stateOf<State>(parser).onEnd(); };
+    return settings;
+}
+
+} // namespace
+
+struct RequestParser::State {
+    State(RequestListener* requestListener, size_t maximum)
+        : listener(requestListener)
+        , maximumHeadBytes(maximum)
+    {
+        http_parser_init(&parser, HTTP_REQUEST);
+        parser.data = this;
+    }
+
+    int take(void (HeadCollector::*add)(const char*, size_t), const char* at, size_t size)
+    {
+        // A trailer's headers would come after the head; they concern the connection only and are dropped.
+        if (headDone)
+            return 0;
+        (head.*add)(at, size);
+        tooLarge = head.bytes > maximumHeadBytes;
+        return tooLarge ? 1 : 0;
+    }
+    int onName(const char* at, size_t size) { return take(&HeadCollector::addName, at, size); }
+    int onValue(const char* at, size_t size) { return take(&HeadCollector::addValue, at, size); }
+    int onUrl(const char* at, size_t size) { return take(&HeadCollector::addText, at, size); }
+    int onBegin()
+    {
+        head.clear();
+        headDone = false;
+        inMessage = true;
+        return 0;
+    }
+    int onHead()
+    {
+        head.finishHeader();
+        headDone = true;
+        RequestHead request;
+        request.method = http_method_str(static_cast<http_method>(parser.method));
+        request.target = std::move(head.text);
+        request.headers = std::move(head.headers);
+        request.keepAlive = http_should_keep_alive(&parser) != 0;
+        listener->onRequestHead(std::move(request));
+        return 0;
+    }
+    int onBody(std::string_view piece)
+    {
+        listener->onRequestBody(piece);
+        return 0;
+    }
+    int onEnd()
+    {
+        inMessage = false;
+        whole = true;
+        http_parser_pause(&parser, 1);
+        return 0;
+    }
+
+    http_parser parser {};
+    RequestListener* listener;
+    size_t maximumHeadBytes;
+    HeadCollector head;
+    bool headDone = false;
+    bool tooLarge = false;
+    bool inMessage = false;
+    bool whole = false;
+};
+
+RequestParser::RequestParser(RequestListener* listener, size_t maximumHeadBytes)
+    : m_state(std::make_unique<State>(listener, maximumHeadBytes))
+{
+}
+
+RequestParser::~RequestParser() = default;
+
+bool RequestParser::midMessage() const { return m_state->inMessage; }
+
+ParseStep RequestParser::parse(std::string_view bytes)
+{
+    static const http_parser_settings settings = [] {
+        auto made = makeSettings<State>();
+        made.on_url = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onUrl(at, size); };
+        return made;
+    }();
+    m_state->whole = false;
+    if (HTTP_PARSER_ERRNO(&m_state->parser) == HPE_PAUSED)
+        http_parser_pause(&m_state->parser, 0);
+    size_t taken = http_parser_execute(&m_state->parser, &settings, bytes.data(), bytes.size());
+    if (m_state->tooLarge)
+        return { ParseProgress::HeadTooLarge, taken };
+    // A protocol switch is never agreed to here, so what follows such a head could be read in two ways.
+    if (m_state->parser.upgrade)
+        return { ParseProgress::Malformed, taken };
+    if (m_state->whole)
+        return { ParseProgress::Whole, taken };
+    if (HTTP_PARSER_ERRNO(&m_state->parser) == HPE_HEADER_OVERFLOW)
+        return { ParseProgress::HeadTooLarge, taken };
+    if (HTTP_PARSER_ERRNO(&m_state->parser) != HPE_OK)
+        return { ParseProgress::Malformed, taken };
+    return { ParseProgress::NeedsMore, taken };
+}
+
+struct ResponseParser::State {
+    explicit State(ResponseListener* responseListener)
+        : listener(responseListener)
+    {
+        reset();
+    }
+
+    void reset()
+    {
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        head.clear();
+        headDone = false;
+        whole = false;
+    }
+    bool isInterim() const { return parser.status_code >= 100 && parser.status_code < 200; }
+    int take(void (HeadCollector::*add)(const char*, size_t), const char* at, size_t size)
+    {
+        if (headDone)
+            return 0;
+        (head.*add)(at, size);
+        return head.bytes > maximumResponseHeadBytes ? 1 : 0;
+    }
+    int onName(const char* at, size_t size) { return take(&HeadCollector::addName, at, size); }
+    int onValue(const char* at, size_t size) { return take(&HeadCollector::addValue, at, size); }
+    int onStatus(const char* at, size_t size) { return take(&HeadCollector::addText, at, size); }
+    int onBegin()
+    {
+        head.clear();
+        headDone = false;
+        return 0;
+    }
+    BodyFraming framing() const
+    {
+        if (parser.flags & F_CHUNKED)
+            return BodyFraming::Chunked;
+        if (answersHead || parser.status_code == 204 || parser.status_code == 304)
+            return BodyFraming::None;
+        if (!(parser.flags & F_CONTENTLENGTH))
+            return BodyFraming::ToEnd;
+        return BodyFraming::Length;
+    }
+    int onHead()
+    {
+        head.finishHeader();
+        headDone = true;
+        if (isInterim())
+            return 0;
+        ResponseHead response;
+        response.status = parser.status_code;
+        response.reason = std::move(head.text);
+        response.headers = std::move(head.headers);
+        response.framing = framing();
+        response.keepAlive = http_should_keep_alive(&parser) != 0;
+        listener->onResponseHead(std::move(response));
+        // 1 tells http_parser that no body follows.
+        return answersHead ? 1 : 0;
+    }
+    int onBody(std::string_view piece)
+    {
+        listener->onResponseBody(piece);
+        return 0;
+    }
+    int onEnd()
+    {
+        if (isInterim())
+            return 0;
+        whole = true;
+        http_parser_pause(&parser, 1);
+        return 0;
+    }
+
+
+    http_parser parser {};
+    ResponseListener* listener;
+    HeadCollector head;
+    bool headDone = false;
+    bool answersHead = false;
+    bool whole = false;
+};
+
+ResponseParser::ResponseParser(ResponseListener* listener)
+    : m_state(std::make_unique<State>(listener))
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::expect(bool answersHead)
+{
+    m_state->reset();
+    m_state->answersHead = answersHead;
+}
+
+namespace {
+
+template <typename State>
+const http_parser_settings& responseSettings()
+{
+    static const http_parser_settings settings = [] {
+        auto made = makeSettings<State>();
+        made.on_status = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onStatus(at, size); };
+        return made;
+    }();
+    return settings;
+}
+
+} // namespace
+
+ParseStep ResponseParser::parse(std::string_view bytes)
+{
+    size_t taken = http_parser_execute(&m_state->parser, &responseSettings<State>(), bytes.data(), bytes.size());
+    if (m_state->whole)
+        return { ParseProgress::Whole, taken };
+    if (m_state->parser.upgrade || HTTP_PARSER_ERRNO(&m_state->parser) != HPE_OK)
+        return { ParseProgress::Malformed, taken };
+    return { ParseProgress::NeedsMore, taken };
+}
+
+ParseProgress ResponseParser::parseEnd()
+{
+    if (HTTP_PARSER_ERRNO(&m_state->parser) != HPE_OK)
+        return ParseProgress::Malformed;
+    http_parser_execute(&m_state->parser, &responseSettings<State>(), nullptr, 0);
+    return m_state->whole ? ParseProgress::Whole : ParseProgress::Malformed;
+}
+
+} // namespace toucanstep::http1
--- a/packages/peers/include/toucanstep/peers/EventLoop.h
+++ b/packages/io/include/toucanstep/io/EventLoop.h
@@ -10,12 +10,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <utility>
 #include <vector>
 
-namespace toucanstep::peers {
+namespace toucanstep::io {
 
 class EventLoop {
 public:
@@ -23,7 +24,8 @@
     using SocketHandler = std::function<void(uint32_t events)>;
     using TimerId = uint64_t;
 
-    EventLoop();
+    // Timers and now() go by `clock`; the default does not count the time for which the machine stood still.
+    explicit EventLoop(std::unique_ptr<base::Clock> clock = std::make_unique<base::SteadyClock>());
     // Runs what was already posted, then stops; to be called from another thread.
     ~EventLoop();
     EventLoop(const EventLoop&) = delete;
@@ -43,7 +45,7 @@
     void unwatch(int socket);
 
     bool onLoopThread() const { return std::this_thread::get_id() == m_thread.get_id(); }
-    base::Instant now() const { return m_clock.now(); }
+    base::Instant now() const { return m_clock->now(); }
     // Stops the thread early; posted tasks are dropped from then on.
     void stop();
 
@@ -58,7 +60,7 @@
     void runDueTimers();
     int millisecondsToNextTimer() const;
 
-    base::SteadyClock m_clock;
+    std::unique_ptr<base::Clock> m_clock;
     int m_epoll = -1;
     int m_wakeup = -1;
     std::mutex m_mutex;
@@ -72,4 +74,4 @@
     std::thread m_thread;
 };
 
-} // namespace toucanstep::peers
+} // namespace toucanstep::io
--- /dev/null
+++ b/packages/io/src/Connection.cpp
@@ -0,0 +1,180 @@
+#include "toucanstep/io/Connection.h"
+
+#include <array>
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace toucanstep::io {
+
+namespace {
+
+// One read takes at most this much, so that one fast peer does not hold up the others of the loop.
+constexpr size_t readBytes = 32 * 1024;
+
+} // namespace
+
+std::shared_ptr<Connection> Connection::start(EventLoop& loop, Socket socket, Origin origin, ConnectionListener* listener)
+{
+    std::shared_ptr<Connection> connection(new Connection(loop, std::move(socket), origin, listener));
+    connection->watch();
+    return connection;
+}
+
+Connection::Connection(EventLoop& loop, Socket socket, Origin origin, ConnectionListener* listener)
+    : m_loop(loop)
+    , m_socket(std::move(socket))
+    , m_listener(listener)
+    , m_connected(origin == Origin::Accepted)
+{
+}
+
+Connection::~Connection()
+{
+    close();
+}
+
+void Connection::watch()
+{
+    m_events = wantedEvents();
+    m_loop.watch(m_socket.descriptor(), m_events, [weak = weak_from_this()](uint32_t events) {
+        if (auto self = weak.lock())
+            self->onEvents(events);
+    });
+}
+
+uint32_t Connection::wantedEvents() const
+{
+    uint32_t events = EPOLLRDHUP;
+    if (!m_connected || !m_unsent.empty())
+        events |= EPOLLOUT;
+    if (m_connected && m_reading)
+        events |= EPOLLIN;
+    return events;
+}
+
+void Connection::updateEvents()
+{
+    uint32_t wanted = wantedEvents();
+    if (!m_socket || wanted == m_events)
+        return;
+    m_events = wanted;
+    m_loop.modify(m_socket.descriptor(), wanted);
+}
+
+void Connection::setReading(bool reading)
+{
+    m_reading = reading;
+    updateEvents();
+}
+
+void Connection::close()
+{
+    if (!m_socket)
+        return;
+    m_loop.unwatch(m_socket.descriptor());
+    m_socket = Socket();
+    m_listener = nullptr;
+    m_unsent.clear();
+}
+
+void Connection::closeWhenDrained()
+{
+    m_listener = nullptr;
+    m_closing = true;
+    if (m_unsent.empty())
+        close();
+}
+
+void Connection::write(std::string_view bytes)
+{
+    if (!m_socket || m_closing)
+        return;
+    if (m_connected && m_unsent.empty()) {
+        ssize_t sent = send(m_socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        if (sent > 0)
+            bytes.remove_prefix(static_cast<size_t>(sent));
+        // A broken connection is noticed by the loop's next event, so that no listener is called from within a write.
+    }
+    m_unsent.append(bytes);
+    updateEvents();
+}
+
+void Connection::onEvents(uint32_t events)
+{
+    if (!m_connected) {
+        finishConnecting();
+        return;
+    }
+    if (events & EPOLLOUT)
+        flush();
+    // Bytes that came before the end are read first: an answer may be followed by a close at once.
+    if (m_socket && (events & EPOLLIN) && m_reading) {
+        readOnce();
+        return;
+    }
+    if (m_socket && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
+        peerGone(events & EPOLLERR ? CloseCause::Broken : CloseCause::Orderly);
+}
+
+void Connection::finishConnecting()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(m_socket.descriptor(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error) {
+        peerGone(CloseCause::Broken);
+        return;
+    }
+    m_connected = true;
+    if (m_listener)
+        m_listener->onConnected();
+    if (m_socket)
+        flush();
+}
+
+void Connection::readOnce()
+{
+    // Shared by all connections of the thread: a connection that waits holds no buffer.
+    thread_local std::array<char, readBytes> buffer;
+    ssize_t got = recv(m_socket.descriptor(), buffer.data(), buffer.size(), 0);
+    if (got > 0) {
+        if (m_listener)
+            m_listener->onBytes(std::string_view(buffer.data(), static_cast<size_t>(got)));
+        return;
+    }
+    if (got < 0 && (errno == EAGAIN || errno == EINTR))
+        return;
+    peerGone(got == 0 ? CloseCause::Orderly : CloseCause::Broken);
+}
+
+void Connection::flush()
+{
+    if (!m_unsent.empty()) {
+        ssize_t sent = send(m_socket.descriptor(), m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
+        if (sent > 0)
+            m_unsent.erase(0, static_cast<size_t>(sent));
+    }
+    if (!m_unsent.empty()) {
+        updateEvents();
+        return;
+    }
+    std::string().swap(m_unsent);
+    if (m_closing) {
+        close();
+        return;
+    }
+    updateEvents();
+    if (m_listener)
+        m_listener->onDrained();
+}
+
+void Connection::peerGone(CloseCause cause)
+{
+    ConnectionListener* listener = m_listener;
+    close();
+    if (listener)
+        listener->onPeerClosed(cause);
+}
+
+} // namespace toucanstep::io
--- a/packages/peers/src/EventLoop.cpp
+++ b/packages/io/src/EventLoop.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/io/EventLoop.h"
 
 #include <algorithm>
 #include <array>
@@ -9,7 +9,7 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
-namespace toucanstep::peers {
+namespace toucanstep::io {
 
 namespace {
 
@@ -18,7 +18,8 @@
 
 } // namespace
 
-EventLoop::EventLoop()
+EventLoop::EventLoop(std::unique_ptr<base::Clock> clock)
+    : m_clock(std::move(clock))
 {
     m_epoll = epoll_create1(EPOLL_CLOEXEC);
     m_wakeup = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
@@ -162,7 +163,7 @@
 
 void EventLoop::runDueTimers()
 {
-    base::Instant now = m_clock.now();
+    base::Instant now = m_clock->now();
     while (!m_timers.empty() && m_timers.begin()->first <= now) {
         Timer timer = std::move(m_timers.begin()->second);
         m_timers.erase(m_timers.begin());
@@ -175,10 +176,10 @@
 {
     if (m_timers.empty())
         return longestWaitMilliseconds;
-    base::Duration wait = base::remaining(m_clock.now(), m_timers.begin()->first);
+    base::Duration wait = base::remaining(m_clock->now(), m_timers.begin()->first);
     // Rounded up, so that the loop does not spin through the last millisecond.
     int64_t milliseconds = base::toMilliseconds(wait + std::chrono::microseconds(999));
     return static_cast<int>(std::min<int64_t>(milliseconds, longestWaitMilliseconds));
 }
 
-} // namespace toucanstep::peers
+} // namespace toucanstep::io
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -19,12 +19,12 @@
 #include "toucanstep/config/Settings.h"
 #include "toucanstep/node/InstanceTable.h"
 #include "toucanstep/node/Snapshot.h"
-#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/io/EventLoop.h"
 #include "toucanstep/peers/PeerClient.h"
 #include "toucanstep/peers/PeerServer.h"
-#include "toucanstep/platform/HttpClient.h"
-#include "toucanstep/platform/HttpServer.h"
-#include "toucanstep/platform/InstanceList.h"
+#include "toucanstep/formats/HttpClient.h"
+#include "toucanstep/formats/HttpServer.h"
+#include "toucanstep/formats/InstanceList.h"
 
 #include <atomic>
 #include <functional>
@@ -48,7 +48,7 @@
 // One answer of the platform's list, as the parts that prove presence and absence need it.
 struct ListingAnswer {
     std::string listName;
-    platform::InstanceListing listing;
+    formats::InstanceListing listing;
     base::Instant sentAt;
 };
 
@@ -79,11 +79,11 @@
 
     const config::ProcessSettings& settings() const { return m_settings; }
     const NodeOptions& options() const { return m_options; }
-    peers::EventLoop& control() { return *m_control; }
-    peers::EventLoop& traffic() { return *m_traffic; }
+    io::EventLoop& control() { return *m_control; }
+    io::EventLoop& traffic() { return *m_traffic; }
     // To be used on the traffic loop.
     peers::PeerClient& peers() { return *m_peers; }
-    std::shared_ptr<platform::HttpClient> http() { return m_http; }
+    std::shared_ptr<formats::HttpClient> http() { return m_http; }
     base::KeyValueStore& store() { return *m_store; }
     base::MetricsRegistry& metrics() { return m_metrics; }
     // Whether a history is kept; what costs time only for its sake is then left out.
@@ -117,7 +117,7 @@
     class InstanceListPoller;
 
     void tick();
-    void answerOperator(const std::shared_ptr<platform::HttpExchange>&);
+    void answerOperator(const std::shared_ptr<formats::HttpExchange>&);
     void dispatch(peers::IncomingCall, std::shared_ptr<peers::PeerResponder>);
 
     config::ProcessSettings m_settings;
@@ -126,7 +126,7 @@
     base::MetricsRegistry m_metrics;
     bool m_recordsHistory = false;
     std::unique_ptr<base::HistoryRecorder> m_history;
-    std::shared_ptr<platform::HttpClient> m_http;
+    std::shared_ptr<formats::HttpClient> m_http;
     std::shared_ptr<base::KeyValueStore> m_store;
     Snapshot<config::Configuration> m_configuration;
     Snapshot<InstanceTable> m_instances;
@@ -137,13 +137,13 @@
     std::vector<ListingListener> m_listingListeners;
     std::function<nlohmann::json()> m_status;
     absl::flat_hash_map<peers::Method, peers::PeerServer::Handler> m_methods;
-    std::unique_ptr<peers::EventLoop> m_control;
-    std::unique_ptr<peers::EventLoop> m_traffic;
+    std::unique_ptr<io::EventLoop> m_control;
+    std::unique_ptr<io::EventLoop> m_traffic;
     std::unique_ptr<peers::PeerServer> m_server;
     std::unique_ptr<peers::PeerClient> m_peers;
     std::shared_ptr<ConfigurationFollower> m_follower;
     std::shared_ptr<InstanceListPoller> m_poller;
-    std::unique_ptr<platform::HttpServer> m_operator;
+    std::unique_ptr<formats::HttpServer> m_operator;
     bool m_stopped = false;
 };
 
--- a/packages/node/src/AssignmentAgent.cpp
+++ b/packages/node/src/AssignmentAgent.cpp
@@ -86,7 +86,7 @@
     }
 
 private:
-    peers::EventLoop& m_loop;
+    io::EventLoop& m_loop;
     AssignmentAgent& m_agent;
     std::shared_ptr<bool> m_alive;
 };
@@ -271,7 +271,7 @@
     base::Instant now = m_node.control().now();
     Exchange exchange { answer.sentAt, answer.sentAt + m_node.options().storeTimeout };
     std::set<base::InstanceId> shown;
-    for (const platform::ListedInstance& listed : answer.listing.instances)
+    for (const formats::ListedInstance& listed : answer.listing.instances)
         shown.insert(listed.instance);
     std::string ownList = isGateway() ? std::string(gatewayListName) : m_node.settings().listName;
     if (answer.listName == ownList) {
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -10,8 +10,8 @@
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/peers/Codec.h"
 #include "toucanstep/peers/SingleReply.h"
-#include "toucanstep/platform/EtcdStore.h"
-#include "toucanstep/platform/InstanceList.h"
+#include "toucanstep/formats/EtcdStore.h"
+#include "toucanstep/formats/InstanceList.h"
 
 #include <absl/hash/hash.h>
 #include <algorithm>
@@ -88,7 +88,7 @@
         }
 
     private:
-        peers::EventLoop& m_loop;
+        io::EventLoop& m_loop;
         std::weak_ptr<ConfigurationFollower> m_follower;
     };
 
@@ -274,7 +274,7 @@
 public:
     explicit InstanceListPoller(Node& node)
         : m_node(node)
-        , m_list(platform::makeInstanceList(node.m_settings.instanceListUrl, node.m_http))
+        , m_list(formats::makeInstanceList(node.m_settings.instanceListUrl, node.m_http))
     {
     }
 
@@ -311,20 +311,20 @@
 
     void read(const std::string& name, base::Instant now)
     {
-        m_list->read(name, now + m_node.m_options.storeTimeout, [loop = m_node.m_control.get(), weak = weak_from_this(), name, now](base::Outcome<platform::InstanceListing> outcome) {
+        m_list->read(name, now + m_node.m_options.storeTimeout, [loop = m_node.m_control.get(), weak = weak_from_this(), name, now](base::Outcome<formats::InstanceListing> outcome) {
             loop->post([weak, name, now, outcome = std::move(outcome)] {
                 auto poller = weak.lock();
-                if (auto* listing = std::get_if<platform::InstanceListing>(&outcome); poller && listing)
+                if (auto* listing = std::get_if<formats::InstanceListing>(&outcome); poller && listing)
                     poller->install(name, *listing, now);
             });
         });
     }
 
-    void install(const std::string& name, const platform::InstanceListing& listing, base::Instant sentAt)
+    void install(const std::string& name, const formats::InstanceListing& listing, base::Instant sentAt)
     {
         auto table = std::make_shared<InstanceTable>(*m_node.m_instances.load());
         std::erase_if(table->rows, [&](const InstanceRow& row) { return row.listName == name; });
-        for (const platform::ListedInstance& listed : listing.instances)
+        for (const formats::ListedInstance& listed : listing.instances)
             table->rows.push_back({ listed.instance, listed.endpoint, listed.failureDomain, name, listed.ready, listed.terminating });
         m_node.m_instances.publish(table);
         m_read.insert(name);
@@ -333,7 +333,7 @@
     }
 
     Node& m_node;
-    std::unique_ptr<platform::InstanceList> m_list;
+    std::unique_ptr<formats::InstanceList> m_list;
     std::set<std::string> m_read;
     base::Instant m_nextPoll;
     base::Instant m_nextEarlyPoll;
@@ -343,16 +343,16 @@
     : m_settings(std::move(settings))
     , m_options(options)
     , m_startNonce(base::randomHex(startNonceBytes))
-    , m_http(std::make_shared<platform::HttpClient>())
-    , m_control(std::make_unique<peers::EventLoop>())
-    , m_traffic(std::make_unique<peers::EventLoop>())
+    , m_http(std::make_shared<formats::HttpClient>())
+    , m_control(std::make_unique<io::EventLoop>())
+    , m_traffic(std::make_unique<io::EventLoop>())
 {
     m_recordsHistory = !m_settings.historyFile.empty();
     if (m_recordsHistory)
         m_history = std::make_unique<HistoryFile>(m_settings.historyFile);
     else
         m_history = std::make_unique<NoHistory>();
-    m_store = platform::makeEtcdStore(m_settings.keyValueUrl, m_http);
+    m_store = formats::makeEtcdStore(m_settings.keyValueUrl, m_http);
     m_follower = std::make_shared<ConfigurationFollower>(*this);
     m_poller = std::make_shared<InstanceListPoller>(*this);
     addMethod(peers::Method(std::string(configurationMethod)), [this](const peers::IncomingCall& call, std::shared_ptr<peers::PeerResponder> responder) {
@@ -444,8 +444,8 @@
         return base::fail(error.kind, error.message);
     m_peerEndpoint = *endpoint;
 
-    platform::HttpServerOptions operatorOptions { .address = m_settings.operatorListen.address, .port = m_settings.operatorListen.port, .threads = 1 };
-    BOOST_LEAF_ASSIGN(m_operator, platform::HttpServer::start(operatorOptions, [this](const std::shared_ptr<platform::HttpExchange>& exchange) { answerOperator(exchange); }));
+    formats::HttpServerOptions operatorOptions { .address = m_settings.operatorListen.address, .port = m_settings.operatorListen.port, .threads = 1 };
+    BOOST_LEAF_ASSIGN(m_operator, formats::HttpServer::start(operatorOptions, [this](const std::shared_ptr<formats::HttpExchange>& exchange) { answerOperator(exchange); }));
     m_control->post([this] { tick(); });
     return {};
 }
@@ -514,7 +514,7 @@
     found->second(std::move(call), std::move(responder));
 }
 
-void Node::answerOperator(const std::shared_ptr<platform::HttpExchange>& exchange)
+void Node::answerOperator(const std::shared_ptr<formats::HttpExchange>& exchange)
 {
     const std::string& path = exchange->request().path;
     if (path == "/healthz")
--- a/packages/peers/include/toucanstep/peers/PeerClient.h
+++ b/packages/peers/include/toucanstep/peers/PeerClient.h
@@ -8,7 +8,7 @@
 
 #include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/Result.h"
-#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/io/EventLoop.h"
 #include "toucanstep/peers/PeerServer.h"
 
 #include <memory>
@@ -50,7 +50,7 @@
 
 class PeerClient {
 public:
-    PeerClient(EventLoop&, PeerIdentity, PeerClientOptions = {});
+    PeerClient(io::EventLoop&, PeerIdentity, PeerClientOptions = {});
     // Ends every call that still waits, without callbacks. Called on the loop's thread, or after the loop has stopped.
     ~PeerClient();
     PeerClient(const PeerClient&) = delete;
--- a/packages/peers/include/toucanstep/peers/PeerServer.h
+++ b/packages/peers/include/toucanstep/peers/PeerServer.h
@@ -8,7 +8,7 @@
 #include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/Result.h"
 #include "toucanstep/base/StrongTypes.h"
-#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/io/EventLoop.h"
 
 #include <functional>
 #include <memory>
@@ -56,7 +56,7 @@
 public:
     using Handler = std::function<void(IncomingCall, std::shared_ptr<PeerResponder>)>;
 
-    static base::Result<std::unique_ptr<PeerServer>> listen(EventLoop&, const base::Endpoint&, PeerIdentity, Handler);
+    static base::Result<std::unique_ptr<PeerServer>> listen(io::EventLoop&, const base::Endpoint&, PeerIdentity, Handler);
     virtual ~PeerServer() = default;
     virtual base::Endpoint endpoint() const = 0;
     // Calls whose answers are not yet handed to the system whole. A planned stop waits for none to be left.
--- a/packages/peers/src/Http2Connection.cpp
+++ b/packages/peers/src/Http2Connection.cpp
@@ -58,7 +58,7 @@
     return true;
 }
 
-Http2Connection::Http2Connection(EventLoop& loop, int socket, Side side)
+Http2Connection::Http2Connection(io::EventLoop& loop, int socket, Side side)
     : m_loop(loop)
     , m_socket(socket)
     , m_connecting(side == Side::Client)
--- a/packages/peers/src/Http2Connection.h
+++ b/packages/peers/src/Http2Connection.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "toucanstep/base/Result.h"
-#include "toucanstep/peers/EventLoop.h"
+#include "toucanstep/io/EventLoop.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <memory>
@@ -42,7 +42,7 @@
         Server,
     };
 
-    Http2Connection(EventLoop&, int socket, Side);
+    Http2Connection(io::EventLoop&, int socket, Side);
     virtual ~Http2Connection();
     Http2Connection(const Http2Connection&) = delete;
     Http2Connection& operator=(const Http2Connection&) = delete;
@@ -85,7 +85,7 @@
     virtual void onLost(const base::Error&) = 0;
     virtual void onConnected() { }
 
-    EventLoop& m_loop;
+    io::EventLoop& m_loop;
 
 private:
     struct OutgoingBody {
--- a/packages/peers/src/PeerClient.cpp
+++ b/packages/peers/src/PeerClient.cpp
@@ -21,7 +21,7 @@
 struct PendingCall {
     OutgoingCall call;
     std::shared_ptr<PeerCallListener> listener;
-    EventLoop::TimerId deadlineTimer = 0;
+    io::EventLoop::TimerId deadlineTimer = 0;
     // Zero until the request was submitted.
     int32_t stream = 0;
     bool ended = false;
@@ -31,7 +31,7 @@
 
 class ClientConnection final : public Http2Connection {
 public:
-    ClientConnection(EventLoop& loop, int socket, const PeerIdentity& identity, const PeerClientOptions& options)
+    ClientConnection(io::EventLoop& loop, int socket, const PeerIdentity& identity, const PeerClientOptions& options)
         : Http2Connection(loop, socket, Side::Client)
         , m_identity(identity)
         , m_options(options)
@@ -243,15 +243,15 @@
     bool m_probeOutstanding = false;
     base::Instant m_probeSent;
     base::Instant m_probeDeadline;
-    EventLoop::TimerId m_handshakeTimer = 0;
-    EventLoop::TimerId m_probeTimer = 0;
+    io::EventLoop::TimerId m_handshakeTimer = 0;
+    io::EventLoop::TimerId m_probeTimer = 0;
     std::list<std::shared_ptr<PendingCall>> m_waiting;
     absl::flat_hash_map<int32_t, std::shared_ptr<PendingCall>> m_running;
 };
 
 class Call final : public PeerCall {
 public:
-    Call(EventLoop& loop, std::shared_ptr<PendingCall> pending, std::weak_ptr<ClientConnection> connection)
+    Call(io::EventLoop& loop, std::shared_ptr<PendingCall> pending, std::weak_ptr<ClientConnection> connection)
         : m_loop(loop)
         , m_pending(std::move(pending))
         , m_connection(std::move(connection))
@@ -269,7 +269,7 @@
     }
 
 private:
-    EventLoop& m_loop;
+    io::EventLoop& m_loop;
     std::shared_ptr<PendingCall> m_pending;
     std::weak_ptr<ClientConnection> m_connection;
 };
@@ -278,7 +278,7 @@
 
 class PeerClient::Implementation {
 public:
-    Implementation(EventLoop& loop, PeerIdentity identity, PeerClientOptions options)
+    Implementation(io::EventLoop& loop, PeerIdentity identity, PeerClientOptions options)
         : m_loop(loop)
         , m_identity(std::move(identity))
         , m_options(options)
@@ -369,7 +369,7 @@
         m_retiredReceived += connection.bytesReceived();
     }
 
-    EventLoop& m_loop;
+    io::EventLoop& m_loop;
     PeerIdentity m_identity;
     PeerClientOptions m_options;
     int64_t m_retiredSent = 0;
@@ -377,7 +377,7 @@
     absl::flat_hash_map<base::Endpoint, std::shared_ptr<ClientConnection>> m_connections;
 };
 
-PeerClient::PeerClient(EventLoop& loop, PeerIdentity identity, PeerClientOptions options)
+PeerClient::PeerClient(io::EventLoop& loop, PeerIdentity identity, PeerClientOptions options)
     : m_implementation(std::make_unique<Implementation>(loop, std::move(identity), options))
 {
 }
--- a/packages/peers/src/PeerServer.cpp
+++ b/packages/peers/src/PeerServer.cpp
@@ -66,7 +66,7 @@
 
 class ServerConnection final : public Http2Connection {
 public:
-    ServerConnection(EventLoop& loop, int socket, const PeerIdentity& identity, const PeerServer::Handler& handler, std::function<void(ServerConnection*)> onGone)
+    ServerConnection(io::EventLoop& loop, int socket, const PeerIdentity& identity, const PeerServer::Handler& handler, std::function<void(ServerConnection*)> onGone)
         : Http2Connection(loop, socket, Side::Server)
         , m_identity(identity)
         , m_handler(handler)
@@ -232,7 +232,7 @@
 
 class Server final : public PeerServer {
 public:
-    Server(EventLoop& loop, int socket, PeerIdentity identity, Handler handler)
+    Server(io::EventLoop& loop, int socket, PeerIdentity identity, Handler handler)
         : m_loop(loop)
         , m_socket(socket)
         , m_identity(std::move(identity))
@@ -277,7 +277,7 @@
         m_connections.erase(std::static_pointer_cast<ServerConnection>(gone->shared_from_this()));
     }
 
-    EventLoop& m_loop;
+    io::EventLoop& m_loop;
     int m_socket;
     PeerIdentity m_identity;
     Handler m_handler;
@@ -286,7 +286,7 @@
 
 } // namespace
 
-base::Result<std::unique_ptr<PeerServer>> PeerServer::listen(EventLoop& loop, const base::Endpoint& endpoint, PeerIdentity identity, Handler handler)
+base::Result<std::unique_ptr<PeerServer>> PeerServer::listen(io::EventLoop& loop, const base::Endpoint& endpoint, PeerIdentity identity, Handler handler)
 {
     BOOST_LEAF_AUTO(socket, internal::listenOn(endpoint));
     std::unique_ptr<PeerServer> server = std::make_unique<Server>(loop, socket, std::move(identity), std::move(handler));
--- a/packages/peers/test/PeersTest.cpp
+++ b/packages/peers/test/PeersTest.cpp
@@ -66,7 +66,7 @@
 
 TEST_GROUP(Peers)
 {
-    EventLoop m_loop;
+    io::EventLoop m_loop;
     std::unique_ptr<PeerServer> m_server;
     std::unique_ptr<PeerClient> m_client;
     PeerIdentity m_identity { base::InstanceId("gateway-a"), "secret" };
--- a/packages/sidecar/src/ServiceCalls.cpp
+++ b/packages/sidecar/src/ServiceCalls.cpp
@@ -12,9 +12,9 @@
     return calls::UnixMilliseconds(std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
 }
 
-platform::HttpCall httpCall(const std::string& upstreamUrl, const peers::RunRequest& request, base::Instant deadline)
+formats::HttpCall httpCall(const std::string& upstreamUrl, const peers::RunRequest& request, base::Instant deadline)
 {
-    platform::HttpCall call;
+    formats::HttpCall call;
     call.method = request.httpMethod;
     call.url = upstreamUrl + request.path;
     call.headers = { { "X-Request-Id", request.request.value() } };
@@ -43,7 +43,7 @@
 
 void ServiceCalls::passThrough(const peers::RunRequest& request, base::Instant deadline, ServiceAnswered answered)
 {
-    m_node.http()->fetchAsync(httpCall(m_node.settings().upstreamUrl, request, deadline), [loop = &m_node.traffic(), alive = m_alive, answered = std::move(answered)](platform::HttpReply reply) {
+    m_node.http()->fetchAsync(httpCall(m_node.settings().upstreamUrl, request, deadline), [loop = &m_node.traffic(), alive = m_alive, answered = std::move(answered)](formats::HttpReply reply) {
         loop->post([alive, answered, reply = std::move(reply)] {
             if (*alive)
                 answered(reply);
@@ -123,17 +123,17 @@
     }
     found->second.began();
     base::LogLine("call_run").add("request", found->second.request.request).add("attempt", run.attempt).add("service", found->second.request.targetId);
-    passThrough(found->second.request, run.deadline, [this, attempt = run.attempt](const platform::HttpReply& reply) { onRan(attempt, reply); });
+    passThrough(found->second.request, run.deadline, [this, attempt = run.attempt](const formats::HttpReply& reply) { onRan(attempt, reply); });
 }
 
-void ServiceCalls::onRan(const calls::AttemptId& attempt, const platform::HttpReply& reply)
+void ServiceCalls::onRan(const calls::AttemptId& attempt, const formats::HttpReply& reply)
 {
     calls::RunOutcome outcome = calls::RunOutcome::Answered;
     if (reply.error)
         outcome = reply.error->kind == base::ErrorKind::Unavailable ? calls::RunOutcome::NotSent : calls::RunOutcome::Unknown;
     calls::StoredAnswer answer;
     answer.status = reply.status;
-    answer.contentType = std::string(platform::findHeader(reply.headers, "Content-Type"));
+    answer.contentType = std::string(formats::findHeader(reply.headers, "Content-Type"));
     answer.body = reply.body;
     perform(m_executor.onRan(attempt, outcome, std::move(answer), now(), unixNow()));
 }
--- a/packages/sidecar/src/ServiceCalls.h
+++ b/packages/sidecar/src/ServiceCalls.h
@@ -8,7 +8,7 @@
 #include "toucanstep/calls/GroupCommit.h"
 #include "toucanstep/node/Node.h"
 #include "toucanstep/peers/Messages.h"
-#include "toucanstep/platform/HttpClient.h"
+#include "toucanstep/formats/HttpClient.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <functional>
@@ -17,7 +17,7 @@
 namespace toucanstep::sidecar::internal {
 
 // The service's whole answer, or the reason why there is none.
-using ServiceAnswered = std::function<void(platform::HttpReply)>;
+using ServiceAnswered = std::function<void(formats::HttpReply)>;
 using CallReplied = std::function<void(const calls::CallReply&)>;
 
 class ServiceCalls {
@@ -47,7 +47,7 @@
     void perform(const calls::SendReply&);
     void pollCommits();
     void onCommitted(calls::BatchId, const base::Outcome<base::TransactionReply>&);
-    void onRan(const calls::AttemptId&, const platform::HttpReply&);
+    void onRan(const calls::AttemptId&, const formats::HttpReply&);
 
     node::Node& m_node;
     calls::CallExecutor m_executor;
