--- a/packages/sidecar/src/SidecarCore.cpp
+++ b/packages/sidecar/src/SidecarCore.cpp
@@ -46,14 +46,14 @@
     return options.keepAlive == KeepAliveMode::Learnt ? placement::makeLearntKeepAlive({}) : placement::makeFixedKeepAlive(options.fixedKeepAlive);
 }
 
-placement::EngineModelState toState(platform::EngineModelPhase phase)
+placement::EngineModelState toState(formats::EngineModelPhase phase)
 {
     switch (phase) {
-    case platform::EngineModelPhase::Loading:
+    case formats::EngineModelPhase::Loading:
         return placement::EngineModelState::Loading;
-    case platform::EngineModelPhase::Unloading:
+    case formats::EngineModelPhase::Unloading:
         return placement::EngineModelState::Unloading;
-    case platform::EngineModelPhase::Ready:
+    case formats::EngineModelPhase::Ready:
         break;
     }
     return placement::EngineModelState::Ready;
@@ -89,7 +89,7 @@
 } // namespace
 
 // One call of the engine for one request. The engine's callbacks come on the HTTP client's thread and are carried over.
-class SidecarCore::Generation final : public platform::GenerationListener, public std::enable_shared_from_this<Generation> {
+class SidecarCore::Generation final : public formats::GenerationListener, public std::enable_shared_from_this<Generation> {
 public:
     Generation(SidecarCore& core, EntryKey key)
         : m_loop(core.m_node.traffic())
@@ -114,7 +114,7 @@
         onLoop([this, bytes = std::move(bytes)]() mutable { m_core.onChunk(m_key, std::move(bytes)); });
     }
 
-    void onEnd(platform::GenerationEnd end) override
+    void onEnd(formats::GenerationEnd end) override
     {
         onLoop([this, end = std::move(end)] { m_core.onRunEnd(m_key, end); });
     }
@@ -126,7 +126,7 @@
         m_handle.reset();
     }
 
-    void setHandle(std::unique_ptr<platform::HttpCallHandle> handle) { m_handle = std::move(handle); }
+    void setHandle(std::unique_ptr<formats::HttpCallHandle> handle) { m_handle = std::move(handle); }
 
 private:
     template <typename Task>
@@ -138,10 +138,10 @@
         });
     }
 
-    peers::EventLoop& m_loop;
+    io::EventLoop& m_loop;
     SidecarCore& m_core;
     EntryKey m_key;
-    std::unique_ptr<platform::HttpCallHandle> m_handle;
+    std::unique_ptr<formats::HttpCallHandle> m_handle;
     bool m_detached = false;
 };
 
@@ -150,7 +150,7 @@
     , m_options(options)
     , m_incarnation(wallClockNanoseconds())
     , m_configuration(node.configuration())
-    , m_engine(platform::makeEngineClient(node.settings().upstreamUrl, node.http()))
+    , m_engine(formats::makeEngineClient(node.settings().upstreamUrl, node.http()))
     , m_queue(makeQueue(m_options.queue))
     , m_solo(soloPatience)
     , m_services(node)
@@ -464,7 +464,7 @@
     m_serviceRuns.insert(entry.key);
     EntryKey key = entry.key;
     if (entry.message.callDispatch.empty()) {
-        m_services.passThrough(entry.message, entry.deadline, [this, key](const platform::HttpReply& reply) { onServiceAnswer(key, reply); });
+        m_services.passThrough(entry.message, entry.deadline, [this, key](const formats::HttpReply& reply) { onServiceAnswer(key, reply); });
         return;
     }
     base::Error error;
@@ -481,7 +481,7 @@
     m_services.runOnce(*dispatch, entry.message, entry.deadline, began, [this, key](const calls::CallReply& reply) { onCallReply(key, reply); });
 }
 
-void SidecarCore::onServiceAnswer(const EntryKey& key, const platform::HttpReply& reply)
+void SidecarCore::onServiceAnswer(const EntryKey& key, const formats::HttpReply& reply)
 {
     RequestEntry* entry = m_requests.find(key);
     if (!entry || entry->state != RequestState::Running)
@@ -491,7 +491,7 @@
         refuse(*entry, refusal(base::RefusalCode::UpstreamFailed, ran, reply.error->message));
         return;
     }
-    entry->start = peers::AnswerStart { reply.status, std::string(platform::findHeader(reply.headers, "Content-Type")) };
+    entry->start = peers::AnswerStart { reply.status, std::string(formats::findHeader(reply.headers, "Content-Type")) };
     send(*entry, *entry->start, false);
     if (!reply.body.empty())
         onChunk(key, reply.body);
@@ -517,7 +517,7 @@
 
 void SidecarCore::callEngine(RequestEntry& entry)
 {
-    platform::GenerationCall call;
+    formats::GenerationCall call;
     call.path = entry.message.path;
     call.contentType = entry.message.contentType;
     call.body = entry.message.body;
@@ -551,7 +551,7 @@
     send(*entry, peers::AnswerChunk { static_cast<int64_t>(entry->chunks.size()) - 1, entry->chunks.back() }, false);
 }
 
-void SidecarCore::onRunEnd(const EntryKey& key, const platform::GenerationEnd& end)
+void SidecarCore::onRunEnd(const EntryKey& key, const formats::GenerationEnd& end)
 {
     RequestEntry* entry = m_requests.find(key);
     if (!entry || entry->state != RequestState::Running)
@@ -650,12 +650,12 @@
             suspects.emplace_back(m_requests.find(key)->message.fingerprint);
     }
     base::ModelId model(broken.message.targetId);
-    m_engine->index(now() + probeTimeout, [this, loop = &m_node.traffic(), suspects = std::move(suspects), model](base::Outcome<std::vector<platform::EngineModel>> outcome) {
+    m_engine->index(now() + probeTimeout, [this, loop = &m_node.traffic(), suspects = std::move(suspects), model](base::Outcome<std::vector<formats::EngineModel>> outcome) {
         const config::Model* known = m_configuration->findModel(model);
         bool alive = false;
-        if (auto* models = std::get_if<std::vector<platform::EngineModel>>(&outcome)) {
-            for (const platform::EngineModel& entry : *models)
-                alive = alive || (known && entry.name == known->repositoryName && entry.phase == platform::EngineModelPhase::Ready);
+        if (auto* models = std::get_if<std::vector<formats::EngineModel>>(&outcome)) {
+            for (const formats::EngineModel& entry : *models)
+                alive = alive || (known && entry.name == known->repositoryName && entry.phase == formats::EngineModelPhase::Ready);
         }
         loop->post([this, suspects, alive] { onCrashProbe(suspects, alive); });
     });
@@ -711,7 +711,7 @@
         return;
     }
     const config::Model* model = m_configuration->findModel(order.model);
-    platform::EngineOrder engineOrder;
+    formats::EngineOrder engineOrder;
     // The process's epoch is a time in nanoseconds; orders count on from there, so that each refuses all before it.
     engineOrder.fence = order.epoch + base::Epoch(order.id.value());
     engineOrder.deadline = order.deadline;
@@ -750,16 +750,16 @@
 void SidecarCore::readIndex(const placement::ResidencyOrder& order)
 {
     base::Instant began = now();
-    m_engine->index(order.deadline, [this, loop = &m_node.traffic(), order, began](base::Outcome<std::vector<platform::EngineModel>> outcome) {
+    m_engine->index(order.deadline, [this, loop = &m_node.traffic(), order, began](base::Outcome<std::vector<formats::EngineModel>> outcome) {
         loop->post([this, order, began, outcome = std::move(outcome)] {
-            auto* models = std::get_if<std::vector<platform::EngineModel>>(&outcome);
+            auto* models = std::get_if<std::vector<formats::EngineModel>>(&outcome);
             if (!models) {
                 m_residency->onOrderResult(order.id, toOutcome(std::get<base::Error>(outcome)), now());
                 return;
             }
             placement::EngineIndex index;
             index.readBegan = began;
-            for (const platform::EngineModel& model : *models) {
+            for (const formats::EngineModel& model : *models) {
                 // The engine knows names, the text knows ids.
                 auto known = std::find_if(m_configuration->models.begin(), m_configuration->models.end(), [&](const config::Model& candidate) { return candidate.repositoryName == model.name && m_pool && candidate.pool == m_pool->id; });
                 base::ModelId id = known == m_configuration->models.end() ? base::ModelId(model.name) : known->id;
--- a/packages/sidecar/src/SidecarCore.h
+++ b/packages/sidecar/src/SidecarCore.h
@@ -10,7 +10,7 @@
 #include "toucanstep/node/Node.h"
 #include "toucanstep/node/StrikeExchange.h"
 #include "toucanstep/placement/ResidencyManager.h"
-#include "toucanstep/platform/EngineClient.h"
+#include "toucanstep/formats/EngineClient.h"
 #include "toucanstep/routing/Quarantine.h"
 #include "toucanstep/routing/RequestQueue.h"
 #include "toucanstep/sidecar/Sidecar.h"
@@ -63,10 +63,10 @@
     void recordRun(base::HistoryKind, const RequestEntry&);
     void callEngine(RequestEntry&);
     void callService(RequestEntry&);
-    void onServiceAnswer(const EntryKey&, const platform::HttpReply&);
+    void onServiceAnswer(const EntryKey&, const formats::HttpReply&);
     void onCallReply(const EntryKey&, const calls::CallReply&);
     void onChunk(const EntryKey&, std::string bytes);
-    void onRunEnd(const EntryKey&, const platform::GenerationEnd&);
+    void onRunEnd(const EntryKey&, const formats::GenerationEnd&);
     void finishRun(RequestEntry&, peers::RunEventBody ending);
     void takeOutOfQueue(RequestEntry&);
     void refuse(RequestEntry&, const base::Refusal&);
@@ -90,7 +90,7 @@
     int64_t m_incarnation;
     std::shared_ptr<const config::Configuration> m_configuration;
     const config::UpstreamPool* m_pool = nullptr;
-    std::unique_ptr<platform::EngineClient> m_engine;
+    std::unique_ptr<formats::EngineClient> m_engine;
     RequestTable m_requests;
     std::unique_ptr<routing::RequestQueue> m_queue;
     std::unique_ptr<placement::ResidencyManager> m_residency;
