The planner reads reports that carry no start mark: engines are given orders

Cause: a report has no start mark, and was taken for one of another start, so no engine was ever known to the planner.

--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/direct/include/toucanstep/direct/Upstream.h
@@ -8,6 +8,7 @@
 #include "toucanstep/direct/Call.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,7 +39,8 @@
 
 // An engine's own report of its state.
 struct EngineReport {
-    StartMark start;
+    // Where the report says it.
+    std::optional<StartMark> start;
     LoadedModels loaded;
     std::set<base::ModelId> inHostMemory;
     std::set<base::ModelId> onDisk;
--- a/packages/direct/include/toucanstep/direct/WireFormat.h
+++ b/packages/direct/include/toucanstep/direct/WireFormat.h
@@ -42,7 +42,7 @@
     virtual void appendForwardedHeaders(std::string& out, const ForwardedCall&) const = 0;
     virtual UpstreamVerdict readVerdict(const http1::ResponseHead&) const = 0;
 
-    virtual ControlRequest reportRequest() const = 0;
+    virtual ControlRequest reportRequest(const base::UpstreamId&) const = 0;
     virtual std::optional<EngineReport> readReport(std::string_view body) const = 0;
     virtual ControlRequest orderRequest(const EngineOrder&) const = 0;
     virtual OrderOutcome readOrderOutcome(int status) const = 0;
--- a/packages/direct/src/OrderDesk.cpp
+++ b/packages/direct/src/OrderDesk.cpp
@@ -124,7 +124,7 @@
 void OrderDesk::readReport(const EnginePointer& engine)
 {
     engine->calling = true;
-    ControlRequest request = m_format.reportRequest();
+    ControlRequest request = m_format.reportRequest(engine->description.id);
     http1::Peer peer { engine->description.id.value(), engine->description.endpoint };
     http1::fetch(m_loop, m_client, peer, request.method, request.target, request.headers, request.body, m_loop.now() + controlTimeout, [this, weak = std::weak_ptr(engine)](base::Result<http1::FetchedAnswer> result) {
         EnginePointer target = weak.lock();
@@ -135,6 +135,7 @@
         target->calling = false;
         auto report = answer && answer->status == 200 ? m_format.readReport(answer->body) : std::nullopt;
         if (!report) {
+            base::LogLine("engine_report_failed").add("upstream", target->description.id).add("status", answer ? answer->status : 0).add("reason", answer ? "unreadable" : error.message);
             target->reportDue = m_loop.now() + reportInterval;
             return;
         }
@@ -145,7 +146,8 @@
 void OrderDesk::onReport(Engine& engine, const EngineReport& report)
 {
     // The address may belong to another start of the engine by now; the list will say so.
-    if (report.start != engine.description.start) {
+    if (report.start && *report.start != engine.description.start) {
+        base::LogLine("engine_report_of_another_start").add("upstream", engine.description.id).add("listed", engine.description.start).add("reported", *report.start);
         engine.reportDue = m_loop.now() + reportLag;
         return;
     }
@@ -153,6 +155,7 @@
     engine.onDisk = report.onDisk;
     // An older state than that after the last accepted order says nothing new.
     if (report.orders < engine.orders || report.busy) {
+        base::LogLine("engine_report_early").add("upstream", engine.description.id).add("orders", report.orders).add("expected", engine.orders).add("busy", report.busy ? "yes" : "no");
         engine.reportDue = m_loop.now() + reportInterval;
         if (engine.known || report.orders < engine.orders)
             return;
