--- a/packages/direct/src/CallDesk.cpp
+++ b/packages/direct/src/CallDesk.cpp
@@ -40,9 +40,13 @@
 
 CallDesk::~CallDesk()
 {
+    cutOffAll();
     m_loop.cancel(m_pumpTimer);
-    auto runs = std::move(m_runs);
-    m_runs.clear();
+}
+
+void CallDesk::cutOffAll()
+{
+    auto runs = m_runs;
     for (const auto& run : runs)
         run->cutOff();
 }
--- a/packages/direct/src/CallDesk.h
+++ b/packages/direct/src/CallDesk.h
@@ -48,6 +48,8 @@
     void wakeWaiting();
     // Looks after calls at upstreams that have stopped answering; to be called several times a second.
     void tick();
+    // The process ends: every caller is told what can be said. Nothing is taken afterwards.
+    void cutOffAll();
     // Called where a call begins to wait for a target that no upstream holds.
     void onTargetMissing(std::function<void()> handler) { m_onTargetMissing = std::move(handler); }
 
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -492,11 +492,13 @@
 
 void CallRun::cutOff()
 {
+    auto self = shared_from_this();
     if (m_phase == Phase::Done)
         return;
-    m_phase = Phase::Done;
-    m_exchange.reset();
-    m_caller->abort();
+    if (m_phase == Phase::Waiting && !m_runs && !m_firstByte)
+        refuse(statusUnavailable, "leaving", Ran::No, "the gateway ends", defaultRetryAfter);
+    else
+        failed("the gateway ends");
 }
 
 void CallRun::refuse(int status, std::string_view code, Ran ran, std::string_view message, std::optional<base::Duration> retryAfter)
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -158,6 +158,7 @@
 GatewayCore::~GatewayCore()
 {
     m_loop.cancel(m_beatTimer);
+    m_calls.cutOffAll();
 }
 
 base::Result<void> GatewayCore::start()
