Placement chooses by the time until a model is ready, evicts for callers who wait, and reacts to events

Cause of the loss: models that callers waited for were loaded from the store in 6 s although an engine had a copy on its disk (0.6 s), room that was made was taken by the evicted model, a new planner waited 3 s although engines check fences, and each step waited for a 100 ms beat.

--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -29,7 +29,10 @@
     base::Endpoint peers;
     // The whole fleet starts for the first time: no planner was before.
     bool firstStart = false;
-    base::Duration plannerLease = std::chrono::seconds(3);
+    // How long the planner's duty outlives its holder.
+    base::Duration plannerLease = std::chrono::milliseconds(1500);
+    // Between the orders of two planners. None is needed where engines refuse orders with an older fence.
+    base::Duration plannerHandOver {};
     // From SIGTERM to SIGKILL.
     base::Duration stopGrace = std::chrono::seconds(8);
     // Sends beyond the first of each call, over all gateways and a window: a part of the calls, and a number more.
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -81,8 +81,14 @@
     double slotsPerCopy = 0.5;
     // A model with more calls than this a second has two copies, so that the loss of one engine does not stop it.
     double callsPerSecondForTwo = 4;
-    // A model that was not asked for in this long may lose its last copy to one that callers wait for.
-    base::Duration idleBeforeEviction = std::chrono::seconds(8);
+    // A model that nobody has used for this long may lose its last copy to one that callers wait for. Far below the time
+    // between two calls for a rare model: memory for all of them is short, and a load from an engine's disk takes less
+    // than a second.
+    base::Duration idleBeforeEviction = std::chrono::milliseconds(700);
+    // From the order to unload an idle model until the engine has shown that it is gone.
+    base::Duration evictionTime = std::chrono::milliseconds(250);
+    // How long room that was made for a model is kept for it.
+    base::Duration reservation = std::chrono::seconds(2);
 };
 
 class PlacementPlanner {
@@ -94,7 +100,13 @@
     struct Want;
     class Round;
 
+    struct Reservation {
+        base::ModelId model;
+        base::Instant until;
+    };
+
     PlacementSettings m_settings;
+    std::map<base::UpstreamId, Reservation> m_reserved;
     // When a target was last seen with demand.
     std::map<ModelTarget, base::Instant> m_lastWanted;
 };
--- a/packages/direct/include/toucanstep/direct/PlannerDuty.h
+++ b/packages/direct/include/toucanstep/direct/PlannerDuty.h
@@ -16,9 +16,9 @@
 
 struct PlannerDutySettings {
     // The lease's length; a holder that dies is replaced no sooner.
-    base::Duration lease = std::chrono::seconds(3);
+    base::Duration lease = std::chrono::milliseconds(1500);
     // Given up this long before the lease ends: an order that is sent then must still arrive within it.
-    base::Duration margin = std::chrono::milliseconds(600);
+    base::Duration margin = std::chrono::milliseconds(300);
     // No order within this time after another holder's last one may have been sent.
     base::Duration handOver = std::chrono::seconds(3);
 };
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -5,6 +5,7 @@
 #include "toucanstep/base/MessagePack.h"
 #include "toucanstep/base/Text.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace toucanstep::direct {
@@ -13,6 +14,8 @@
 
 // Reports to the peers: as often as limits over the fleet need (see AccountLimitsSettings::peerSilence).
 constexpr auto beatInterval = std::chrono::milliseconds(100);
+// What one event sets off waits this long for others that belong to it.
+constexpr auto soonDelay = std::chrono::milliseconds(3);
 constexpr auto demandInterval = std::chrono::milliseconds(200);
 constexpr auto planReportInterval = std::chrono::milliseconds(300);
 constexpr auto sweepInterval = std::chrono::seconds(1);
@@ -92,7 +95,7 @@
 {
     PlannerDutySettings duty;
     duty.lease = settings.plannerLease;
-    duty.handOver = settings.plannerLease;
+    duty.handOver = settings.plannerHandOver;
     return duty;
 }
 
@@ -146,7 +149,7 @@
     , m_storeClient(loop)
     , m_store(makeStore(loop, m_storeClient))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
-    , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { m_nextPlanReport = {}; })
+    , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
     , m_duty(dutySettings(m_settings))
     , m_planner(PlacementSettings {})
     , m_directory(loop, *m_store, directorySettings(*m_format), *this)
@@ -157,7 +160,8 @@
 
 GatewayCore::~GatewayCore()
 {
-    m_loop.cancel(m_beatTimer);
+    for (auto timer : { m_beatTimer, m_demandTimer, m_planTimer, m_tellTimer })
+        m_loop.cancel(timer);
     m_calls.cutOffAll();
 }
 
@@ -167,7 +171,7 @@
     BOOST_LEAF_ASSIGN(m_readiness, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_operators, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_link, FleetLink::open(m_loop, m_operators->endpoint(), [this](const FleetReport& report) { onReport(report); }));
-    m_calls.onTargetMissing([this] { m_nextDemand = {}; });
+    m_calls.onTargetMissing([this] { soon(m_demandTimer, &GatewayCore::demandNow); });
     m_directory.start();
     beat();
     return {};
@@ -206,6 +210,38 @@
     m_beatTimer = m_loop.at(now + beatInterval, [this] { beat(); });
 }
 
+void GatewayCore::soon(io::EventLoop::TimerId& timer, void (GatewayCore::*task)())
+{
+    if (timer)
+        return;
+    timer = m_loop.at(m_loop.now() + soonDelay, [this, &timer, task] {
+        timer = 0;
+        (this->*task)();
+    });
+}
+
+void GatewayCore::demandNow()
+{
+    if (m_duty.holds()) {
+        planNow();
+        return;
+    }
+    m_nextDemand = {};
+    sendDemand();
+}
+
+void GatewayCore::planNow()
+{
+    if (m_duty.mayOrder(m_loop.now()))
+        plan();
+}
+
+void GatewayCore::tellPlanNow()
+{
+    m_nextPlanReport = {};
+    sendPlan();
+}
+
 void GatewayCore::leave()
 {
     if (m_leavingSince)
@@ -385,11 +421,19 @@
     if (const auto* load = std::get_if<LoadReport>(&report))
         onLoadReport(*load);
     else if (const auto* demand = std::get_if<DemandReport>(&report))
-        m_peerDemand[demand->sender.instance] = { m_loop.now(), demand->demand };
+        onDemandReport(*demand);
     else if (const auto* plan = std::get_if<PlanReport>(&report))
         onPlanReport(*plan);
 }
 
+void GatewayCore::onDemandReport(const DemandReport& report)
+{
+    m_peerDemand[report.sender.instance] = { m_loop.now(), report.demand };
+    bool anyWaits = std::any_of(report.demand.begin(), report.demand.end(), [](const TargetDemand& demand) { return demand.waiting > 0; });
+    if (anyWaits && m_duty.holds())
+        soon(m_planTimer, &GatewayCore::planNow);
+}
+
 void GatewayCore::onLoadReport(const LoadReport& report)
 {
     base::Instant now = m_loop.now();
@@ -589,7 +633,7 @@
     base::LogLine("planner_duty_lost").add("fence", m_duty.fence()).add("reason", why);
     base::Revision created(m_duty.fence().value());
     m_duty.onLost();
-    m_nextDutyTry = m_loop.now() + m_settings.plannerLease;
+    m_nextDutyTry = m_loop.now() + m_settings.plannerLease * 2;
     base::Transaction transaction;
     transaction.comparisons.push_back({ std::string(plannerKey), created });
     transaction.operations.emplace_back(base::DeleteOperation { std::string(plannerKey) });
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -36,7 +36,13 @@
     };
 
     void beat();
+    // Runs `task` once, a moment from now, however often it is asked for meanwhile.
+    void soon(io::EventLoop::TimerId&, void (GatewayCore::*task)());
+    void demandNow();
+    void planNow();
+    void tellPlanNow();
     void onReport(const FleetReport&);
+    void onDemandReport(const DemandReport&);
     void onLoadReport(const LoadReport&);
     void onPlanReport(const PlanReport&);
     void sendLoadReport();
@@ -103,6 +109,9 @@
     bool m_catchingUp = false;
 
     io::EventLoop::TimerId m_beatTimer = 0;
+    io::EventLoop::TimerId m_demandTimer = 0;
+    io::EventLoop::TimerId m_planTimer = 0;
+    io::EventLoop::TimerId m_tellTimer = 0;
     std::optional<base::Instant> m_leavingSince;
     std::atomic<bool> m_drained = false;
 };
--- a/packages/direct/src/OrderDesk.cpp
+++ b/packages/direct/src/OrderDesk.cpp
@@ -9,10 +9,10 @@
 namespace {
 
 constexpr auto controlTimeout = std::chrono::milliseconds(1000);
-// A report shows the state of some hundred milliseconds ago: one read sooner than this after an order may not show it.
-constexpr auto reportLag = std::chrono::milliseconds(250);
+// A report shows the state of a hundred milliseconds ago: one read sooner than this after an order does not show it.
+constexpr auto reportLag = std::chrono::milliseconds(130);
 // Between two reports while the end of an order is awaited.
-constexpr auto reportInterval = std::chrono::milliseconds(200);
+constexpr auto reportInterval = std::chrono::milliseconds(80);
 // An accepted adapter is there after its load time, some ten milliseconds; a call that comes sooner is turned away.
 constexpr auto adapterLoadTime = std::chrono::milliseconds(15);
 // A notice is repeated until the list shows the same, and at least for one interval of the engines' writes to it.
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -47,7 +47,7 @@
         , m_traits(*input.traits)
     {
         for (const auto& engine : input.engines)
-            m_engines.push_back({ &engine, freeMemory(engine), engine.running.has_value() || engine.blocked || engine.leaving, {} });
+            m_engines.push_back({ &engine, freeMemory(engine), engine.running.has_value() || engine.blocked || engine.leaving, {}, reservationAt(engine) });
         for (const auto& entry : input.demand)
             noteDemand(entry);
         for (const auto& engine : input.engines) {
@@ -70,7 +70,10 @@
         // No further model order in this round.
         bool taken;
         std::set<base::ModelId> ordered;
+        // Room was made for this model.
+        std::optional<base::ModelId> reserved;
 
+        bool reservedFor(const base::ModelId& other) const { return reserved && *reserved != other; }
         bool holds(const base::ModelId& model) const { return state->loaded.contains(model); }
         bool isLoading(const base::ModelId& model) const
         {
@@ -82,10 +85,23 @@
         }
     };
 
+    std::optional<base::ModelId> reservationAt(const PlannedEngine& engine)
+    {
+        auto found = m_planner.m_reserved.find(engine.id);
+        if (found == m_planner.m_reserved.end())
+            return std::nullopt;
+        if (found->second.until > m_input.now && !engine.loaded.contains(found->second.model))
+            return found->second.model;
+        m_planner.m_reserved.erase(found);
+        return std::nullopt;
+    }
+
     void noteDemand(const TargetDemand& entry)
     {
-        m_planner.m_lastWanted[entry.target] = m_input.now;
-        m_planner.m_lastWanted[{ entry.target.model, AdapterId() }] = m_input.now;
+        if (entry.waiting || entry.running) {
+            m_planner.m_lastWanted[entry.target] = m_input.now;
+            m_planner.m_lastWanted[{ entry.target.model, AdapterId() }] = m_input.now;
+        }
         ModelDemand& demand = m_demand[entry.target.model];
         demand.waiting += entry.waiting;
         demand.running += entry.running;
@@ -176,109 +192,145 @@
         return model.loadFromStore;
     }
 
-    bool mayLoadFrom(LoadSource source) const
+    bool hasLocalCopy(const base::ModelId& model) const
     {
-        return source != LoadSource::WeightStore || m_storeLoads < m_settings.storeLoadsAtOnce;
+        return std::any_of(m_engines.begin(), m_engines.end(), [&](const Engine& engine) {
+            return !engine.state->leaving && sourceAt(engine, model) != LoadSource::WeightStore;
+        });
     }
 
+    // One way to give a model another copy: at this engine, after what it is doing, perhaps with another model's eviction.
+    struct Way {
+        Engine* engine = nullptr;
+        LoadSource source = LoadSource::WeightStore;
+        base::Duration ready {};
+        // Must go first.
+        std::optional<base::ModelId> victim;
+        int victimClass = 0;
+        base::Instant victimWanted;
+        // The engine can be given an order at once.
+        bool now = false;
+
+        auto key() const { return std::tuple(ready, victimClass, victimWanted, engine->state->inFlight, -engine->free, engine->state->id); }
+    };
+
     void placeModels()
     {
-        std::vector<Want> list = wants();
-        int64_t position = 0;
-        for (const Want& want : list) {
-            bool begun = tryLoad(want) || tryMakeRoom(want);
-            if (want.demand.waiting && !copiesOf(want.model->id))
-                foresee(*want.model, begun ? 0 : ++position);
-        }
+        for (const Want& want : wants())
+            place(want);
         foreseeRunningLoads();
     }
 
-    bool tryLoad(const Want& want)
+    void place(const Want& want)
     {
-        Engine* best = nullptr;
-        auto better = [&](const Engine& left, const Engine& right) {
-            auto key = [&](const Engine& engine) {
-                return std::tuple(loadTime(*want.model, sourceAt(engine, want.model->id)), engine.state->inFlight, -engine.free, engine.state->id);
-            };
-            return key(left) < key(right);
-        };
+        std::optional<Way> best;
         for (Engine& engine : m_engines) {
-            if (engine.taken || engine.holds(want.model->id) || engine.free < want.model->memory.value())
-                continue;
-            if (!mayLoadFrom(sourceAt(engine, want.model->id)))
-                continue;
-            if (!best || better(engine, *best))
-                best = &engine;
+            auto way = wayAt(engine, want);
+            if (way && (!best || way->key() < best->key()))
+                best = way;
         }
         if (!best)
+            return;
+        if (want.demand.waiting && !copiesOf(want.model->id))
+            m_result.expected.push_back({ { want.model->id, AdapterId() }, best->ready });
+        if (!best->now)
+            return;
+        if (best->victim)
+            evict(*best, want);
+        else
+            load(*best, want);
+    }
+
+    std::optional<Way> wayAt(Engine& engine, const Want& want) const
+    {
+        const base::ModelId& model = want.model->id;
+        if (engine.holds(model) || engine.state->leaving || engine.reservedFor(model))
+            return std::nullopt;
+        Way way { &engine, sourceAt(engine, model) };
+        way.now = !engine.taken;
+        if (way.source == LoadSource::WeightStore && !mayLoadFromStore(want, way))
+            return std::nullopt;
+        way.ready = loadTime(*want.model, way.source);
+        if (engine.state->running)
+            way.ready += base::remaining(m_input.now, engine.state->running->expectedEnd);
+        if (engine.free >= want.model->memory.value())
+            return way;
+        if (!chooseVictim(engine, want, way))
+            return std::nullopt;
+        way.ready += m_settings.evictionTime;
+        return way;
+    }
+
+    // Where some engine has a copy of the weights of its own, the store is left to models that have none: it is ten times
+    // as slow, and blocks an engine's orders meanwhile.
+    bool mayLoadFromStore(const Want& want, Way& way) const
+    {
+        if (want.rank == Want::Rank::Absent && hasLocalCopy(want.model->id))
             return false;
-        LoadSource source = sourceAt(*best, want.model->id);
-        base::Duration expected = loadTime(*want.model, source);
-        m_result.orders.push_back({ best->state->id, OrderKind::Load, { want.model->id, AdapterId() }, source, expected });
-        if (want.demand.waiting)
-            m_result.expected.push_back({ { want.model->id, AdapterId() }, expected });
-        m_storeLoads += source == LoadSource::WeightStore ? 1 : 0;
-        best->taken = true;
-        best->free -= want.model->memory.value();
-        best->ordered.insert(want.model->id);
+        way.now = way.now && m_storeLoads < m_settings.storeLoadsAtOnce;
         return true;
     }
 
-    // Room is made for what nobody holds and for overrun models; a model that is only busy waits for free memory.
-    bool tryMakeRoom(const Want& want)
+    // Room is made for what callers wait for. A copy that is not needed goes first, then the model that was not asked for
+    // the longest; what was asked for just now stays.
+    bool chooseVictim(const Engine& engine, const Want& want, Way& way) const
     {
-        if (want.rank == Want::Rank::Busy)
+        if (!want.demand.waiting)
             return false;
-        Engine* best = nullptr;
-        base::ModelId victim;
-        std::tuple<int, base::Duration, int64_t> bestKey;
-        for (Engine& engine : m_engines) {
-            if (engine.taken || engine.holds(want.model->id) || !mayLoadFrom(sourceAt(engine, want.model->id)))
+        for (const auto& [model, adapters] : engine.state->loaded) {
+            auto victimClass = evictionClass(engine, model);
+            if (!victimClass || engine.free + memoryOf(model) < want.model->memory.value())
                 continue;
-            for (const auto& [model, adapters] : engine.state->loaded) {
-                auto price = evictionPrice(engine, model, want);
-                if (!price || engine.free + memoryOf(model) < want.model->memory.value())
-                    continue;
-                std::tuple key(*price, loadTime(*want.model, sourceAt(engine, want.model->id)), engine.state->inFlight);
-                if (!best || key < bestKey) {
-                    best = &engine;
-                    victim = model;
-                    bestKey = key;
-                }
-            }
+            base::Instant wanted = lastWanted(model);
+            if (way.victim && std::tuple(way.victimClass, way.victimWanted) <= std::tuple(*victimClass, wanted))
+                continue;
+            way.victim = model;
+            way.victimClass = *victimClass;
+            way.victimWanted = wanted;
         }
-        if (!best)
-            return false;
-        m_result.orders.push_back({ best->state->id, OrderKind::Unload, { victim, AdapterId() }, LoadSource::HostMemory, base::Duration::zero() });
-        best->taken = true;
-        m_evicted[victim] += 1;
-        // The load follows once the engine shows the room; a load from the store keeps its place until then.
-        m_storeLoads += sourceAt(*best, want.model->id) == LoadSource::WeightStore ? 1 : 0;
-        return true;
+        return way.victim.has_value();
     }
 
-    // 0 for a copy that is not needed, 1 for the last copy of a model that was not asked for lately; nothing if it stays.
-    std::optional<int> evictionPrice(const Engine& engine, const base::ModelId& model, const Want& want) const
+    base::Instant lastWanted(const base::ModelId& model) const
+    {
+        auto found = m_planner.m_lastWanted.find({ model, AdapterId() });
+        return found == m_planner.m_lastWanted.end() ? base::Instant() : found->second;
+    }
+
+    // 0 for a copy that is not needed, 1 for the last copy of a model that nobody waits for or uses; nothing if it stays.
+    std::optional<int> evictionClass(const Engine& engine, const base::ModelId& model) const
     {
-        auto evicted = m_evicted.find(model);
-        int64_t copies = copiesOf(model) - (evicted == m_evicted.end() ? 0 : evicted->second);
         if (engine.isUnloading(model))
             return std::nullopt;
+        auto evicted = m_evicted.find(model);
+        int64_t copies = copiesOf(model) - (evicted == m_evicted.end() ? 0 : evicted->second);
         if (!m_traits.findModel(model) || copies > copiesWanted(model))
             return 0;
-        bool idle = !m_demand.contains(model);
-        auto wanted = m_planner.m_lastWanted.find({ model, AdapterId() });
-        if (wanted != m_planner.m_lastWanted.end() && m_input.now - wanted->second < m_settings.idleBeforeEviction)
-            idle = false;
-        if (idle && want.demand.waiting)
-            return 1;
-        return std::nullopt;
+        auto demand = m_demand.find(model);
+        bool used = demand != m_demand.end() && (demand->second.waiting || demand->second.running);
+        if (used || m_input.now - lastWanted(model) < m_settings.idleBeforeEviction)
+            return std::nullopt;
+        return 1;
+    }
+
+    void load(const Way& way, const Want& want)
+    {
+        m_result.orders.push_back({ way.engine->state->id, OrderKind::Load, { want.model->id, AdapterId() }, way.source, loadTime(*want.model, way.source) });
+        m_storeLoads += way.source == LoadSource::WeightStore ? 1 : 0;
+        way.engine->taken = true;
+        way.engine->free -= want.model->memory.value();
+        way.engine->ordered.insert(want.model->id);
     }
 
-    void foresee(const ModelTraits& model, int64_t position)
+    void evict(const Way& way, const Want& want)
     {
-        auto rounds = (position + static_cast<int64_t>(m_settings.storeLoadsAtOnce) - 1) / static_cast<int64_t>(m_settings.storeLoadsAtOnce);
-        m_result.expected.push_back({ { model.id, AdapterId() }, model.loadFromStore * (rounds + 1) });
+        m_result.orders.push_back({ way.engine->state->id, OrderKind::Unload, { *way.victim, AdapterId() }, LoadSource::HostMemory, base::Duration::zero() });
+        way.engine->taken = true;
+        m_evicted[*way.victim] += 1;
+        m_storeLoads += way.source == LoadSource::WeightStore ? 1 : 0;
+        // The room is for this model, and not for what has just been evicted.
+        m_planner.m_reserved[way.engine->state->id] = { want.model->id, m_input.now + m_settings.reservation };
+        way.engine->reserved = want.model->id;
     }
 
     void foreseeRunningLoads()
