--- a/packages/direct/include/toucanstep/direct/Dispatch.h
+++ b/packages/direct/include/toucanstep/direct/Dispatch.h
@@ -18,6 +18,8 @@
     base::FailureDomain domain;
     // Calls with the same text here share a prompt's beginning; empty without one.
     std::string sharedPrompt;
+    // Differs from call to call: among equally busy upstreams each call has its own first choice.
+    std::string spreadBy;
 };
 
 enum class Obstacle {
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -166,6 +166,7 @@
     query.target = m_call.target;
     query.tried = &m_tried;
     query.domain = m_desk.settings().domain;
+    query.spreadBy = m_call.id.value();
     if (!m_call.prompt.empty())
         query.sharedPrompt = m_call.prompt.front().hash;
     DispatchChoice choice = chooseUpstream(m_desk.upstreams(), query, m_desk.now());
--- a/packages/direct/src/Dispatch.cpp
+++ b/packages/direct/src/Dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <vector>
 
 namespace toucanstep::direct {
@@ -18,6 +19,9 @@
 // Calls with the same beginning go to one upstream, which keeps it in its cache, unless another is this much less busy.
 constexpr double sharedPromptWeight = 0.12;
 
+// Several gateways that see the same upstreams idle must not all choose the same one: less than another domain costs.
+constexpr double spreadWeight = 0.03;
+
 bool mayTake(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
 {
     const UpstreamDescription& described = entry.description;
@@ -32,6 +36,11 @@
     return std::hash<std::string> {}(sharedPrompt + '/' + upstream.value());
 }
 
+double spreadOf(const std::string& spreadBy, const base::UpstreamId& upstream)
+{
+    return spreadWeight * static_cast<double>(homeOrder(spreadBy, upstream)) / static_cast<double>(std::numeric_limits<size_t>::max());
+}
+
 double costOf(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
 {
     double cost = static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
@@ -40,7 +49,7 @@
         cost += silentWeight;
     if (entry.description.domain != query.domain)
         cost += otherDomainWeight;
-    return cost;
+    return cost + spreadOf(query.spreadBy, entry.description.id);
 }
 
 } // namespace
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -59,6 +59,21 @@
     STRCMP_EQUAL("two", chosen(asks("m")).c_str());
 }
 
+TEST(Dispatch, CallsThatComeToSeveralGatewaysAtOnceSpreadOverIdleUpstreams)
+{
+    // Callers would queue at one engine while others idle: gateways that have not heard of each other's calls all find the
+    // same engines idle, and each sends its call to the first of the list.
+    for (const char* id : { "one", "two", "three" })
+        table.put(engine(id, "m"), now);
+    std::set<std::string> used;
+    for (int call = 0; call < 30; ++call) {
+        DispatchQuery query = asks("m");
+        query.spreadBy = std::to_string(call);
+        used.insert(chosen(query));
+    }
+    LONGS_EQUAL(3, used.size());
+}
+
 TEST(Dispatch, CallsOfOtherGatewaysCount)
 {
     table.put(engine("one", "m"), now);
