Planner: engines that are busy with unknown orders hold up no model; adapters on their way out; the store's speed is learnt

Ruled out: slots (a third in use). Tests: PlacementPlan and StoreSpeed, the four new ones failed first.

--- a/apps/toucanstepd/DirectMain.cpp
+++ b/apps/toucanstepd/DirectMain.cpp
@@ -77,7 +77,9 @@
     base::Endpoint store = settings->store;
     auto gateway = base::valueOr(error, [&] {
         return direct::DirectGateway::start(settings->gateway, std::make_shared<platform::PlatformFormat>(),
-            [store](io::EventLoop& loop, http1::Client& client) { return platform::makePlatformStore(loop, client, store); });
+            [store](io::EventLoop& loop, http1::Client& client, base::Duration watchPause) {
+                return platform::makePlatformStore(loop, client, store, { .watchPause = watchPause });
+            });
     });
     if (!gateway) {
         base::LogLine("start_failed").add("reason", error.message);
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -33,6 +33,8 @@
     base::Duration plannerLease = std::chrono::milliseconds(1500);
     // Between the orders of two planners. None is needed where engines refuse orders with an older fence.
     base::Duration plannerHandOver {};
+    // A change in the store must be in force here within this time.
+    base::Duration changeBound = std::chrono::seconds(2);
     // From SIGTERM to SIGKILL.
     base::Duration stopGrace = std::chrono::seconds(8);
     // Sends beyond the first of each call, over all gateways and a window: a part of the calls, and a number more.
@@ -40,7 +42,8 @@
     int64_t retrySlack = 50;
 };
 
-using StoreFactory = std::function<std::unique_ptr<base::KeyValueStore>(io::EventLoop&, http1::Client&)>;
+// Makes the store's client. Each answer of a watch is a call that is paid for, so a watch waits `watchPause` before it asks again.
+using StoreFactory = std::function<std::unique_ptr<base::KeyValueStore>(io::EventLoop&, http1::Client&, base::Duration watchPause)>;
 
 class DirectGateway {
 public:
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -30,6 +30,8 @@
     OrderKind kind = OrderKind::Load;
     base::ModelId model;
     LoadSource source = LoadSource::WeightStore;
+    // The time that it takes by the text.
+    base::Duration expected {};
     base::Instant expectedEnd;
 };
 
@@ -48,6 +50,10 @@
     // It will be gone soon: what it holds does not count as held.
     bool leaving = false;
     size_t adaptersInTransit = 0;
+    // Adapters that it was ordered to unload and that calls still use.
+    std::set<ModelTarget> adaptersLeaving;
+    // It carries out an order of the planner before: what it loads is not known, and it may come from the weight store.
+    bool busyUnknown = false;
 };
 
 struct PlacementInput {
@@ -55,6 +61,8 @@
     const EngineTraits* traits = nullptr;
     std::vector<PlannedEngine> engines;
     std::vector<TargetDemand> demand;
+    // Loads from the weight store that may run at once; above that each takes longer in proportion and none ends earlier.
+    size_t storeLoadsAtOnce = 4;
 };
 
 struct PlannedOrder {
@@ -72,9 +80,6 @@
 };
 
 struct PlacementSettings {
-    // Loads from the weight store at once. Above the store's own limit each takes longer in proportion and none ends
-    // earlier; the users' pages give 4 for their stores.
-    size_t storeLoadsAtOnce = 4;
     // Adapters that may be on their way to one engine at once (the engines' page).
     size_t adaptersInTransit = 4;
     // One more copy of a model is wanted for each such part of an engine's slots in use.
@@ -87,6 +92,9 @@
     base::Duration idleBeforeEviction = std::chrono::milliseconds(700);
     // From the order to unload an idle model until the engine has shown that it is gone.
     base::Duration evictionTime = std::chrono::milliseconds(250);
+    // An order that takes longer than expected is expected to take this much more, and a way to load a model that has to
+    // wait for it is taken only if it is sooner all the same.
+    base::Duration overdue = std::chrono::seconds(1);
     // How long room that was made for a model is kept for it.
     base::Duration reservation = std::chrono::seconds(2);
 };
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -23,6 +23,8 @@
 constexpr auto reportLife = std::chrono::milliseconds(1500);
 // A notice of the planner is repeated more often than this.
 constexpr auto noticeLife = std::chrono::milliseconds(2000);
+// Of the time within which a change must be in force: a first call that fails leaves time for a second one.
+constexpr int watchPausePercent = 38;
 // A lease is renewed this many times in its length, so that a lost answer or two do not end it.
 constexpr int renewalsPerLease = 4;
 constexpr auto storeCallTimeout = std::chrono::milliseconds(900);
@@ -147,7 +149,7 @@
     , m_format(std::move(format))
     , m_client(loop)
     , m_storeClient(loop)
-    , m_store(makeStore(loop, m_storeClient))
+    , m_store(makeStore(loop, m_storeClient, m_settings.changeBound * watchPausePercent / 100))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
     , m_duty(dutySettings(m_settings))
@@ -504,6 +506,7 @@
         PlacementInput input;
         input.now = now;
         input.traits = &*service.engine;
+        input.storeLoadsAtOnce = m_orders.storeLoadsAtOnce();
         input.engines = m_orders.engines(m_calls.upstreams(), service.id, now);
         for (const auto& [target, entry] : demand) {
             if (service.engine->findModel(target.model))
--- a/packages/direct/src/OrderDesk.cpp
+++ b/packages/direct/src/OrderDesk.cpp
@@ -11,6 +11,10 @@
 constexpr auto controlTimeout = std::chrono::milliseconds(1000);
 // A report shows the state of a hundred milliseconds ago: one read sooner than this after an order does not show it.
 constexpr auto reportLag = std::chrono::milliseconds(130);
+// From then on a report counts even if it shows fewer orders than were accepted.
+constexpr auto reportSettled = std::chrono::milliseconds(500);
+// Between two reports while an adapter waits for the end of the calls that use it.
+constexpr auto leavingInterval = std::chrono::milliseconds(300);
 // Between two reports while the end of an order is awaited.
 constexpr auto reportInterval = std::chrono::milliseconds(80);
 // An accepted adapter is there after its load time, some ten milliseconds; a call that comes sooner is turned away.
@@ -31,10 +35,17 @@
     // An HTTP call is under way.
     bool calling = false;
     std::optional<RunningOrder> running;
+    base::Instant runningSince;
     // Sent, and its outcome is not known: it is sent again until it is.
     std::optional<PlannedOrder> open;
     std::optional<base::Instant> reportDue;
     std::map<ModelTarget, base::Instant> inTransit;
+    // Adapters whose unload waits for calls that use them.
+    std::set<ModelTarget> leaving;
+    // A report from before this instant may not show the last accepted order.
+    base::Instant reportsCountFrom;
+    // The engine carries out an order that was not given by this holder of the duty.
+    bool busyUnknown = false;
     struct Told {
         bool loaded = false;
         base::Instant keepUntil;
@@ -104,6 +115,8 @@
         state.blocked = engine->blocked();
         state.leaving = entry.description.draining;
         state.adaptersInTransit = engine->inTransit.size();
+        state.adaptersLeaving = engine->leaving;
+        state.busyUnknown = engine->busyUnknown;
         planned.push_back(std::move(state));
     }
     return planned;
@@ -152,22 +165,30 @@
     }
     engine.inHostMemory = report.inHostMemory;
     engine.onDisk = report.onDisk;
-    // An older state than that after the last accepted order says nothing new.
-    if (report.orders < engine.orders || report.busy) {
+    engine.busyUnknown = report.busy && !engine.running;
+    // An older state than that after the last accepted order says nothing new. A count that stays lower means that an
+    // order was accepted without being counted, as a second unload of the same adapter is: then the engine is right.
+    bool old = report.orders < engine.orders && m_loop.now() < engine.reportsCountFrom;
+    if (old || report.busy) {
         base::LogLine("engine_report_early").add("upstream", engine.description.id).add("orders", report.orders).add("expected", engine.orders).add("busy", report.busy ? "yes" : "no");
         engine.reportDue = m_loop.now() + reportInterval;
-        if (engine.known || report.orders < engine.orders)
-            return;
-        // An order of the planner before is still under way; what it loads is not known, so the engine waits for its end.
         return;
     }
     engine.orders = report.orders;
     engine.loaded = report.loaded;
+    std::erase_if(engine.leaving, [&](const ModelTarget& target) {
+        auto model = engine.loaded.find(target.model);
+        return model == engine.loaded.end() || !model->second.contains(target.adapter);
+    });
+    if (!engine.leaving.empty())
+        engine.reportDue = m_loop.now() + leavingInterval;
     for (const auto& pending : report.pending)
         engine.loaded[pending.model].insert(pending.adapter);
     engine.known = true;
     if (engine.running) {
         bool load = engine.running->kind == OrderKind::Load;
+        if (load && engine.running->source == LoadSource::WeightStore)
+            m_storeSpeed.onLoadEnded(engine.running->expected, m_loop.now() - engine.runningSince);
         bool done = engine.loaded.contains(engine.running->model) == load;
         base::LogLine("order_ended").add("upstream", engine.description.id).add("order", load ? "load" : "unload").add("model", engine.running->model).add("done", done ? "yes" : "no");
         if (done && load)
@@ -209,7 +230,10 @@
     if (planned.kind == OrderKind::Unload)
         tell(*engine, planned.target, false);
     if (planned.target.adapter.empty())
-        engine->running = RunningOrder { planned.kind, planned.target.model, planned.source, m_loop.now() + planned.expected };
+    {
+        engine->running = RunningOrder { planned.kind, planned.target.model, planned.source, planned.expected, m_loop.now() + planned.expected };
+        engine->runningSince = m_loop.now();
+    }
     base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("expected_orders", order.expectedOrders).add("fence", m_fence);
     ControlRequest request = m_format.orderRequest(order);
     http1::Peer peer { planned.upstream.value(), engine->description.endpoint };
@@ -269,17 +293,20 @@
 {
     base::Instant now = m_loop.now();
     ++engine->orders;
+    engine->reportsCountFrom = now + reportSettled;
     if (order.target.adapter.empty()) {
         engine->reportDue = now + std::max<base::Duration>(order.expected, reportLag);
         return;
     }
     auto& adapters = engine->loaded[order.target.model];
     if (order.kind == OrderKind::Unload) {
-        // A run may still use it: it counts until a report shows it gone.
-        if (underWay)
+        // A call may still use it: it counts until a report shows it gone.
+        if (underWay) {
+            engine->leaving.insert(order.target);
             engine->reportDue = now + reportLag;
-        else
+        } else {
             adapters.erase(order.target.adapter);
+        }
         return;
     }
     adapters.insert(order.target.adapter);
--- a/packages/direct/src/OrderDesk.h
+++ b/packages/direct/src/OrderDesk.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "toucanstep/direct/PlacementPlan.h"
+#include "toucanstep/direct/StoreSpeed.h"
 #include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
@@ -35,6 +36,7 @@
     void tick(base::Instant now);
     // What gateways have to know before the list shows it.
     std::vector<LoadedNotice> notices() const;
+    size_t storeLoadsAtOnce() const { return m_storeSpeed.loadsAtOnce(); }
 
 private:
     struct Engine;
@@ -55,6 +57,7 @@
     std::function<void()> m_onChange;
     base::Epoch m_fence;
     std::map<base::UpstreamId, EnginePointer> m_engines;
+    StoreSpeed m_storeSpeed;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -51,8 +51,8 @@
         for (const auto& entry : input.demand)
             noteDemand(entry);
         for (const auto& engine : input.engines) {
-            if (engine.running && engine.running->kind == OrderKind::Load && engine.running->source == LoadSource::WeightStore)
-                ++m_storeLoads;
+            bool fromStore = engine.running && engine.running->kind == OrderKind::Load && engine.running->source == LoadSource::WeightStore;
+            m_storeLoads += fromStore || engine.busyUnknown ? 1 : 0;
         }
     }
 
@@ -211,12 +211,14 @@
         // The engine can be given an order at once.
         bool now = false;
 
-        auto key() const { return std::tuple(ready, victimClass, victimWanted, engine->state->inFlight, -engine->free, engine->state->id); }
+        auto key() const { return std::tuple(ready, !now, victimClass, victimWanted, engine->state->inFlight, -engine->free, engine->state->id); }
     };
 
     void placeModels()
     {
-        for (const Want& want : wants())
+        std::vector<Want> list = wants();
+        m_callersWait = std::any_of(list.begin(), list.end(), [](const Want& want) { return want.demand.waiting > 0; });
+        for (const Want& want : list)
             place(want);
         foreseeRunningLoads();
     }
@@ -229,6 +231,7 @@
             if (way && (!best || way->key() < best->key()))
                 best = way;
         }
+        // Of ways that are as soon, one that can be begun goes first: what an engine is doing may take longer.
         if (!best)
             return;
         if (want.demand.waiting && !copiesOf(want.model->id))
@@ -244,7 +247,10 @@
     std::optional<Way> wayAt(Engine& engine, const Want& want) const
     {
         const base::ModelId& model = want.model->id;
-        if (engine.holds(model) || engine.state->leaving || engine.reservedFor(model))
+        if (engine.holds(model) || engine.isLoading(model) || engine.state->leaving || engine.reservedFor(model))
+            return std::nullopt;
+        // Nothing is known of what it is doing, nor of the memory that this takes.
+        if (engine.state->blocked && !engine.state->running)
             return std::nullopt;
         Way way { &engine, sourceAt(engine, model) };
         way.now = !engine.taken;
@@ -252,7 +258,7 @@
             return std::nullopt;
         way.ready = loadTime(*want.model, way.source);
         if (engine.state->running)
-            way.ready += base::remaining(m_input.now, engine.state->running->expectedEnd);
+            way.ready += std::max<base::Duration>(base::remaining(m_input.now, engine.state->running->expectedEnd), m_settings.overdue);
         if (engine.free >= want.model->memory.value())
             return way;
         if (!chooseVictim(engine, want, way))
@@ -267,7 +273,10 @@
     {
         if (want.rank == Want::Rank::Absent && hasLocalCopy(want.model->id))
             return false;
-        way.now = way.now && m_storeLoads < m_settings.storeLoadsAtOnce;
+        // While callers wait, what nobody waits for leaves the store to them.
+        if (!want.demand.waiting && m_callersWait)
+            return false;
+        way.now = way.now && m_storeLoads < m_input.storeLoadsAtOnce;
         return true;
     }
 
@@ -389,6 +398,9 @@
         if (!best || heldWithRoom)
             return;
         ++begun[best->id];
+        // Room is on its way.
+        if (!best->adaptersLeaving.empty() && adaptersAt(*best) >= m_traits.adapterCapacity)
+            return;
         if (adaptersAt(*best) < m_traits.adapterCapacity) {
             m_result.orders.push_back({ best->id, OrderKind::Load, target, LoadSource::WeightStore, base::Duration::zero() });
             return;
@@ -404,6 +416,8 @@
         for (const auto& [model, adapters] : engine.loaded) {
             for (const auto& adapter : adapters) {
                 ModelTarget target { model, adapter };
+                if (engine.adaptersLeaving.contains(target))
+                    continue;
                 auto demand = m_targets.find(target);
                 if (demand != m_targets.end() && (demand->second.waiting || demand->second.running))
                     continue;
@@ -427,6 +441,8 @@
     std::map<ModelTarget, TargetDemand> m_targets;
     std::map<base::ModelId, int64_t> m_evicted;
     size_t m_storeLoads = 0;
+    // Some caller waits for another copy of a model.
+    bool m_callersWait = false;
     Placement m_result;
 };
 
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -1,4 +1,5 @@
 #include "toucanstep/direct/PlacementPlan.h"
+#include "toucanstep/direct/StoreSpeed.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -154,7 +155,7 @@
     wait(model("n"));
     LONGS_EQUAL(1, orders().size());
     // What is being loaded has its memory already.
-    input.engines[0].running = RunningOrder { OrderKind::Load, base::ModelId("m"), LoadSource::WeightStore, start + std::chrono::seconds(6) };
+    input.engines[0].running = RunningOrder { OrderKind::Load, base::ModelId("m"), LoadSource::WeightStore, std::chrono::seconds(6), start + std::chrono::seconds(6) };
     expectOrders({});
     input.engines[0].running.reset();
     input.engines[0].loaded[base::ModelId("m")];
@@ -228,3 +229,60 @@
     wait(model("m"), 0, 1);
     expectOrders({ "load m at two" });
 }
+
+TEST(PlacementPlan, AnEngineThatIsBusyWithAnUnknownOrderHoldsUpNoModel)
+{
+    // Callers of a busy model would be turned away for as long as an engine loads: after a change of planners its order is
+    // not known, and its free memory made it the best place for the copy that others could have loaded at once.
+    addModel("m");
+    addModel("idle");
+    addModel("old");
+    addEngine("one", { "m" }).inFlight = 8;
+    PlannedEngine& unknown = addEngine("unknown", {});
+    unknown.blocked = true;
+    unknown.busyUnknown = true;
+    addEngine("full", { "idle", "old" });
+    wait(model("m"), 5, 8);
+    auto given = orders();
+    LONGS_EQUAL(1, given.size());
+    CHECK_TRUE(given[0].ends_with("at full"));
+}
+
+TEST(PlacementPlan, WhileCallersWaitTheStoreIsLeftToThem)
+{
+    addModel("wanted");
+    addModel("absent");
+    addEngine("one", {});
+    addEngine("two", {});
+    wait(model("wanted"));
+    LONGS_EQUAL(1, orders().size());
+}
+
+TEST(PlacementPlan, AnAdapterThatIsOnItsWayOutIsNotUnloadedAgain)
+{
+    // An engine was ordered eight times to unload one adapter that a call still used, and the count of its orders was lost.
+    addModel("m", 50, 8);
+    PlannedEngine& engine = addEngine("holder", { "m" });
+    engine.loaded[base::ModelId("m")] = { AdapterId("a1"), AdapterId("a2") };
+    engine.adaptersLeaving = { model("m", "a2") };
+    wait(model("m", "a1"), 0, 1);
+    wait(model("m", "a3"));
+    expectOrders({});
+}
+
+TEST_GROUP(StoreSpeed) {};
+
+TEST(StoreSpeed, LoadsThatTakeTwiceAsLongLowerTheNumberAtOnce)
+{
+    // Callers wait for the sum of all loads: above the store's limit more loads at once only end later.
+    StoreSpeed speed;
+    size_t first = speed.loadsAtOnce();
+    speed.onLoadEnded(std::chrono::seconds(6), std::chrono::seconds(12));
+    CHECK_TRUE(speed.loadsAtOnce() < first);
+    for (int load = 0; load < 20; ++load)
+        speed.onLoadEnded(std::chrono::seconds(6), std::chrono::seconds(12));
+    LONGS_EQUAL(2, speed.loadsAtOnce());
+    for (int load = 0; load < 12; ++load)
+        speed.onLoadEnded(std::chrono::seconds(6), std::chrono::milliseconds(6200));
+    LONGS_EQUAL(4, speed.loadsAtOnce());
+}
