--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -9,11 +9,13 @@
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/io/EventLoop.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace toucanstep::direct {
 
@@ -26,6 +28,16 @@
     virtual void onDirectoryUpdated() { }
 };
 
+// What a gateway gives a peer that cannot reach the store: all keys, or what has changed since the peer's revision.
+struct DirectoryCopy {
+    // Zero for a whole copy.
+    base::Revision since;
+    base::Revision revision;
+    std::vector<base::KeyValue> entries;
+    // Of a copy that is not whole: keys that went since.
+    std::vector<std::string> removed;
+};
+
 struct DirectorySettings {
     // Keys with this prefix that vanish right after an outage of the store may have lapsed only because of it.
     std::string lapsingPrefix;
@@ -49,8 +61,10 @@
     // When the store last answered; nothing before its first answer.
     std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
     bool known() const { return m_known; }
-    // Takes a peer's copy if it is newer than this one. Returns whether it was.
-    bool adopt(const base::RangeReply&);
+    // What has changed since that revision; all of it where that is not known any more.
+    DirectoryCopy copySince(base::Revision) const;
+    // Takes a peer's copy if it is newer than this one and fits to it. Returns whether it did.
+    bool adopt(const DirectoryCopy&);
 
 private:
     class Watcher;
@@ -60,7 +74,8 @@
     void onEvents(std::vector<base::WatchEvent>, base::Revision);
     void onWatchEnd(const base::Error&);
     void put(const base::KeyValue&);
-    void remove(const std::string& key);
+    void remove(const std::string& key, base::Revision);
+    void forget(const std::string& key, base::Revision);
     void noteAnswer();
     void retryLater();
     void scheduleLapse();
@@ -70,6 +85,9 @@
     DirectorySettings m_settings;
     DirectoryListener& m_listener;
     std::map<std::string, base::KeyValue> m_entries;
+    // Keys that went, the latest last, and the revision from which on all of them are listed here.
+    std::deque<std::pair<base::Revision, std::string>> m_removals;
+    base::Revision m_removalsFrom;
     // Keys that are missing in the store and kept for a moment, with the instant at which they go.
     std::map<std::string, base::Instant> m_lapsing;
     base::Revision m_revision;
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -6,6 +6,13 @@
 
 namespace toucanstep::direct {
 
+namespace {
+
+// Enough for the comings and goings of a few hundred upstreams and gateways in an outage.
+constexpr size_t keptRemovals = 2000;
+
+} // namespace
+
 class Directory::Watcher final : public base::WatchListener {
 public:
     explicit Watcher(Directory* directory)
@@ -73,11 +80,34 @@
     m_listener.onDirectoryUpdated();
 }
 
-bool Directory::adopt(const base::RangeReply& copy)
+DirectoryCopy Directory::copySince(base::Revision since) const
+{
+    bool whole = !since.value() || since < m_removalsFrom;
+    DirectoryCopy copy { whole ? base::Revision() : since, m_revision, {}, {} };
+    for (const auto& [key, entry] : m_entries) {
+        if (whole || entry.modified > since)
+            copy.entries.push_back(entry);
+    }
+    for (const auto& [revision, key] : m_removals) {
+        if (!whole && revision > since && !m_entries.contains(key))
+            copy.removed.push_back(key);
+    }
+    return copy;
+}
+
+bool Directory::adopt(const DirectoryCopy& copy)
 {
-    if (copy.revision <= m_revision)
+    if (copy.revision <= m_revision || copy.since > m_revision)
         return false;
-    replaceAll(copy);
+    if (copy.since.value()) {
+        for (const auto& entry : copy.entries)
+            put(entry);
+        for (const auto& key : copy.removed)
+            remove(key, copy.revision);
+        m_revision = copy.revision;
+    } else {
+        replaceAll({ copy.entries, copy.revision });
+    }
     // The watch goes on from the newer revision once the store answers again.
     m_watch.reset();
     if (m_watcher)
@@ -109,7 +139,9 @@
             missing.push_back(key);
     }
     for (const auto& key : missing)
-        remove(key);
+        remove(key, reply.revision);
+    if (!m_known)
+        m_removalsFrom = reply.revision;
     m_revision = reply.revision;
     m_known = true;
 }
@@ -117,11 +149,16 @@
 void Directory::onEvents(std::vector<base::WatchEvent> events, base::Revision revision)
 {
     noteAnswer();
-    for (const auto& event : events) {
-        if (event.entry.modified <= m_revision)
+    // Of several changes of one key only the last counts: reading a desired state takes milliseconds of a slow core.
+    std::map<std::string, size_t> last;
+    for (size_t index = 0; index < events.size(); ++index)
+        last[events[index].entry.key] = index;
+    for (size_t index = 0; index < events.size(); ++index) {
+        const auto& event = events[index];
+        if (event.entry.modified <= m_revision || last[event.entry.key] != index)
             continue;
         if (event.deleted)
-            remove(event.entry.key);
+            remove(event.entry.key, event.entry.modified);
         else
             put(event.entry);
     }
@@ -161,7 +198,18 @@
     m_listener.onEntry(entry);
 }
 
-void Directory::remove(const std::string& key)
+void Directory::forget(const std::string& key, base::Revision revision)
+{
+    m_entries.erase(key);
+    m_removals.emplace_back(revision, key);
+    if (m_removals.size() > keptRemovals) {
+        m_removalsFrom = m_removals.front().first;
+        m_removals.pop_front();
+    }
+    m_listener.onRemoved(key);
+}
+
+void Directory::remove(const std::string& key, base::Revision revision)
 {
     if (!m_entries.contains(key) || m_lapsing.contains(key))
         return;
@@ -170,8 +218,7 @@
         scheduleLapse();
         return;
     }
-    m_entries.erase(key);
-    m_listener.onRemoved(key);
+    forget(key, revision);
 }
 
 void Directory::scheduleLapse()
@@ -180,10 +227,8 @@
     m_lapseTimer = m_loop.at(m_lapseUntil, [this] {
         auto lapsing = std::move(m_lapsing);
         m_lapsing.clear();
-        for (const auto& [key, until] : lapsing) {
-            m_entries.erase(key);
-            m_listener.onRemoved(key);
-        }
+        for (const auto& [key, until] : lapsing)
+            forget(key, m_revision);
     });
 }
 
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -39,7 +39,8 @@
 
 constexpr std::string_view memberPrefix = "toucanstep/gateways/";
 constexpr std::string_view plannerKey = "toucanstep/planner";
-constexpr std::string_view copyTarget = "/fleet/directory";
+// The revision that the asking gateway has follows.
+constexpr std::string_view copyTarget = "/fleet/directory?since=";
 constexpr std::string_view metricsTarget = "/metrics";
 constexpr std::string_view statusTarget = "/status";
 
@@ -52,29 +53,31 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-std::string encodeCopy(const Directory& directory)
+std::string encodeCopy(const DirectoryCopy& copy)
 {
     Json entries = Json::array();
-    for (const auto& [key, entry] : directory.entries())
-        entries.push_back({ key, Json::binary(std::vector<uint8_t>(entry.value.begin(), entry.value.end())), entry.created.value(), entry.modified.value() });
+    for (const auto& entry : copy.entries)
+        entries.push_back({ entry.key, Json::binary(std::vector<uint8_t>(entry.value.begin(), entry.value.end())), entry.created.value(), entry.modified.value() });
     std::string bytes;
-    Json::to_msgpack(Json::array({ directory.revision().value(), entries }), bytes);
+    Json::to_msgpack(Json::array({ copy.since.value(), copy.revision.value(), entries, copy.removed }), bytes);
     return bytes;
 }
 
-std::optional<base::RangeReply> decodeCopy(std::string_view bytes)
+std::optional<DirectoryCopy> decodeCopy(std::string_view bytes)
 {
     Json value = base::parseMessagePack(bytes, copyDepth);
     if (value.is_discarded())
         return std::nullopt;
     try {
-        base::RangeReply reply;
-        reply.revision = base::Revision(value.at(0).get<int64_t>());
-        for (const Json& entry : value.at(1)) {
+        DirectoryCopy copy;
+        copy.since = base::Revision(value.at(0).get<int64_t>());
+        copy.revision = base::Revision(value.at(1).get<int64_t>());
+        copy.removed = value.at(3).get<std::vector<std::string>>();
+        for (const Json& entry : value.at(2)) {
             const auto& binary = entry.at(1).get_binary();
-            reply.entries.push_back({ entry.at(0).get<std::string>(), std::string(binary.begin(), binary.end()), base::Revision(entry.at(2).get<int64_t>()), base::Revision(entry.at(3).get<int64_t>()) });
+            copy.entries.push_back({ entry.at(0).get<std::string>(), std::string(binary.begin(), binary.end()), base::Revision(entry.at(2).get<int64_t>()), base::Revision(entry.at(3).get<int64_t>()) });
         }
-        return reply;
+        return copy;
     } catch (const std::exception&) {
         return std::nullopt;
     }
@@ -127,8 +130,9 @@
         if (target == m_core.m_format->readinessTarget()) {
             head.status = m_core.ready() ? ok : unavailable;
             exchange->answer(std::move(head), m_core.ready() ? "ready\n" : "not ready\n");
-        } else if (target == copyTarget) {
-            exchange->answer(std::move(head), encodeCopy(m_core.m_directory));
+        } else if (target.starts_with(copyTarget)) {
+            auto since = http1::parseNumber(std::string_view(target).substr(copyTarget.size()));
+            exchange->answer(std::move(head), encodeCopy(m_core.m_directory.copySince(base::Revision(since.value_or(0)))));
         } else if (target == metricsTarget) {
             exchange->answer(std::move(head), m_core.m_metrics.render());
         } else if (target == statusTarget) {
@@ -362,7 +366,7 @@
             continue;
         m_catchingUp = true;
         m_nextCatchUp = now + catchUpInterval;
-        http1::fetch(m_loop, m_client, { id.value(), endpoint->second }, "GET", copyTarget, {}, "", now + storeCallTimeout, [this, id = id](base::Outcome<http1::FetchedAnswer> outcome) {
+        http1::fetch(m_loop, m_client, { id.value(), endpoint->second }, "GET", base::concat(copyTarget, m_directory.revision()), {}, "", now + storeCallTimeout, [this, id = id](base::Outcome<http1::FetchedAnswer> outcome) {
             m_catchingUp = false;
             const auto* answer = std::get_if<http1::FetchedAnswer>(&outcome);
             auto copy = answer ? decodeCopy(answer->body) : std::nullopt;
