--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -69,13 +69,14 @@
 private:
     class Watcher;
     void readAll();
+    void startWatch();
     void onAll(base::Outcome<base::RangeReply>);
     void replaceAll(const base::RangeReply&);
     void onEvents(std::vector<base::WatchEvent>, base::Revision);
     void onWatchEnd(const base::Error&);
     void put(const base::KeyValue&);
     void remove(const std::string& key, base::Revision);
-    void forget(const std::string& key, base::Revision);
+    void forget(const std::string& key);
     void noteAnswer();
     void retryLater();
     void scheduleLapse();
@@ -92,6 +93,8 @@
     std::map<std::string, base::Instant> m_lapsing;
     base::Revision m_revision;
     bool m_known = false;
+    // A peer's copy was taken since the last read of all keys.
+    bool m_adopted = false;
     std::optional<base::Instant> m_lastAnswer;
     // Removals before this instant may be due to an outage that has just ended.
     base::Instant m_lapseUntil;
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -75,9 +75,17 @@
     }
     noteAnswer();
     replaceAll(std::get<base::RangeReply>(outcome));
+    startWatch();
+    m_listener.onDirectoryUpdated();
+}
+
+void Directory::startWatch()
+{
+    m_watch.reset();
+    if (m_watcher)
+        m_watcher->detach();
     m_watcher = std::make_shared<Watcher>(this);
     m_watch = m_store.watch("", m_revision, m_watcher);
-    m_listener.onDirectoryUpdated();
 }
 
 DirectoryCopy Directory::copySince(base::Revision since) const
@@ -85,11 +93,12 @@
     bool whole = !since.value() || since < m_removalsFrom;
     DirectoryCopy copy { whole ? base::Revision() : since, m_revision, {}, {} };
     for (const auto& [key, entry] : m_entries) {
-        if (whole || entry.modified > since)
+        // What is only kept for a moment is missing in the store: the peer decides for itself how long it keeps it.
+        if (!m_lapsing.contains(key) && (whole || entry.modified > since))
             copy.entries.push_back(entry);
     }
     for (const auto& [revision, key] : m_removals) {
-        if (!whole && revision > since && !m_entries.contains(key))
+        if (!whole && revision > since && (!m_entries.contains(key) || m_lapsing.contains(key)))
             copy.removed.push_back(key);
     }
     return copy;
@@ -108,13 +117,8 @@
     } else {
         replaceAll({ copy.entries, copy.revision });
     }
-    // The watch goes on from the newer revision once the store answers again.
-    m_watch.reset();
-    if (m_watcher)
-        m_watcher->detach();
-    m_watcher.reset();
-    ++*m_generation;
-    retryLater();
+    // The watch goes on as it was: begun anew with each copy, it would never get to ask the store.
+    m_adopted = true;
     m_listener.onDirectoryUpdated();
     return true;
 }
@@ -164,6 +168,9 @@
     }
     m_revision = std::max(m_revision, revision);
     m_listener.onDirectoryUpdated();
+    // The store is back: what peers gave is checked once against all that it holds.
+    if (std::exchange(m_adopted, false))
+        retryLater();
 }
 
 void Directory::onWatchEnd(const base::Error& error)
@@ -198,14 +205,9 @@
     m_listener.onEntry(entry);
 }
 
-void Directory::forget(const std::string& key, base::Revision revision)
+void Directory::forget(const std::string& key)
 {
     m_entries.erase(key);
-    m_removals.emplace_back(revision, key);
-    if (m_removals.size() > keptRemovals) {
-        m_removalsFrom = m_removals.front().first;
-        m_removals.pop_front();
-    }
     m_listener.onRemoved(key);
 }
 
@@ -213,12 +215,17 @@
 {
     if (!m_entries.contains(key) || m_lapsing.contains(key))
         return;
+    m_removals.emplace_back(revision, key);
+    if (m_removals.size() > keptRemovals) {
+        m_removalsFrom = m_removals.front().first;
+        m_removals.pop_front();
+    }
     if (m_loop.now() < m_lapseUntil && key.starts_with(m_settings.lapsingPrefix)) {
         m_lapsing.emplace(key, m_lapseUntil);
         scheduleLapse();
         return;
     }
-    forget(key, revision);
+    forget(key);
 }
 
 void Directory::scheduleLapse()
@@ -228,7 +235,7 @@
         auto lapsing = std::move(m_lapsing);
         m_lapsing.clear();
         for (const auto& [key, until] : lapsing)
-            forget(key, m_revision);
+            forget(key);
     });
 }
 
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -29,8 +29,10 @@
 constexpr int renewalsPerLease = 4;
 constexpr auto storeCallTimeout = std::chrono::milliseconds(900);
 constexpr auto dutyRetry = std::chrono::milliseconds(500);
-// Without an answer of the store for this long a peer that reads it is asked for its copy.
+// Without an answer of the store for this long beyond a watch's pause, a peer that reads it is asked for its copy.
 constexpr auto storeSilence = std::chrono::milliseconds(900);
+// And for this long it counts as having been away, so that what lapsed meanwhile gets a moment to come back.
+constexpr auto storeOutage = std::chrono::milliseconds(1500);
 constexpr auto catchUpInterval = std::chrono::milliseconds(400);
 // After SIGTERM the balancer needs two missed questions, a second apart, before it sends no new connections.
 constexpr auto balancerNotices = std::chrono::milliseconds(2600);
@@ -104,9 +106,15 @@
     return duty;
 }
 
-DirectorySettings directorySettings(const WireFormat& format)
+base::Duration watchPause(const DirectGatewaySettings& settings)
+{
+    return settings.changeBound * watchPausePercent / 100;
+}
+
+DirectorySettings directorySettings(const DirectGatewaySettings& settings, const WireFormat& format)
 {
     DirectorySettings directory;
+    directory.outageAfter = watchPause(settings) + storeOutage;
     directory.lapsingPrefix = format.upstreamPrefix();
     return directory;
 }
@@ -153,12 +161,12 @@
     , m_format(std::move(format))
     , m_client(loop)
     , m_storeClient(loop)
-    , m_store(makeStore(loop, m_storeClient, m_settings.changeBound * watchPausePercent / 100))
+    , m_store(makeStore(loop, m_storeClient, watchPause(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
     , m_duty(dutySettings(m_settings))
     , m_planner(PlacementSettings {})
-    , m_directory(loop, *m_store, directorySettings(*m_format), *this)
+    , m_directory(loop, *m_store, directorySettings(m_settings, *m_format), *this)
     , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
     , m_incarnation(wallMilliseconds())
 {
@@ -357,7 +365,7 @@
 void GatewayCore::catchUpFromPeer()
 {
     base::Instant now = m_loop.now();
-    bool heardStore = m_directory.lastAnswer() && now - *m_directory.lastAnswer() < storeSilence;
+    bool heardStore = m_directory.lastAnswer() && now - *m_directory.lastAnswer() < watchPause(m_settings) + storeSilence;
     if (heardStore || m_catchingUp || now < m_nextCatchUp)
         return;
     for (const auto& [id, state] : m_peers) {
--- a/packages/direct/test/DirectoryTest.cpp
+++ b/packages/direct/test/DirectoryTest.cpp
@@ -162,12 +162,15 @@
 
 TEST(Directory, APeersNewerCopyIsTakenAndAnOlderOneIsNot)
 {
+    // The watch stays as it is: begun anew with each peer's copy, it waited its pause again each time and never asked the
+    // store, and every gateway took copies from the others all day.
     answer({ entry("a", 3) }, 7);
     onLoop([this] {
         CHECK_FALSE(directory->adopt({ Revision(), Revision(7), { entry("x", 6) }, {} }));
         CHECK_TRUE(directory->adopt({ Revision(), Revision(9), { entry("b", 9) }, {} }));
     });
     CHECK_TRUE(keys.present == std::set<std::string> { "b" });
+    LONGS_EQUAL(7, store.watchedFrom.value());
 }
 
 TEST(Directory, ACopyOfWhatChangedHasNoMore)
@@ -182,6 +185,32 @@
     LONGS_EQUAL(0, directory->copySince(Revision(6)).since.value());
 }
 
+TEST(Directory, WhatIsKeptForAMomentIsNotGivenToPeers)
+{
+    // A gateway would send calls to an engine that had left until its own end: its peer kept the entry for a moment after
+    // an outage, gave it a copy without the removal, and its watch went on behind that.
+    answer({ entry("servers/a", 3), entry("servers/b", 4) }, 7);
+    pass(std::chrono::seconds(5));
+    events({ removal("servers/a", 8) }, 9);
+    CHECK_TRUE(keys.present.contains("servers/a"));
+    CHECK_TRUE(directory->copySince(Revision(7)).removed == std::vector<std::string> { "servers/a" });
+    LONGS_EQUAL(1, directory->copySince(Revision()).entries.size());
+    pass(std::chrono::seconds(3));
+    CHECK_TRUE(directory->copySince(Revision(7)).removed == std::vector<std::string> { "servers/a" });
+}
+
+TEST(Directory, WhatPeersGaveIsCheckedOnceTheStoreIsBack)
+{
+    answer({ entry("a", 3) }, 7);
+    onLoop([this] { directory->adopt({ Revision(6), Revision(9), { entry("b", 9) }, {} }); });
+    store.listing = nullptr;
+    events({}, 9);
+    pass(std::chrono::seconds(1));
+    CHECK_TRUE(store.listing != nullptr);
+    answer({ entry("b", 9) }, 10);
+    CHECK_TRUE(keys.present == std::set<std::string> { "b" });
+}
+
 TEST(Directory, ACopyOfChangesFromAheadIsNotTaken)
 {
     answer({ entry("a", 3) }, 7);
