--- a/packages/cli/test/PublishCommandTest.cpp
+++ b/packages/cli/test/PublishCommandTest.cpp
@@ -5,8 +5,8 @@
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/cli/Command.h"
 #include "toucanstep/fakes/FakeKeyValueService.h"
-#include "toucanstep/node/Keys.h"
 #include "toucanstep/formats/EtcdStore.h"
+#include "toucanstep/node/Keys.h"
 
 #include <thread>
 
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -163,7 +163,8 @@
     , m_storeClient(loop)
     , m_store(makeStore(loop, m_storeClient, watchPause(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
-    , m_orders(loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
+    , m_orders(
+          loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
     , m_duty(dutySettings(m_settings))
     , m_planner(PlacementSettings {})
     , m_directory(loop, *m_store, directorySettings(m_settings, *m_format), *this)
--- a/packages/direct/src/OrderDesk.cpp
+++ b/packages/direct/src/OrderDesk.cpp
@@ -229,8 +229,7 @@
     // Calls stop going to what is taken away before the engine would turn them down.
     if (planned.kind == OrderKind::Unload)
         tell(*engine, planned.target, false);
-    if (planned.target.adapter.empty())
-    {
+    if (planned.target.adapter.empty()) {
         engine->running = RunningOrder { planned.kind, planned.target.model, planned.source, planned.expected, m_loop.now() + planned.expected };
         engine->runningSince = m_loop.now();
     }
@@ -329,15 +328,16 @@
 {
     std::vector<LoadedNotice> list;
     base::Instant now = m_loop.now();
-    for (const auto& [id, engine] : m_engines) {
-        std::erase_if(engine->told, [&](const auto& entry) {
+    for (const auto& [id, pointer] : m_engines) {
+        Engine& engine = *pointer;
+        std::erase_if(engine.told, [&engine, now](const auto& entry) {
             const auto& [target, told] = entry;
-            auto model = engine->description.loaded.find(target.model);
-            bool listed = model != engine->description.loaded.end() && (target.adapter.empty() || model->second.contains(target.adapter));
+            auto model = engine.description.loaded.find(target.model);
+            bool listed = model != engine.description.loaded.end() && (target.adapter.empty() || model->second.contains(target.adapter));
             return listed == told.loaded && now >= told.keepUntil;
         });
-        for (const auto& [target, told] : engine->told)
-            list.push_back({ id, engine->description.start, target, told.loaded });
+        for (const auto& [target, told] : engine.told)
+            list.push_back({ id, engine.description.start, target, told.loaded });
     }
     return list;
 }
--- a/packages/fleet/include/toucanstep/fleet/EmbeddedFleet.h
+++ b/packages/fleet/include/toucanstep/fleet/EmbeddedFleet.h
@@ -12,8 +12,8 @@
 #include "toucanstep/fakes/FakeKeyValueService.h"
 #include "toucanstep/fakes/FakeService.h"
 #include "toucanstep/fakes/FakeWeightStore.h"
-#include "toucanstep/gateway/Gateway.h"
 #include "toucanstep/formats/HttpClient.h"
+#include "toucanstep/gateway/Gateway.h"
 #include "toucanstep/sidecar/Sidecar.h"
 
 #include <memory>
--- a/packages/formats/test/EngineClientTest.cpp
+++ b/packages/formats/test/EngineClientTest.cpp
@@ -1,9 +1,9 @@
 #include "toucanstep/formats/EngineClient.h"
 #include "ServerSentEvents.h"
-#include "toucanstep/testing/Waiting.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/fakes/FakeEngine.h"
 #include "toucanstep/testing/Property.h"
+#include "toucanstep/testing/Waiting.h"
 
 #include <nlohmann/json.hpp>
 #include <thread>
--- a/packages/formats/test/EtcdStoreTest.cpp
+++ b/packages/formats/test/EtcdStoreTest.cpp
@@ -1,8 +1,8 @@
 #include "toucanstep/formats/EtcdStore.h"
-#include "toucanstep/testing/Waiting.h"
 #include "toucanstep/fakes/FakeKeyValueService.h"
 #include "toucanstep/formats/Base64.h"
 #include "toucanstep/testing/Property.h"
+#include "toucanstep/testing/Waiting.h"
 
 #include <thread>
 
--- a/packages/formats/test/HttpTest.cpp
+++ b/packages/formats/test/HttpTest.cpp
@@ -1,7 +1,7 @@
-#include "toucanstep/testing/Waiting.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/formats/HttpClient.h"
 #include "toucanstep/testing/Property.h"
+#include "toucanstep/testing/Waiting.h"
 
 #include <arpa/inet.h>
 #include <atomic>
--- a/packages/formats/test/InstanceListTest.cpp
+++ b/packages/formats/test/InstanceListTest.cpp
@@ -1,6 +1,6 @@
 #include "toucanstep/formats/InstanceList.h"
-#include "toucanstep/testing/Waiting.h"
 #include "toucanstep/fakes/FakeInstanceList.h"
+#include "toucanstep/testing/Waiting.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/packages/gateway/include/toucanstep/gateway/CallerRequest.h
+++ b/packages/gateway/include/toucanstep/gateway/CallerRequest.h
@@ -6,8 +6,8 @@
 
 #include "toucanstep/base/Refusal.h"
 #include "toucanstep/config/Configuration.h"
-#include "toucanstep/peers/Messages.h"
 #include "toucanstep/formats/HttpServer.h"
+#include "toucanstep/peers/Messages.h"
 
 #include <string>
 #include <variant>
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -244,7 +244,6 @@
         return 0;
     }
 
-
     http_parser parser {};
     ResponseListener* listener;
     HeadCollector head;
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -1,6 +1,6 @@
+#include "toucanstep/http1/Client.h"
 #include "RawServer.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/http1/Client.h"
 #include "toucanstep/testing/Waiting.h"
 
 #include <CppUTest/TestHarness.h>
--- a/packages/node/include/toucanstep/node/Node.h
+++ b/packages/node/include/toucanstep/node/Node.h
@@ -17,14 +17,14 @@
 #include "toucanstep/base/Result.h"
 #include "toucanstep/config/Configuration.h"
 #include "toucanstep/config/Settings.h"
+#include "toucanstep/formats/HttpClient.h"
+#include "toucanstep/formats/HttpServer.h"
+#include "toucanstep/formats/InstanceList.h"
+#include "toucanstep/io/EventLoop.h"
 #include "toucanstep/node/InstanceTable.h"
 #include "toucanstep/node/Snapshot.h"
-#include "toucanstep/io/EventLoop.h"
 #include "toucanstep/peers/PeerClient.h"
 #include "toucanstep/peers/PeerServer.h"
-#include "toucanstep/formats/HttpClient.h"
-#include "toucanstep/formats/HttpServer.h"
-#include "toucanstep/formats/InstanceList.h"
 
 #include <atomic>
 #include <functional>
--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -6,12 +6,12 @@
 #include "toucanstep/base/Text.h"
 #include "toucanstep/config/InForce.h"
 #include "toucanstep/config/TextHistory.h"
+#include "toucanstep/formats/EtcdStore.h"
+#include "toucanstep/formats/InstanceList.h"
 #include "toucanstep/node/HistoryFile.h"
 #include "toucanstep/node/Keys.h"
 #include "toucanstep/peers/Codec.h"
 #include "toucanstep/peers/SingleReply.h"
-#include "toucanstep/formats/EtcdStore.h"
-#include "toucanstep/formats/InstanceList.h"
 
 #include <absl/hash/hash.h>
 #include <algorithm>
--- a/packages/sidecar/src/ServiceCalls.h
+++ b/packages/sidecar/src/ServiceCalls.h
@@ -6,9 +6,9 @@
 
 #include "toucanstep/calls/CallExecutor.h"
 #include "toucanstep/calls/GroupCommit.h"
+#include "toucanstep/formats/HttpClient.h"
 #include "toucanstep/node/Node.h"
 #include "toucanstep/peers/Messages.h"
-#include "toucanstep/formats/HttpClient.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <functional>
