A fetch that outlives its client calls nobody

Found by the address sanitizer in the whole-path tests, one run in three: a gateway was gone when the answer to its last call to the store came. Test Client, AFetchThatOutlivesItsClientCallsNobody; the whole-path tests six times clean with it.

--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -92,6 +92,8 @@
     // Closes what has been idle for too long; to be called about once a second.
     void sweep();
     const ClientCounters& counters() const;
+    // Expires with the client.
+    std::weak_ptr<const void> lifetime() const;
 
 private:
     class Pool;
@@ -110,7 +112,7 @@
 
 // Sends a request and collects its whole answer. The error is Unavailable where nothing was sent, Timeout where it may have
 // arrived and no answer came by the deadline or the connection broke, and Malformed where the answer cannot be read.
-// The callback comes once, from the loop, and never from within this call.
+// The callback comes once, from the loop, and never from within this call; it does not come once the client is gone.
 void fetch(io::EventLoop&, Client&, const Peer&, std::string_view method, std::string_view target, const HeaderList&, std::string_view body, base::Instant deadline, FetchCallback);
 
 } // namespace toucanstep::http1
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -293,6 +293,8 @@
 
 const ClientCounters& Client::counters() const { return m_pool->counters(); }
 
+std::weak_ptr<const void> Client::lifetime() const { return m_pool; }
+
 namespace {
 
 // Owns itself until its callback has been called.
@@ -307,6 +309,7 @@
     void start(Client& client, const Peer& peer, OutgoingRequest request, base::Instant deadline)
     {
         m_self = shared_from_this();
+        m_client = client.lifetime();
         m_exchange = client.send(peer, std::move(request), this);
         m_timer = m_loop.at(deadline, [this] { finish(base::Error { base::ErrorKind::Timeout, "no answer in time" }); });
     }
@@ -339,12 +342,15 @@
         auto self = std::move(m_self);
         m_loop.cancel(m_timer);
         m_exchange.reset();
-        m_callback(std::move(outcome));
+        // Whoever fetched ends with the client, and must not be called any more.
+        if (!m_client.expired())
+            m_callback(std::move(outcome));
     }
 
     io::EventLoop& m_loop;
     FetchCallback m_callback;
     std::shared_ptr<Fetch> m_self;
+    std::weak_ptr<const void> m_client;
     std::unique_ptr<Exchange> m_exchange;
     io::EventLoop::TimerId m_timer = 0;
     FetchedAnswer m_answer;
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -200,3 +200,18 @@
     CHECK_TRUE(kindOf(server.endpoint()) == base::ErrorKind::Timeout);
     CHECK_TRUE(kindOf({ "127.0.0.1", 1 }) == base::ErrorKind::Unavailable);
 }
+
+TEST(Client, AFetchThatOutlivesItsClientCallsNobody)
+{
+    // A process crashed at its end: the answer to its last call to the store came after the parts that had asked were gone.
+    RawServer server(loop, [](const ScriptedRequest&) { return ScriptedAnswer { plainAnswer, Then::Keep }; });
+    Mailbox<bool> called;
+    loop.runAndWait([&] {
+        fetch(loop, *client, { "store", server.endpoint() }, "GET", "/x", {}, "", loop.now() + std::chrono::milliseconds(50), [&](auto) { called.put(true); });
+        client.reset();
+    });
+    Mailbox<bool> passed;
+    loop.runAndWait([&] { loop.at(loop.now() + std::chrono::milliseconds(120), [&] { passed.put(true); }); });
+    passed.take();
+    CHECK_FALSE(called.take(base::Duration::zero()).has_value());
+}
