--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -19,7 +19,7 @@
     Plan = 3,
 };
 
-int64_t milliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
+int64_t inMilliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
 
 Json head(ReportKind kind, const ReportSender& sender)
 {
@@ -36,7 +36,7 @@
         charges.push_back({ charge.account.value(), charge.total.value() });
     Json strikes = Json::array();
     for (const auto& strike : report.strikes)
-        strikes.push_back({ strike.fingerprint.value(), strike.crash.value(), milliseconds(strike.remaining) });
+        strikes.push_back({ strike.fingerprint.value(), strike.crash.value(), inMilliseconds(strike.remaining) });
     return Json::array({ head(ReportKind::Load, report.sender), report.configuration.value(), report.directory.value(), report.leaving, use, charges, strikes });
 }
 
@@ -55,13 +55,31 @@
         notices.push_back({ notice.upstream.value(), notice.start.value(), notice.target.model.value(), notice.target.adapter.value(), notice.loaded });
     Json expected = Json::array();
     for (const auto& load : report.expected)
-        expected.push_back({ load.target.model.value(), load.target.adapter.value(), milliseconds(load.in) });
+        expected.push_back({ load.target.model.value(), load.target.adapter.value(), inMilliseconds(load.in) });
     return Json::array({ head(ReportKind::Plan, report.sender), report.fence.value(), notices, expected });
 }
 
-// The library throws on values of another type; decodeReport() turns that into nothing.
+// The library throws on values of another type; decodeReport() turns that into nothing. It would convert a fraction, and
+// one that does not fit has no value as a whole number.
+int64_t whole(const Json& value)
+{
+    if (!value.is_number_integer())
+        throw std::invalid_argument("not a whole number");
+    return value.get<int64_t>();
+}
+
+base::Duration span(const Json& value)
+{
+    // No time between gateways is longer than a day; far more would not fit into nanoseconds.
+    constexpr int64_t longest = 24 * 3600 * 1000;
+    int64_t milliseconds = whole(value);
+    if (milliseconds < 0 || milliseconds > longest)
+        throw std::invalid_argument("not a time that a gateway reports");
+    return std::chrono::milliseconds(milliseconds);
+}
+
 template <typename Strong>
-Strong number(const Json& value) { return Strong(value.get<int64_t>()); }
+Strong number(const Json& value) { return Strong(whole(value)); }
 template <typename Strong>
 Strong text(const Json& value) { return Strong(value.get<std::string>()); }
 
@@ -74,12 +92,12 @@
 {
     LoadReport report { std::move(sender), number<ConfigurationVersion>(value.at(1)), number<base::Revision>(value.at(2)), value.at(3).get<bool>(), {}, {}, {} };
     for (const Json& entry : value.at(4))
-        report.use.push_back({ text<base::UpstreamId>(entry.at(0)), entry.at(1).get<int64_t>() });
+        report.use.push_back({ text<base::UpstreamId>(entry.at(0)), whole(entry.at(1)) });
     for (const Json& entry : value.at(5))
         report.charges.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
     for (const Json& entry : value.at(6)) {
         report.strikes.push_back({ text<routing::RequestFingerprint>(entry.at(0)), text<routing::CrashId>(entry.at(1)),
-            std::chrono::milliseconds(entry.at(2).get<int64_t>()) });
+            span(entry.at(2)) });
     }
     return report;
 }
@@ -88,7 +106,7 @@
 {
     DemandReport report { std::move(sender), {} };
     for (const Json& entry : value.at(1)) {
-        report.demand.push_back({ target(entry.at(0), entry.at(1)), entry.at(2).get<int64_t>(), entry.at(3).get<int64_t>(), entry.at(4).get<int64_t>() });
+        report.demand.push_back({ target(entry.at(0), entry.at(1)), whole(entry.at(2)), whole(entry.at(3)), whole(entry.at(4)) });
     }
     return report;
 }
@@ -100,15 +118,15 @@
         report.notices.push_back({ text<base::UpstreamId>(entry.at(0)), number<StartMark>(entry.at(1)), target(entry.at(2), entry.at(3)), entry.at(4).get<bool>() });
     }
     for (const Json& entry : value.at(3))
-        report.expected.push_back({ target(entry.at(0), entry.at(1)), std::chrono::milliseconds(entry.at(2).get<int64_t>()) });
+        report.expected.push_back({ target(entry.at(0), entry.at(1)), span(entry.at(2)) });
     return report;
 }
 
 FleetReport decode(const Json& value)
 {
     const Json& first = value.at(0);
-    ReportSender sender { text<base::InstanceId>(first.at(1)), number<Incarnation>(first.at(2)), first.at(3).get<int64_t>() };
-    switch (static_cast<ReportKind>(first.at(0).get<int>())) {
+    ReportSender sender { text<base::InstanceId>(first.at(1)), number<Incarnation>(first.at(2)), whole(first.at(3)) };
+    switch (static_cast<ReportKind>(whole(first.at(0)))) {
     case ReportKind::Load:
         return decodeLoad(value, std::move(sender));
     case ReportKind::Demand:
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -1,8 +1,8 @@
 #include "GatewayCore.h"
 
+#include "DirectoryCodec.h"
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
-#include "toucanstep/base/MessagePack.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
@@ -46,8 +46,6 @@
 constexpr std::string_view metricsTarget = "/metrics";
 constexpr std::string_view statusTarget = "/status";
 
-constexpr int copyDepth = 4;
-
 using Json = nlohmann::json;
 
 int64_t wallMilliseconds()
@@ -55,36 +53,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
-std::string encodeCopy(const DirectoryCopy& copy)
-{
-    Json entries = Json::array();
-    for (const auto& entry : copy.entries)
-        entries.push_back({ entry.key, Json::binary(std::vector<uint8_t>(entry.value.begin(), entry.value.end())), entry.created.value(), entry.modified.value() });
-    std::string bytes;
-    Json::to_msgpack(Json::array({ copy.since.value(), copy.revision.value(), entries, copy.removed }), bytes);
-    return bytes;
-}
-
-std::optional<DirectoryCopy> decodeCopy(std::string_view bytes)
-{
-    Json value = base::parseMessagePack(bytes, copyDepth);
-    if (value.is_discarded())
-        return std::nullopt;
-    try {
-        DirectoryCopy copy;
-        copy.since = base::Revision(value.at(0).get<int64_t>());
-        copy.revision = base::Revision(value.at(1).get<int64_t>());
-        copy.removed = value.at(3).get<std::vector<std::string>>();
-        for (const Json& entry : value.at(2)) {
-            const auto& binary = entry.at(1).get_binary();
-            copy.entries.push_back({ entry.at(0).get<std::string>(), std::string(binary.begin(), binary.end()), base::Revision(entry.at(2).get<int64_t>()), base::Revision(entry.at(3).get<int64_t>()) });
-        }
-        return copy;
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
-}
-
 CallDeskSettings callSettings(const DirectGatewaySettings& settings)
 {
     // Each gateway spends a part of the fleet's budget on its own, with no word from the others. Four fifths of the
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -261,6 +261,14 @@
     CHECK_PROPERTY([](const std::string& bytes) { decodeReport(bytes); });
 }
 
+TEST(FleetReports, ANumberThatDoesNotFitGivesNothing)
+{
+    // A datagram from anyone could set counts to any value: a fraction beyond all whole numbers was converted.
+    CHECK_FALSE(decodeReport(std::string("\x92\x94\x02\xa1g\xcb\x7f\xef\xff\xff\xff\xff\xff\xff\x09\x90", 16)).has_value());
+    PlanReport plan { { base::InstanceId("g"), Incarnation(5), 9 }, base::Epoch(6), {}, { { { base::ModelId("n"), AdapterId() }, std::chrono::hours(48) } } };
+    CHECK_FALSE(decodeReport(encodeReport(plan)).has_value());
+}
+
 TEST(FleetReports, AReportCutAnywhereGivesNothing)
 {
     std::string whole = encodeReport(DemandReport { { base::InstanceId("g"), Incarnation(5), 9 }, { { { base::ModelId("m"), AdapterId("a1") }, 1, 2, 300 } } });
--- a/packages/direct/test/DirectoryTest.cpp
+++ b/packages/direct/test/DirectoryTest.cpp
@@ -1,4 +1,6 @@
 #include "toucanstep/direct/Directory.h"
+#include "DirectoryCodec.h"
+#include "toucanstep/testing/Property.h"
 #include "toucanstep/testing/Waiting.h"
 
 #include <CppUTest/TestHarness.h>
@@ -220,3 +222,16 @@
     });
     CHECK_TRUE(keys.present == std::set<std::string> { "b" });
 }
+
+TEST(Directory, ACopyComesBackAsItWasSentAndOtherBytesGiveNothing)
+{
+    auto copy = decodeCopy(encodeCopy({ Revision(3), Revision(9), { entry("a", 8, std::string("\x00\xff", 2)) }, { "b" } }));
+    CHECK_TRUE(copy.has_value());
+    LONGS_EQUAL(3, copy->since.value());
+    LONGS_EQUAL(9, copy->revision.value());
+    LONGS_EQUAL(2, copy->entries.at(0).value.size());
+    CHECK_TRUE(copy->removed == std::vector<std::string> { "b" });
+    CHECK_FALSE(decodeCopy("").has_value());
+    CHECK_FALSE(decodeCopy("\x94\x01\x02\x90\x01").has_value());
+    CHECK_PROPERTY([](const std::string& bytes) { decodeCopy(bytes); });
+}
