--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/direct/include/toucanstep/direct/Upstream.h
@@ -66,8 +66,9 @@
 };
 
 enum class OrderOutcome {
-    // Under way, or it held already.
+    // It is being carried out.
     Accepted,
+    // It held before, or was carried out at once.
     AlreadyHolds,
     // Another order is under way, or the count differs: read the report again.
     Conflict,
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -211,6 +211,7 @@
         // The engine can be given an order at once.
         bool now = false;
 
+        // Of ways that are as soon, one that can be begun goes first: what an engine is doing may take longer.
         auto key() const { return std::tuple(ready, !now, victimClass, victimWanted, engine->state->inFlight, -engine->free, engine->state->id); }
     };
 
@@ -231,7 +232,6 @@
             if (way && (!best || way->key() < best->key()))
                 best = way;
         }
-        // Of ways that are as soon, one that can be begun goes first: what an engine is doing may take longer.
         if (!best)
             return;
         if (want.demand.waiting && !copiesOf(want.model->id))
