An order without answer is planned anew and not sent again: LIMIT after all gateways were killed

Cause: the planner's own order had got no answer; before it could land, a late order of the planner that was killed took the last place of the engine.

--- a/packages/direct/src/OrderDesk.h
+++ b/packages/direct/src/OrderDesk.h
@@ -1,13 +1,11 @@
-// Carries the planner's orders to engines and keeps what each engine is known to hold.
+// Carries the planner's orders to engines and reads the engines' reports.
 //
-// Only the gateway that has the planner's duty uses it. One order at a time is sent to an engine, each with the number of
-// orders that the engine must have accepted before: an order whose answer was lost, and that is carried out late, then
-// finds another number and does nothing. Until its outcome is known, the memory that it asks for counts as taken.
+// Only the gateway that has the planner's duty uses it. One call at a time is sent to an engine; what is known of it is in
+// its EngineRecord.
 
 #pragma once
 
-#include "toucanstep/direct/PlacementPlan.h"
-#include "toucanstep/direct/StoreSpeed.h"
+#include "EngineRecord.h"
 #include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
@@ -32,22 +30,19 @@
     // The engines of a service as the planner sees them. Reads the reports of those that are not known yet.
     std::vector<PlannedEngine> engines(const UpstreamTable&, const base::ServiceId&, base::Instant now);
     void execute(const PlannedOrder&, base::Instant now);
-    // Reads reports that are due, and sends orders again whose outcome is open.
+    // Reads the reports that are due.
     void tick(base::Instant now);
     // What gateways have to know before the list shows it.
     std::vector<LoadedNotice> notices() const;
     size_t storeLoadsAtOnce() const { return m_storeSpeed.loadsAtOnce(); }
 
 private:
-    struct Engine;
-    using EnginePointer = std::shared_ptr<Engine>;
+    using EnginePointer = std::shared_ptr<EngineRecord>;
+    using Answered = std::function<void(const EnginePointer&, const base::Outcome<http1::FetchedAnswer>&)>;
     void readReport(const EnginePointer&);
-    void onReport(Engine&, const EngineReport&);
-    void send(const EnginePointer&, const PlannedOrder&);
+    // Calls `handler` with the answer unless the engine's record has gone meanwhile.
+    void ask(const EnginePointer&, const ControlRequest&, Answered handler);
     void onOrderAnswered(const EnginePointer&, const PlannedOrder&, OrderOutcome);
-    void onAccepted(const EnginePointer&, const PlannedOrder&, bool underWay);
-    void readAnew(Engine&);
-    void tell(Engine&, const ModelTarget&, bool loaded);
 
     io::EventLoop& m_loop;
     http1::Client& m_client;
