--- a/packages/direct/include/toucanstep/direct/DemandBook.h
+++ b/packages/direct/include/toucanstep/direct/DemandBook.h
@@ -15,12 +15,17 @@
     void onWaiting(const ModelTarget& target, int64_t change) { m_entries[target].waiting += change; }
     void onRunning(const ModelTarget& target, int64_t change) { m_entries[target].running += change; }
     // Targets with calls now or of late; others are forgotten.
+    // A call was refused at once that would have waited until then: it counts as waiting, or the planner would take the
+    // target for unwanted and leave it unloaded for as long as its callers are refused.
+    void onRefused(const ModelTarget&, base::Instant wouldHaveWaitedUntil);
     std::vector<TargetDemand> summary(base::Instant now);
 
 private:
     struct Entry {
         int64_t waiting = 0;
         int64_t running = 0;
+        // Of each call that was refused at once, when it would have stopped waiting.
+        std::vector<base::Instant> refusedUntil;
         // Calls a second, averaged with exponentially falling weight.
         double rate = 0;
         base::Instant rateAsOf;
--- a/packages/direct/include/toucanstep/direct/DesiredState.h
+++ b/packages/direct/include/toucanstep/direct/DesiredState.h
@@ -47,8 +47,10 @@
     bool open = false;
     // Longest time for which a caller is kept waiting for the end of the answer.
     base::Duration timeout {};
-    // Within this time the answer (of a stream: its first event) earns its full worth.
+    // Within this time the answer (of a stream: its first event) earns its full worth; zero where none is stated.
     base::Duration latencyTarget {};
+    // A caller of this route leaves once nothing has come for this long; zero where callers wait to the end.
+    base::Duration callerPatience {};
     // 0 is the most urgent.
     int64_t priority = 0;
     // Upstreams on which one request may run.
@@ -76,16 +78,12 @@
     base::Bytes memory;
     // Adapters that one engine holds at most.
     int64_t adapterCapacity = 0;
-    // Loads from the weight store that may begin in a second, over all engines; 0 where there is no limit.
-    double loadsPerSecond = 0;
 
     const ModelTraits* findModel(const base::ModelId&) const;
 };
 
 struct ServiceTraits {
     base::ServiceId id;
-    // Connections that one upstream takes from all gateways together; 0 where there is no limit.
-    int64_t maximumConnections = 0;
     // Set for pools of model engines.
     std::optional<EngineTraits> engine;
 };
@@ -121,7 +119,6 @@
     const Route* findRoute(std::string_view host, std::string_view path) const;
     const ServiceTraits* findService(const base::ServiceId&) const;
     const Account* findAccountByKey(const base::KeyFingerprint&) const;
-    const Account* findAccount(const base::ClientAccountId&) const;
     void buildIndexes();
 
 private:
--- a/packages/direct/src/CallDesk.cpp
+++ b/packages/direct/src/CallDesk.cpp
@@ -93,7 +93,7 @@
 void CallDesk::wait(const std::shared_ptr<CallRun>& run)
 {
     run->setWaitNumber(++m_lastNumber);
-    m_waiting.emplace(Place { run->rank(), run->waitNumber() }, run);
+    m_waiting.emplace(run->waitNumber(), run);
     m_demand.onWaiting(run->target(), 1);
     if (!run->target().empty() && m_onTargetMissing)
         m_onTargetMissing();
@@ -101,7 +101,7 @@
 
 void CallDesk::stopWaiting(CallRun& run)
 {
-    if (m_waiting.erase(Place { run.rank(), run.waitNumber() }))
+    if (m_waiting.erase(run.waitNumber()))
         m_demand.onWaiting(run.target(), -1);
 }
 
@@ -120,21 +120,38 @@
     m_pumpTimer = m_loop.at(now() + pumpDelay, [this] { pump(); });
 }
 
+std::vector<std::shared_ptr<CallRun>> CallDesk::inTurn() const
+{
+    std::map<WaitingPlace, std::shared_ptr<CallRun>> places;
+    for (const auto& [number, run] : m_waiting)
+        places.emplace(WaitingPlace { run->rank(), run->turn(), number }, run);
+    std::vector<std::shared_ptr<CallRun>> runs;
+    for (auto& [place, run] : places)
+        runs.push_back(std::move(run));
+    return runs;
+}
+
 void CallDesk::pump()
 {
     m_pumpDue = false;
     // Behind a call that finds its upstreams full, others for the same target need not look.
-    std::map<std::tuple<base::ServiceId, ModelTarget>, Obstacle> blocked;
-    auto waiting = m_waiting;
-    for (const auto& [place, run] : waiting) {
-        auto key = std::tuple(run->service(), run->target());
-        auto known = blocked.find(key);
+    std::map<WaitingLine, Obstacle> blocked;
+    m_standing.beginLook(now());
+    for (const auto& run : inTurn()) {
+        WaitingLine line(run->service(), run->target());
+        auto known = blocked.find(line);
         Obstacle obstacle = known != blocked.end() && run->untried() ? known->second : run->tryDispatch();
-        if (obstacle == Obstacle::None || run->refuseIfHopeless(obstacle))
+        if (obstacle == Obstacle::None)
             continue;
         if (run->untried())
-            blocked.emplace(key, obstacle);
+            blocked.emplace(line, obstacle);
+        bool late = obstacle == Obstacle::Full && run->turn() == WaitingTurn::Late;
+        if (late && m_standing.refusesLate(line))
+            run->refuseLate();
+        else
+            run->refuseIfHopeless(obstacle);
     }
+    m_standing.endLook();
 }
 
 void CallDesk::tick()
--- a/packages/direct/src/CallDesk.h
+++ b/packages/direct/src/CallDesk.h
@@ -8,6 +8,7 @@
 #include "toucanstep/direct/DesiredState.h"
 #include "toucanstep/direct/Dispatch.h"
 #include "toucanstep/direct/UpstreamTable.h"
+#include "toucanstep/direct/WaitingLine.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
 #include "toucanstep/http1/Server.h"
@@ -82,6 +83,8 @@
 
 private:
     void pump();
+    // Those that wait, in the order in which they may go on now.
+    std::vector<std::shared_ptr<CallRun>> inTurn() const;
     routing::RetryBudget& budget(const base::ServiceId&);
 
     io::EventLoop& m_loop;
@@ -99,13 +102,9 @@
     std::optional<base::Instant> m_plannerHeard;
     std::function<void()> m_onTargetMissing;
     std::set<std::shared_ptr<CallRun>> m_runs;
-    // In the order in which they may go: rank, then arrival.
-    struct Place {
-        int64_t rank = 0;
-        uint64_t number = 0;
-        auto operator<=>(const Place&) const = default;
-    };
-    std::map<Place, std::shared_ptr<CallRun>> m_waiting;
+    StandingLines m_standing;
+    // By the number under which each began to wait.
+    std::map<uint64_t, std::shared_ptr<CallRun>> m_waiting;
     uint64_t m_lastNumber = 0;
     io::EventLoop::TimerId m_pumpTimer = 0;
     bool m_pumpDue = false;
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -73,7 +73,6 @@
 
 void CallRun::start()
 {
-    m_deadline = m_arrived + std::chrono::seconds(1);
     if (!admit())
         return;
     m_timer = m_desk.loop().at(m_deadline, [weak = weak_from_this()] {
@@ -121,6 +120,8 @@
     m_rank = account && account->priority ? *account->priority : m_route->priority;
     base::Duration limit = m_call.timeLimit ? std::min(*m_call.timeLimit, m_route->timeout) : m_route->timeout;
     m_deadline = m_arrived + limit;
+    bool leavesEarlier = m_route->callerPatience > base::Duration::zero() && m_route->callerPatience < limit;
+    m_beginBy = leavesEarlier ? m_arrived + m_route->callerPatience : m_deadline;
     m_fingerprint = fingerprintOfCall(m_account, head, m_caller->body());
     if (m_desk.quarantine().state(m_fingerprint, m_arrived) == routing::QuarantineState::Refused) {
         refuse(statusUnavailable, "request_quarantined", Ran::No, "this request has broken off at several upstreams");
@@ -185,6 +186,11 @@
     m_desk.wait(shared_from_this());
 }
 
+WaitingTurn CallRun::turn() const
+{
+    return waitingTurn(m_firstByte.has_value(), m_arrived, m_route->latencyTarget, m_desk.now());
+}
+
 bool CallRun::refuseIfHopeless(Obstacle obstacle)
 {
     // A stream that has begun has no refusal left: it is ended where it cannot go on.
@@ -193,7 +199,8 @@
     Ran ran = m_runs ? Ran::Maybe : Ran::No;
     if (obstacle == Obstacle::NotLoaded) {
         auto expected = m_desk.expectedLoad(m_call.target);
-        if (expected && *expected + shortestRun > m_deadline && !begun) {
+        if (expected && *expected + shortestRun > m_beginBy && !begun) {
+            m_desk.demand().onRefused(m_call.target, m_beginBy);
             refuse(statusUnavailable, "not_loaded_in_time", ran, "the model will not be loaded in time", base::remaining(time, *expected));
             return true;
         }
@@ -206,13 +213,18 @@
         refuse(statusUnavailable, "no_upstream", ran, "no upstream of the service can be used", defaultRetryAfter);
         return true;
     }
-    if (time + shortestRun > m_deadline && !begun) {
+    if (time + shortestRun > m_beginBy && !begun) {
         refuse(statusUnavailable, "overloaded", ran, "no upstream can take the call in time", defaultRetryAfter);
         return true;
     }
     return false;
 }
 
+void CallRun::refuseLate()
+{
+    refuse(statusUnavailable, "overloaded", m_runs ? Ran::Maybe : Ran::No, "more calls come than the upstreams can run", defaultRetryAfter);
+}
+
 std::string CallRun::requestHead(const base::UpstreamId& upstream) const
 {
     const http1::RequestHead& head = m_caller->head();
--- a/packages/direct/src/CallRun.h
+++ b/packages/direct/src/CallRun.h
@@ -22,11 +22,15 @@
     Obstacle tryDispatch();
     // Refuses a waiting call whose wait is of no use any more. Returns whether it did.
     bool refuseIfHopeless(Obstacle);
+    // Refuses a call that waits and is late where more calls come than can run.
+    void refuseLate();
     // Its upstream has stopped answering: a call that may be repeated moves on.
     void onUpstreamSilent();
     // The process ends: the caller is told what can be said.
     void cutOff();
 
+    WaitingTurn turn() const;
+
     const base::ServiceId& service() const { return m_service; }
     const ModelTarget& target() const { return m_call.target; }
     int64_t rank() const { return m_rank; }
@@ -91,6 +95,8 @@
     Phase m_phase = Phase::Checking;
     base::Instant m_arrived;
     base::Instant m_deadline;
+    // Its caller leaves at this time unless the answer has begun.
+    base::Instant m_beginBy;
     std::optional<base::Instant> m_firstByte;
     io::EventLoop::TimerId m_timer = 0;
 
--- a/packages/direct/src/DemandBook.cpp
+++ b/packages/direct/src/DemandBook.cpp
@@ -26,15 +26,22 @@
     entry.rateAsOf = now;
 }
 
+void DemandBook::onRefused(const ModelTarget& target, base::Instant wouldHaveWaitedUntil)
+{
+    m_entries[target].refusedUntil.push_back(wouldHaveWaitedUntil);
+}
+
 std::vector<TargetDemand> DemandBook::summary(base::Instant now)
 {
     std::vector<TargetDemand> demand;
+    for (auto& [target, entry] : m_entries)
+        std::erase_if(entry.refusedUntil, [&](base::Instant until) { return until <= now; });
     std::erase_if(m_entries, [&](const auto& item) {
         const Entry& entry = item.second;
-        return !entry.waiting && !entry.running && rateAt(entry, now) < forgottenRate;
+        return !entry.waiting && entry.refusedUntil.empty() && !entry.running && rateAt(entry, now) < forgottenRate;
     });
     for (const auto& [target, entry] : m_entries)
-        demand.push_back({ target, entry.waiting, entry.running, static_cast<int64_t>(rateAt(entry, now) * perKilosecond) });
+        demand.push_back({ target, entry.waiting + static_cast<int64_t>(entry.refusedUntil.size()), entry.running, static_cast<int64_t>(rateAt(entry, now) * perKilosecond) });
     return demand;
 }
 
--- a/packages/direct/src/DesiredState.cpp
+++ b/packages/direct/src/DesiredState.cpp
@@ -50,11 +50,6 @@
     return found == m_accountsByKey.end() ? nullptr : &accounts[found->second];
 }
 
-const Account* DesiredState::findAccount(const base::ClientAccountId& id) const
-{
-    return findIn(accounts, [&](const Account& account) { return account.limits.id == id; });
-}
-
 void DesiredState::buildIndexes()
 {
     m_routesByHost.clear();
