--- a/packages/cli/test/PagesTest.cpp
+++ b/packages/cli/test/PagesTest.cpp
@@ -12,21 +12,28 @@
 
 const std::string root = TOUCANSTEP_SOURCE_FOLDER;
 
-// The content of all files with that ending in folders of that name under packages, one after the other.
-std::string contentOfAll(const std::string& folder, const std::string& ending)
+// The content of all files with that ending in a folder, one after the other; nothing where there is no such folder.
+std::string contentUnder(const files::path& folder, const std::string& ending)
 {
     std::string all;
-    for (const files::directory_entry& package : files::directory_iterator(root + "/packages")) {
-        if (!files::is_directory(package.path() / folder))
-            continue;
-        for (const files::directory_entry& file : files::recursive_directory_iterator(package.path() / folder)) {
-            if (file.path().extension() == ending)
-                all += contentOf(file.path().string());
-        }
+    if (!files::is_directory(folder))
+        return all;
+    for (const files::directory_entry& file : files::recursive_directory_iterator(folder)) {
+        if (file.path().extension() == ending)
+            all += contentOf(file.path().string());
     }
     return all;
 }
 
+// The same for folders of that name under packages.
+std::string contentOfAll(const std::string& folder, const std::string& ending)
+{
+    std::string all;
+    for (const files::directory_entry& package : files::directory_iterator(root + "/packages"))
+        all += contentUnder(package.path() / folder, ending);
+    return all;
+}
+
 // What the expression's first two groups match in a text, joined by `, ` where there are two.
 std::set<std::string> matches(const std::string& text, const std::string& expression)
 {
@@ -70,7 +77,8 @@
 
 TEST(Pages, TheOverviewNamesTestsThatExist)
 {
-    std::set<std::string> tests = matches(contentOfAll("test", ".cpp"), "TEST\\(([A-Za-z]+), ([A-Za-z]+)\\)");
+    std::string sources = contentOfAll("test", ".cpp") + contentUnder(root + "/platform/test", ".cpp");
+    std::set<std::string> tests = matches(sources, "TEST\\(([A-Za-z]+), ([A-Za-z]+)\\)");
     std::set<std::string> named = matches(contentOf(root + "/docs/design/0-overview.md"), "`([A-Za-z]+), ([A-Za-z]+)`");
     CHECK_TRUE(named.size() >= 30);
     for (const std::string& name : named)
