--- a/packages/direct/src/CallDesk.cpp
+++ b/packages/direct/src/CallDesk.cpp
@@ -159,6 +159,7 @@
     base::Instant time = now();
     m_upstreams.expireNotices(time);
     m_quarantine.expire(time);
+    strikeForCrashes();
     auto runs = m_runs;
     for (const auto& run : runs) {
         if (!run->underWay())
@@ -192,13 +193,25 @@
     return taken;
 }
 
-void CallDesk::strike(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
+void CallDesk::heardFrom(const base::UpstreamId& upstream)
+{
+    m_upstreams.onHeard(upstream, now());
+    m_crashes.onHeard(upstream, now());
+}
+
+void CallDesk::suspectCrash(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
 {
     const UpstreamEntry* entry = m_upstreams.find(upstream);
-    int64_t start = entry ? entry->description.start.value() : 0;
-    routing::CrashId crash(base::concat(upstream, "/", start));
-    for (auto& message : m_quarantine.onCrash(crash, { fingerprint }, now()))
-        m_strikes.emplace_back(now() + strikeRepeat, std::move(message));
+    m_crashes.onBroken({ upstream, entry ? entry->description.start : StartMark(), fingerprint, now() });
+}
+
+void CallDesk::strikeForCrashes()
+{
+    for (const auto& crashed : m_crashes.takeConfirmed(now())) {
+        routing::CrashId crash(base::concat(crashed.upstream, "/", crashed.start));
+        for (auto& message : m_quarantine.onCrash(crash, { crashed.fingerprint }, now()))
+            m_strikes.emplace_back(now() + strikeRepeat, std::move(message));
+    }
 }
 
 std::vector<routing::StrikeMessage> CallDesk::recentStrikes()
--- a/packages/direct/src/CallDesk.h
+++ b/packages/direct/src/CallDesk.h
@@ -4,6 +4,7 @@
 
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/direct/CrashEvidence.h"
 #include "toucanstep/direct/DemandBook.h"
 #include "toucanstep/direct/DesiredState.h"
 #include "toucanstep/direct/Dispatch.h"
@@ -75,13 +76,16 @@
     void countForBudget(const base::ServiceId&);
     // When a target that is loaded nowhere will be, as the planner says; nothing where it has not said.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
-    void strike(const base::UpstreamId&, const routing::RequestFingerprint&);
+    void heardFrom(const base::UpstreamId&);
+    // The call broke off there: its request may have crashed the upstream.
+    void suspectCrash(const base::UpstreamId&, const routing::RequestFingerprint&);
     std::vector<routing::StrikeMessage> recentStrikes();
     // The planner was heard of late; without one nothing is loaded.
     void notePlanner() { m_plannerHeard = now(); }
     bool plannerKnown() const;
 
 private:
+    void strikeForCrashes();
     void pump();
     // Those that wait, in the order in which they may go on now.
     std::vector<std::shared_ptr<CallRun>> inTurn() const;
@@ -108,6 +112,7 @@
     uint64_t m_lastNumber = 0;
     io::EventLoop::TimerId m_pumpTimer = 0;
     bool m_pumpDue = false;
+    CrashEvidence m_crashes;
     std::vector<std::pair<base::Instant, routing::StrikeMessage>> m_strikes;
 };
 
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -279,7 +279,7 @@
 
 void CallRun::onHead(http1::ResponseHead head)
 {
-    m_desk.upstreams().onHeard(m_upstream, m_desk.now());
+    m_desk.heardFrom(m_upstream);
     m_verdict = m_desk.format().readVerdict(head);
     m_head = std::move(head);
     m_haveHead = true;
@@ -289,7 +289,7 @@
 
 void CallRun::onBody(std::string_view piece)
 {
-    m_desk.upstreams().onHeard(m_upstream, m_desk.now());
+    m_desk.heardFrom(m_upstream);
     auto self = shared_from_this();
     bool foreign = !m_verdict.id.empty() && m_verdict.id != m_call.id;
     bool good = m_head.status < statusRedirects && m_verdict.vouched && !foreign;
@@ -438,7 +438,7 @@
     }
     m_desk.upstreams().onFailure(m_upstream, m_desk.now());
     if (breakage == http1::Breakage::Broken)
-        m_desk.strike(m_upstream, m_fingerprint);
+        m_desk.suspectCrash(m_upstream, m_fingerprint);
     m_events.dropPartial();
     bool resumable = m_route->resumable && m_verdict.streaming && !m_events.lastId().empty();
     if ((!m_firstByte || resumable) && mayRetry()) {
--- /dev/null
+++ b/packages/direct/src/CrashEvidence.cpp
@@ -0,0 +1,31 @@
+#include "toucanstep/direct/CrashEvidence.h"
+
+#include <algorithm>
+
+namespace toucanstep::direct {
+
+namespace {
+
+// What a crashed process had sent before may still be on its way for this long.
+constexpr auto stillOnItsWay = std::chrono::milliseconds(50);
+// An engine that runs calls sends an event every few milliseconds and one that crashed needs seconds to start again.
+constexpr auto confirmedAfter = std::chrono::milliseconds(500);
+
+} // namespace
+
+void CrashEvidence::onHeard(const base::UpstreamId& upstream, base::Instant now)
+{
+    if (m_suspicions.empty())
+        return;
+    std::erase_if(m_suspicions, [&](const CrashSuspicion& suspicion) { return suspicion.upstream == upstream && now - suspicion.brokeAt > stillOnItsWay; });
+}
+
+std::vector<CrashSuspicion> CrashEvidence::takeConfirmed(base::Instant now)
+{
+    auto confirmed = std::stable_partition(m_suspicions.begin(), m_suspicions.end(), [&](const CrashSuspicion& suspicion) { return now - suspicion.brokeAt < confirmedAfter; });
+    std::vector<CrashSuspicion> taken(confirmed, m_suspicions.end());
+    m_suspicions.erase(confirmed, m_suspicions.end());
+    return taken;
+}
+
+} // namespace toucanstep::direct
