A fetch that is under way ends with its client

Cause: the fetch owned itself until its deadline, and the loop had ended before. The client owns it now.

--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -92,14 +93,17 @@
     // Closes what has been idle for too long; to be called about once a second.
     void sweep();
     const ClientCounters& counters() const;
-    // Expires with the client.
-    std::weak_ptr<const void> lifetime() const;
+    // What is under way for its own sake, and ends with the client at the latest. Expires with the client.
+    using UnderWay = std::set<std::shared_ptr<const void>>;
+    std::weak_ptr<UnderWay> underWay() const { return m_underWay; }
 
 private:
     class Pool;
     class ClientConnection;
     class ClientExchange;
     std::shared_ptr<Pool> m_pool;
+    // Goes before the pool.
+    std::shared_ptr<UnderWay> m_underWay;
 };
 
 struct FetchedAnswer {
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -269,6 +269,7 @@
 
 Client::Client(io::EventLoop& loop, ClientOptions options)
     : m_pool(std::make_shared<Pool>(loop, options))
+    , m_underWay(std::make_shared<UnderWay>())
 {
 }
 
@@ -293,11 +294,10 @@
 
 const ClientCounters& Client::counters() const { return m_pool->counters(); }
 
-std::weak_ptr<const void> Client::lifetime() const { return m_pool; }
-
 namespace {
 
-// Owns itself until its callback has been called.
+// Owned by the client until its callback has been called: a process that ends with a fetch under way would leak one that
+// owns itself, since the loop ends before the deadline.
 class Fetch final : public ExchangeListener, public std::enable_shared_from_this<Fetch> {
 public:
     Fetch(io::EventLoop& loop, FetchCallback callback)
@@ -306,10 +306,12 @@
     {
     }
 
+    ~Fetch() override { m_loop.cancel(m_timer); }
+
     void start(Client& client, const Peer& peer, OutgoingRequest request, base::Instant deadline)
     {
-        m_self = shared_from_this();
-        m_client = client.lifetime();
+        m_client = client.underWay();
+        m_client.lock()->insert(shared_from_this());
         m_exchange = client.send(peer, std::move(request), this);
         m_timer = m_loop.at(deadline, [this] { finish(base::Error { base::ErrorKind::Timeout, "no answer in time" }); });
     }
@@ -339,18 +341,21 @@
 private:
     void finish(base::Outcome<FetchedAnswer> outcome)
     {
-        auto self = std::move(m_self);
+        auto self = shared_from_this();
         m_loop.cancel(m_timer);
         m_exchange.reset();
         // Whoever fetched ends with the client, and must not be called any more.
-        if (!m_client.expired())
-            m_callback(std::move(outcome));
+        auto client = m_client.lock();
+        if (!client)
+            return;
+        client->erase(self);
+        client.reset();
+        m_callback(std::move(outcome));
     }
 
     io::EventLoop& m_loop;
     FetchCallback m_callback;
-    std::shared_ptr<Fetch> m_self;
-    std::weak_ptr<const void> m_client;
+    std::weak_ptr<Client::UnderWay> m_client;
     std::unique_ptr<Exchange> m_exchange;
     io::EventLoop::TimerId m_timer = 0;
     FetchedAnswer m_answer;
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -215,3 +215,16 @@
     passed.take();
     CHECK_FALSE(called.take(base::Duration::zero()).has_value());
 }
+
+// A gateway that ended while it was joining the fleet left a call to the store and its connection behind, which the address
+// sanitizer saw in one of a few runs: the call owned itself until its deadline, and the loop had ended before.
+TEST(Client, AFetchThatIsUnderWayEndsWithItsClient)
+{
+    RawServer server(loop, [](const ScriptedRequest&) { return ScriptedAnswer { plainAnswer, Then::Keep }; });
+    auto held = std::make_shared<int>();
+    loop.runAndWait([&] {
+        fetch(loop, *client, { "store", server.endpoint() }, "GET", "/x", {}, "", loop.now() + std::chrono::seconds(20), [held](auto) {});
+        client.reset();
+    });
+    LONGS_EQUAL(1, held.use_count());
+}
