--- a/packages/base/include/toucanstep/base/MessagePack.h
+++ b/packages/base/include/toucanstep/base/MessagePack.h
@@ -2,7 +2,9 @@
 
 #pragma once
 
-#include <nlohmann/json_fwd.hpp>
+#include <exception>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string_view>
 
 namespace toucanstep::base {
@@ -12,4 +14,19 @@
 // thousand nested arrays would otherwise end the process by its stack.
 nlohmann::json parseMessagePack(std::string_view bytes, int depth);
 
+// What `decode` makes of the value; nothing where the bytes are no such value. The library throws on values of another
+// type, and `decode` may throw on those that do not fit.
+template <typename Result, typename Decode>
+std::optional<Result> decodeMessagePack(std::string_view bytes, int depth, const Decode& decode)
+{
+    nlohmann::json value = parseMessagePack(bytes, depth);
+    if (value.is_discarded())
+        return std::nullopt;
+    try {
+        return decode(value);
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
 } // namespace toucanstep::base
--- a/packages/direct/src/DirectoryCodec.cpp
+++ b/packages/direct/src/DirectoryCodec.cpp
@@ -44,15 +44,7 @@
 
 std::optional<DirectoryCopy> decodeCopy(std::string_view bytes)
 {
-    Json value = base::parseMessagePack(bytes, copyDepth);
-    if (value.is_discarded())
-        return std::nullopt;
-    // The library throws on values of another type.
-    try {
-        return decode(value);
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    return base::decodeMessagePack<DirectoryCopy>(bytes, copyDepth, decode);
 }
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/EngineRecord.h
+++ b/packages/direct/src/EngineRecord.h
@@ -26,8 +26,6 @@
     const UpstreamDescription& description() const { return m_description; }
     void setDescription(UpstreamDescription description) { m_description = std::move(description); }
 
-    // A call to the engine is under way: only one at a time.
-    bool calling() const { return m_calling; }
     // Takes no order now.
     bool blocked() const { return !m_known || m_calling || m_open || m_description.draining; }
     bool reportDue(base::Instant now) const { return !m_calling && m_reportDue && *m_reportDue <= now; }
@@ -68,6 +66,7 @@
     std::set<base::ModelId> m_inHostMemory;
     std::set<base::ModelId> m_onDisk;
     int64_t m_orders = 0;
+    // A call to the engine is under way: only one at a time.
     bool m_calling = false;
     std::optional<RunningOrder> m_running;
     base::Instant m_runningSince;
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -149,14 +149,7 @@
 
 std::optional<FleetReport> decodeReport(std::string_view bytes)
 {
-    Json value = base::parseMessagePack(bytes, reportDepth);
-    if (value.is_discarded())
-        return std::nullopt;
-    try {
-        return decode(value);
-    } catch (const std::exception&) {
-        return std::nullopt;
-    }
+    return base::decodeMessagePack<FleetReport>(bytes, reportDepth, decode);
 }
 
 } // namespace toucanstep::direct
