--- a/packages/direct/include/toucanstep/direct/Dispatch.h
+++ b/packages/direct/include/toucanstep/direct/Dispatch.h
@@ -6,6 +6,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace toucanstep::direct {
 
@@ -31,6 +32,8 @@
     Full,
 };
 
+std::string_view toText(Obstacle);
+
 struct DispatchChoice {
     Obstacle obstacle = Obstacle::None;
     base::UpstreamId upstream;
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace toucanstep::direct {
@@ -25,6 +26,8 @@
     Disk,
 };
 
+std::string_view toText(LoadSource);
+
 // A model order that an engine has been given and has not shown as done.
 struct RunningOrder {
     OrderKind kind = OrderKind::Load;
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -180,7 +180,11 @@
 {
     leaveUpstream();
     Obstacle obstacle = tryDispatch();
-    if (obstacle == Obstacle::None || refuseIfHopeless(obstacle))
+    if (obstacle == Obstacle::None)
+        return;
+    if (!m_sends)
+        m_waitedFor = obstacle;
+    if (refuseIfHopeless(obstacle))
         return;
     m_phase = Phase::Waiting;
     m_desk.wait(shared_from_this());
@@ -260,6 +264,8 @@
     m_haveHead = false;
     m_upstream = upstream;
     m_tried.insert(upstream);
+    if (!m_sends)
+        m_firstSent = m_desk.now();
     ++m_sends;
     ++m_runs;
     m_desk.upstreams().onDispatched(upstream, m_desk.now());
@@ -547,6 +553,7 @@
     if (m_route)
         line.add("route", m_route->id).add("version", m_state->version);
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
+    line.add("waited_for", toText(m_waitedFor)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("total_ms", base::toMilliseconds(time - m_arrived));
     m_desk.metrics().count("toucanstep_calls_total", base::concat("outcome=\"", outcome, "\""));
     m_desk.metrics().observe("toucanstep_call_seconds", "", base::toSeconds(time - m_arrived));
--- a/packages/direct/src/CallRun.h
+++ b/packages/direct/src/CallRun.h
@@ -98,6 +98,9 @@
     // Its caller leaves at this time unless the answer has begun.
     base::Instant m_beginBy;
     std::optional<base::Instant> m_firstByte;
+    // Why it had to wait before it was first sent, and when that was; for the log.
+    Obstacle m_waitedFor = Obstacle::None;
+    std::optional<base::Instant> m_firstSent;
     io::EventLoop::TimerId m_timer = 0;
 
     std::set<base::UpstreamId> m_tried;
--- a/packages/direct/src/Dispatch.cpp
+++ b/packages/direct/src/Dispatch.cpp
@@ -54,6 +54,21 @@
 
 } // namespace
 
+std::string_view toText(Obstacle obstacle)
+{
+    switch (obstacle) {
+    case Obstacle::None:
+        return "nothing";
+    case Obstacle::NoUpstream:
+        return "no_upstream";
+    case Obstacle::NotLoaded:
+        return "not_loaded";
+    case Obstacle::Full:
+        break;
+    }
+    return "full";
+}
+
 DispatchChoice chooseUpstream(const UpstreamTable& table, const DispatchQuery& query, base::Instant now)
 {
     bool anyUpstream = false;
--- a/packages/direct/src/EngineRecord.cpp
+++ b/packages/direct/src/EngineRecord.cpp
@@ -113,7 +113,7 @@
     if (load && m_running->source == LoadSource::WeightStore)
         speed.onLoadEnded(m_running->expected, now - m_runningSince);
     bool done = m_loaded.contains(m_running->model) == load;
-    base::LogLine("order_ended").add("upstream", m_description.id).add("order", load ? "load" : "unload").add("model", m_running->model).add("done", done ? "yes" : "no");
+    base::LogLine("order_ended").add("upstream", m_description.id).add("order", load ? "load" : "unload").add("model", m_running->model).add("source", toText(m_running->source)).add("took_ms", base::toMilliseconds(now - m_runningSince)).add("done", done ? "yes" : "no");
     if (done && load)
         tell({ m_running->model, AdapterId() }, true, now);
     m_running.reset();
--- a/packages/direct/src/OrderDesk.cpp
+++ b/packages/direct/src/OrderDesk.cpp
@@ -105,7 +105,7 @@
     EngineOrder order = found->second->onSending(planned, now);
     order.holder = m_holder;
     order.fence = m_fence;
-    base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("expected_orders", order.expectedOrders).add("fence", m_fence);
+    base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("source", toText(planned.source)).add("expected_ms", base::toMilliseconds(planned.expected)).add("expected_orders", order.expectedOrders).add("fence", m_fence);
     if (planned.kind == OrderKind::Unload)
         m_onChange();
     ask(found->second, m_format.orderRequest(order), [this, planned](const EnginePointer& target, const base::Outcome<http1::FetchedAnswer>& answered) {
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -446,6 +446,19 @@
     Placement m_result;
 };
 
+std::string_view toText(LoadSource source)
+{
+    switch (source) {
+    case LoadSource::WeightStore:
+        return "store";
+    case LoadSource::HostMemory:
+        return "memory";
+    case LoadSource::Disk:
+        break;
+    }
+    return "disk";
+}
+
 PlacementPlanner::PlacementPlanner(PlacementSettings settings)
     : m_settings(settings)
 {
