Prompts that wait to be read are what a new call waits for: dispatch and copies count them

Ruled out: decoding beside other calls (0.03 ms a step for each). Change: gateways tell how many of their calls have no first byte yet; an upstream's cost is counted in those. A model gets one more copy for each 0.6 of an engine's time that its queue shows in use, in place of an idle one from 0.75 on. Tests: ACallGoesWhereFewerPromptsWaitToBeRead, AModelWhosePromptsQueueAtItsEngineGetsAnotherCopyInPlaceOfAnIdleOne, both red before.

--- a/packages/direct/include/toucanstep/direct/DemandBook.h
+++ b/packages/direct/include/toucanstep/direct/DemandBook.h
@@ -13,11 +13,14 @@
 public:
     void onArrival(const ModelTarget&, base::Instant now);
     void onWaiting(const ModelTarget& target, int64_t change) { m_entries[target].waiting += change; }
-    void onRunning(const ModelTarget& target, int64_t change) { m_entries[target].running += change; }
-    // Targets with calls now or of late; others are forgotten.
+    void onSent(const ModelTarget&, base::Instant now);
+    // The answer of a call that was sent has begun.
+    void onAnswerBegun(const ModelTarget&, base::Instant now);
+    void onEnded(const ModelTarget&, bool begun, base::Instant now);
     // A call was refused at once that would have waited until then: it counts as waiting, or the planner would take the
     // target for unwanted and leave it unloaded for as long as its callers are refused.
     void onRefused(const ModelTarget&, base::Instant wouldHaveWaitedUntil);
+    // Targets with calls now or of late; others are forgotten.
     std::vector<TargetDemand> summary(base::Instant now);
 
 private:
@@ -29,8 +32,13 @@
         // Calls a second, averaged with exponentially falling weight.
         double rate = 0;
         base::Instant rateAsOf;
+        // Calls that were sent and whose answers have not begun, now and averaged in the same way.
+        int64_t awaiting = 0;
+        double awaitingAverage = 0;
+        base::Instant awaitingAsOf;
     };
     static double rateAt(const Entry&, base::Instant now);
+    static void advanceAwaiting(Entry&, base::Instant now);
     std::map<ModelTarget, Entry> m_entries;
 };
 
--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -25,8 +25,8 @@
 
 struct UpstreamUse {
     base::UpstreamId upstream;
-    // Calls of the sender that run there.
-    int64_t inFlight = 0;
+    // Calls of the sender.
+    UpstreamLoad load;
 };
 
 // To all gateways, several times a second.
@@ -49,6 +49,8 @@
     int64_t running = 0;
     // Calls that came in the last seconds, per thousand seconds.
     int64_t arrivalsPerKilosecond = 0;
+    // Calls at engines whose answers have not begun, averaged over the last second or two, in thousandths.
+    int64_t awaitingThousandths = 0;
 };
 
 // To the planner.
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -87,6 +87,11 @@
     size_t adaptersInTransit = 4;
     // One more copy of a model is wanted for each such part of an engine's slots in use.
     double slotsPerCopy = 0.5;
+    // An engine reads prompts one after the other. Calls that stand in that queue, on average, are added up over a model's
+    // copies; one more copy is wanted for each such part of an engine's time that they show to be in use.
+    double readingTimePerCopy = 0.6;
+    // Where this much of its copies' time is in use, callers wait as for a model without a free slot.
+    double readingTimeOverrun = 0.75;
     // A model with more calls than this a second has two copies, so that the loss of one engine does not stop it.
     double callsPerSecondForTwo = 4;
     // A model that nobody has used for this long may lose its last copy to one that callers wait for. Far below the time
--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/direct/include/toucanstep/direct/Upstream.h
@@ -37,6 +37,13 @@
     int64_t orders = 0;
 };
 
+// Calls at an upstream.
+struct UpstreamLoad {
+    int64_t inFlight = 0;
+    // Of these, calls whose answer has not begun: they stand in the queue for the reading of their prompts.
+    int64_t awaiting = 0;
+};
+
 // An engine's own report of its state.
 struct EngineReport {
     // Where the report says it.
--- a/packages/direct/include/toucanstep/direct/UpstreamTable.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamTable.h
@@ -16,9 +16,9 @@
 
 struct UpstreamEntry {
     UpstreamDescription description;
-    int64_t ownInFlight = 0;
+    UpstreamLoad own;
     // Of the other gateways, as last reported.
-    int64_t peersInFlight = 0;
+    UpstreamLoad peers;
     // Failures of late: each adds one, and the sum halves every failureHalfLife.
     double failures = 0;
     base::Instant failuresAsOf;
@@ -28,7 +28,8 @@
     // No connection could be opened; not tried again before.
     base::Instant avoidUntil;
 
-    int64_t inFlight() const { return ownInFlight + peersInFlight; }
+    int64_t inFlight() const { return own.inFlight + peers.inFlight; }
+    int64_t awaiting() const { return own.awaiting + peers.awaiting; }
 };
 
 class UpstreamTable {
@@ -45,9 +46,11 @@
     LoadedModels loadedAt(const UpstreamEntry&, base::Instant now) const;
     void expireNotices(base::Instant now);
 
-    void setPeersInFlight(const std::map<base::UpstreamId, int64_t>&);
+    void setPeersLoad(const std::map<base::UpstreamId, UpstreamLoad>&);
     void onDispatched(const base::UpstreamId&, base::Instant now);
-    void onEnded(const base::UpstreamId&);
+    void onAnswerBegun(const base::UpstreamId&);
+    // A call is no longer there; `begun` if onAnswerBegun() was called for it.
+    void onEnded(const base::UpstreamId&, bool begun);
     void onHeard(const base::UpstreamId&, base::Instant now);
     void onFailure(const base::UpstreamId&, base::Instant now);
     void onUnreachable(const base::UpstreamId&, base::Instant now);
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -269,7 +269,7 @@
     ++m_sends;
     ++m_runs;
     m_desk.upstreams().onDispatched(upstream, m_desk.now());
-    m_desk.demand().onRunning(m_call.target, 1);
+    m_desk.demand().onSent(m_call.target, m_desk.now());
     m_exchange = m_desk.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
 }
 
@@ -278,14 +278,18 @@
     if (!m_exchange)
         return;
     m_exchange.reset();
-    m_desk.upstreams().onEnded(m_upstream);
-    m_desk.demand().onRunning(m_call.target, -1);
+    m_desk.upstreams().onEnded(m_upstream, m_haveHead);
+    m_desk.demand().onEnded(m_call.target, m_haveHead, m_desk.now());
     m_desk.wakeWaiting();
 }
 
 void CallRun::onHead(http1::ResponseHead head)
 {
     m_desk.heardFrom(m_upstream);
+    if (!m_haveHead) {
+        m_desk.upstreams().onAnswerBegun(m_upstream);
+        m_desk.demand().onAnswerBegun(m_call.target, m_desk.now());
+    }
     m_verdict = m_desk.format().readVerdict(head);
     m_head = std::move(head);
     m_haveHead = true;
@@ -551,7 +555,7 @@
     base::LogLine line("call_ended");
     line.add("id", m_call.id).add("outcome", outcome).add("status", status);
     if (m_route)
-        line.add("route", m_route->id).add("version", m_state->version);
+        line.add("route", m_route->id).add("version", m_state->version).add("target_ms", base::toMilliseconds(m_route->latencyTarget));
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_waitedFor)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("total_ms", base::toMilliseconds(time - m_arrived));
--- a/packages/direct/src/DemandBook.cpp
+++ b/packages/direct/src/DemandBook.cpp
@@ -11,6 +11,9 @@
 // Below this many calls a second a target counts as not asked for.
 constexpr double forgottenRate = 0.02;
 constexpr double perKilosecond = 1000;
+// Longer than the bursts that an engine works off by itself, shorter than callers have patience.
+constexpr double awaitingAveragedSeconds = 1.5;
+constexpr double thousandths = 1000;
 
 } // namespace
 
@@ -26,6 +29,38 @@
     entry.rateAsOf = now;
 }
 
+void DemandBook::advanceAwaiting(Entry& entry, base::Instant now)
+{
+    double kept = std::exp(-base::toSeconds(now - entry.awaitingAsOf) / awaitingAveragedSeconds);
+    entry.awaitingAverage = entry.awaitingAverage * kept + static_cast<double>(entry.awaiting) * (1 - kept);
+    entry.awaitingAsOf = now;
+}
+
+void DemandBook::onSent(const ModelTarget& target, base::Instant now)
+{
+    Entry& entry = m_entries[target];
+    advanceAwaiting(entry, now);
+    ++entry.running;
+    ++entry.awaiting;
+}
+
+void DemandBook::onAnswerBegun(const ModelTarget& target, base::Instant now)
+{
+    Entry& entry = m_entries[target];
+    advanceAwaiting(entry, now);
+    --entry.awaiting;
+}
+
+void DemandBook::onEnded(const ModelTarget& target, bool begun, base::Instant now)
+{
+    Entry& entry = m_entries[target];
+    --entry.running;
+    if (begun)
+        return;
+    advanceAwaiting(entry, now);
+    --entry.awaiting;
+}
+
 void DemandBook::onRefused(const ModelTarget& target, base::Instant wouldHaveWaitedUntil)
 {
     m_entries[target].refusedUntil.push_back(wouldHaveWaitedUntil);
@@ -40,8 +75,13 @@
         const Entry& entry = item.second;
         return !entry.waiting && entry.refusedUntil.empty() && !entry.running && rateAt(entry, now) < forgottenRate;
     });
-    for (const auto& [target, entry] : m_entries)
-        demand.push_back({ target, entry.waiting + static_cast<int64_t>(entry.refusedUntil.size()), entry.running, static_cast<int64_t>(rateAt(entry, now) * perKilosecond) });
+    for (auto& [target, entry] : m_entries) {
+        advanceAwaiting(entry, now);
+        TargetDemand summed { target, entry.waiting + static_cast<int64_t>(entry.refusedUntil.size()), entry.running };
+        summed.arrivalsPerKilosecond = static_cast<int64_t>(rateAt(entry, now) * perKilosecond);
+        summed.awaitingThousandths = static_cast<int64_t>(entry.awaitingAverage * thousandths);
+        demand.push_back(std::move(summed));
+    }
     return demand;
 }
 
--- a/packages/direct/src/Dispatch.cpp
+++ b/packages/direct/src/Dispatch.cpp
@@ -9,18 +9,21 @@
 
 namespace {
 
-// All in parts of an upstream's slots in use.
-// A failure of late weighs as much as this part of the slots: two of them move calls away from an upstream that is idle.
-constexpr double failureWeight = 0.4;
+// The cost of an upstream is counted in calls whose answers have not begun. An engine reads prompts one after the other, so
+// these are what a new call waits for, while calls that are being answered run side by side.
+
+// All slots in use cost as much as this many calls: the engine's memory is short, and each step takes longer.
+constexpr double crowdWeight = 8;
+// A failure of late: two of them move calls away from an upstream that is idle.
+constexpr double failureWeight = 4;
 // An upstream that has stopped answering is used only if there is no other.
-constexpr double silentWeight = 4;
+constexpr double silentWeight = 1000;
 // Another failure domain costs bytes between domains; it decides only between upstreams that are about equally busy.
-constexpr double otherDomainWeight = 0.04;
-// Calls with the same beginning go to one upstream, which keeps it in its cache, unless another is this much less busy.
-constexpr double sharedPromptWeight = 0.12;
-
+constexpr double otherDomainWeight = 0.4;
+// Calls with the same beginning go to one upstream, which keeps it in its cache and need not read it again.
+constexpr double sharedPromptWeight = 1.5;
 // Several gateways that see the same upstreams idle must not all choose the same one: less than another domain costs.
-constexpr double spreadWeight = 0.03;
+constexpr double spreadWeight = 0.3;
 
 bool mayTake(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
 {
@@ -43,7 +46,8 @@
 
 double costOf(const UpstreamEntry& entry, const DispatchQuery& query, base::Instant now)
 {
-    double cost = static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
+    auto cost = static_cast<double>(entry.awaiting());
+    cost += crowdWeight * static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
     cost += failureWeight * UpstreamTable::recentFailures(entry, now);
     if (UpstreamTable::silent(entry, now))
         cost += silentWeight;
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -30,7 +30,7 @@
 {
     Json use = Json::array();
     for (const auto& entry : report.use)
-        use.push_back({ entry.upstream.value(), entry.inFlight });
+        use.push_back({ entry.upstream.value(), entry.load.inFlight, entry.load.awaiting });
     Json charges = Json::array();
     for (const auto& charge : report.charges)
         charges.push_back({ charge.account.value(), charge.total.value() });
@@ -47,7 +47,7 @@
 {
     Json demand = Json::array();
     for (const auto& entry : report.demand)
-        demand.push_back({ entry.target.model.value(), entry.target.adapter.value(), entry.waiting, entry.running, entry.arrivalsPerKilosecond });
+        demand.push_back({ entry.target.model.value(), entry.target.adapter.value(), entry.waiting, entry.running, entry.arrivalsPerKilosecond, entry.awaitingThousandths });
     return Json::array({ head(ReportKind::Demand, report.sender), demand });
 }
 
@@ -95,7 +95,7 @@
 {
     LoadReport report { std::move(sender), number<ConfigurationVersion>(value.at(1)), number<base::Revision>(value.at(2)), value.at(3).get<bool>(), {}, {}, {}, {} };
     for (const Json& entry : value.at(4))
-        report.use.push_back({ text<base::UpstreamId>(entry.at(0)), whole(entry.at(1)) });
+        report.use.push_back({ text<base::UpstreamId>(entry.at(0)), { whole(entry.at(1)), whole(entry.at(2)) } });
     for (const Json& entry : value.at(5))
         report.charges.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
     for (const Json& entry : value.at(6)) {
@@ -111,7 +111,7 @@
 {
     DemandReport report { std::move(sender), {} };
     for (const Json& entry : value.at(1)) {
-        report.demand.push_back({ target(entry.at(0), entry.at(1)), whole(entry.at(2)), whole(entry.at(3)), whole(entry.at(4)) });
+        report.demand.push_back({ target(entry.at(0), entry.at(1)), whole(entry.at(2)), whole(entry.at(3)), whole(entry.at(4)), whole(entry.at(5)) });
     }
     return report;
 }
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -170,7 +170,7 @@
 {
     base::Instant now = m_loop.now();
     keepLease();
-    setPeersInFlight();
+    setPeersLoad();
     sendLoadReport();
     m_calls.tick();
     if (m_duty.mayOrder(now))
@@ -371,8 +371,8 @@
     report.directory = m_directory.revision();
     report.leaving = m_leavingSince.has_value();
     for (const auto& [id, entry] : m_calls.upstreams().all()) {
-        if (entry.ownInFlight)
-            report.use.push_back({ id, entry.ownInFlight });
+        if (entry.own.inFlight)
+            report.use.push_back({ id, entry.own });
     }
     LimitReport limits = m_calls.limits().report(m_incarnation, m_loop.now());
     report.charges = std::move(limits.charges);
@@ -425,20 +425,22 @@
     m_peers[report.sender.instance] = { report, now };
     m_calls.limits().onReport(report.sender.instance, { report.sender.incarnation, report.charges, report.unheard }, now);
     m_calls.quarantine().merge(report.strikes, now);
-    setPeersInFlight();
+    setPeersLoad();
     m_calls.wakeWaiting();
 }
 
-void GatewayCore::setPeersInFlight()
+void GatewayCore::setPeersLoad()
 {
-    std::map<base::UpstreamId, int64_t> counts;
+    std::map<base::UpstreamId, UpstreamLoad> loads;
     for (const auto& [id, state] : m_peers) {
         if (m_loop.now() - state.heard > reportLife)
             continue;
-        for (const auto& use : state.load.use)
-            counts[use.upstream] += use.inFlight;
+        for (const auto& use : state.load.use) {
+            loads[use.upstream].inFlight += use.load.inFlight;
+            loads[use.upstream].awaiting += use.load.awaiting;
+        }
     }
-    m_calls.upstreams().setPeersInFlight(counts);
+    m_calls.upstreams().setPeersLoad(loads);
 }
 
 void GatewayCore::onPlanReport(const PlanReport& report)
@@ -476,6 +478,7 @@
             sum.waiting += entry.waiting;
             sum.running += entry.running;
             sum.arrivalsPerKilosecond += entry.arrivalsPerKilosecond;
+            sum.awaitingThousandths += entry.awaitingThousandths;
         }
     };
     add(m_calls.demand().summary(now));
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -49,7 +49,7 @@
     void sendDemand();
     void sendPlan();
     void plan();
-    void setPeersInFlight();
+    void setPeersLoad();
     void updatePeers();
     void setDesiredState(const base::KeyValue&);
     void setUpstream(const base::KeyValue&);
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -9,13 +9,23 @@
 namespace {
 
 constexpr double perKilosecond = 1000;
+constexpr double thousandths = 1000;
 
 struct ModelDemand {
     int64_t waiting = 0;
     int64_t running = 0;
     double callsPerSecond = 0;
+    // Calls whose prompts wait to be read or are being read, on average.
+    double awaiting = 0;
 };
 
+// The engines' time that is spent on reading prompts, in engines, where that many calls stand in the queues of `copies`.
+double readingTime(double awaiting, int64_t copies)
+{
+    double each = awaiting / static_cast<double>(copies);
+    return static_cast<double>(copies) * each / (1 + each);
+}
+
 } // namespace
 
 // A model that should have another copy. Lower ranks go first.
@@ -23,7 +33,7 @@
     enum class Rank {
         // Loaded nowhere, and callers wait.
         Missing,
-        // Its copies are full, and callers wait.
+        // Its copies have no free slot, or long queues of prompts to read, and callers wait.
         Overrun,
         // Loaded nowhere.
         Absent,
@@ -34,6 +44,9 @@
     const ModelTraits* model = nullptr;
     ModelDemand demand;
 
+    // Callers are kept waiting by it.
+    bool pressing() const { return demand.waiting || rank == Rank::Overrun; }
+
     auto key() const { return std::tuple(rank, -demand.waiting, -demand.callsPerSecond, model->id); }
 };
 
@@ -106,6 +119,7 @@
         demand.waiting += entry.waiting;
         demand.running += entry.running;
         demand.callsPerSecond += static_cast<double>(entry.arrivalsPerKilosecond) / perKilosecond;
+        demand.awaiting += static_cast<double>(entry.awaitingThousandths) / thousandths;
         m_targets[entry.target] = entry;
     }
 
@@ -151,7 +165,23 @@
         double calls = static_cast<double>(found->second.waiting + found->second.running);
         auto wanted = static_cast<int64_t>(std::ceil(calls / (slots * m_settings.slotsPerCopy)));
         int64_t least = found->second.callsPerSecond > m_settings.callsPerSecondForTwo ? 2 : 1;
-        return std::max(wanted, least);
+        double reading = readingTime(found->second.awaiting, std::max<int64_t>(servingCopiesOf(model), 1));
+        auto readers = static_cast<int64_t>(std::ceil(reading / m_settings.readingTimePerCopy));
+        return std::max({ wanted, least, readers });
+    }
+
+    int64_t servingCopiesOf(const base::ModelId& model) const
+    {
+        return std::count_if(m_engines.begin(), m_engines.end(), [&](const Engine& engine) {
+            return !engine.state->leaving && !engine.isUnloading(model) && engine.holds(model);
+        });
+    }
+
+    bool overrun(const base::ModelId& model, const ModelDemand& demand) const
+    {
+        int64_t serving = servingCopiesOf(model);
+        bool reads = serving && readingTime(demand.awaiting, serving) > m_settings.readingTimeOverrun * static_cast<double>(serving);
+        return demand.waiting || reads;
     }
 
     std::vector<Want> wants() const
@@ -164,8 +194,10 @@
             if (copies >= copiesWanted(model.id))
                 continue;
             Want want { copies ? Want::Rank::Busy : Want::Rank::Absent, &model, demand };
-            if (demand.waiting)
-                want.rank = copies ? Want::Rank::Overrun : Want::Rank::Missing;
+            if (copies && overrun(model.id, demand))
+                want.rank = Want::Rank::Overrun;
+            else if (demand.waiting)
+                want.rank = Want::Rank::Missing;
             list.push_back(want);
         }
         std::sort(list.begin(), list.end(), [](const Want& left, const Want& right) { return left.key() < right.key(); });
@@ -218,7 +250,7 @@
     void placeModels()
     {
         std::vector<Want> list = wants();
-        m_callersWait = std::any_of(list.begin(), list.end(), [](const Want& want) { return want.demand.waiting > 0; });
+        m_callersWait = std::any_of(list.begin(), list.end(), [](const Want& want) { return want.pressing(); });
         for (const Want& want : list)
             place(want);
         foreseeRunningLoads();
@@ -274,7 +306,7 @@
         if (want.rank == Want::Rank::Absent && hasLocalCopy(want.model->id))
             return false;
         // While callers wait, what nobody waits for leaves the store to them.
-        if (!want.demand.waiting && m_callersWait)
+        if (!want.pressing() && m_callersWait)
             return false;
         way.now = way.now && m_storeLoads < m_input.storeLoadsAtOnce;
         return true;
@@ -284,7 +316,7 @@
     // the longest; what was asked for just now stays.
     bool chooseVictim(const Engine& engine, const Want& want, Way& way) const
     {
-        if (!want.demand.waiting)
+        if (!want.pressing())
             return false;
         for (const auto& [model, adapters] : engine.state->loaded) {
             auto victimClass = evictionClass(engine, model);
--- a/packages/direct/src/UpstreamTable.cpp
+++ b/packages/direct/src/UpstreamTable.cpp
@@ -21,9 +21,9 @@
     auto [place, isNew] = m_entries.try_emplace(description.id);
     UpstreamEntry& entry = place->second;
     if (!isNew && entry.description.start != description.start) {
-        int64_t stillRunning = entry.ownInFlight;
+        UpstreamLoad stillRunning = entry.own;
         entry = UpstreamEntry();
-        entry.ownInFlight = stillRunning;
+        entry.own = stillRunning;
         m_notices.erase(description.id);
         isNew = true;
     }
@@ -102,11 +102,11 @@
     std::erase_if(m_notices, [](const auto& entry) { return entry.second.empty(); });
 }
 
-void UpstreamTable::setPeersInFlight(const std::map<base::UpstreamId, int64_t>& counts)
+void UpstreamTable::setPeersLoad(const std::map<base::UpstreamId, UpstreamLoad>& loads)
 {
     for (auto& [id, entry] : m_entries) {
-        auto found = counts.find(id);
-        entry.peersInFlight = found == counts.end() ? 0 : found->second;
+        auto found = loads.find(id);
+        entry.peers = found == loads.end() ? UpstreamLoad() : found->second;
     }
 }
 
@@ -115,17 +115,27 @@
     UpstreamEntry* entry = find(id);
     if (!entry)
         return;
-    ++entry->ownInFlight;
+    ++entry->own.inFlight;
+    ++entry->own.awaiting;
     if (!entry->awaitingSince)
         entry->awaitingSince = now;
 }
 
-void UpstreamTable::onEnded(const base::UpstreamId& id)
+void UpstreamTable::onAnswerBegun(const base::UpstreamId& id)
 {
     UpstreamEntry* entry = find(id);
-    if (!entry || !entry->ownInFlight)
+    if (entry && entry->own.awaiting)
+        --entry->own.awaiting;
+}
+
+void UpstreamTable::onEnded(const base::UpstreamId& id, bool begun)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry || !entry->own.inFlight)
         return;
-    if (!--entry->ownInFlight)
+    if (!begun && entry->own.awaiting)
+        --entry->own.awaiting;
+    if (!--entry->own.inFlight)
         entry->awaitingSince.reset();
 }
 
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -78,10 +78,33 @@
 {
     table.put(engine("one", "m"), now);
     table.put(engine("two", "m"), now);
-    table.setPeersInFlight({ { base::UpstreamId("one"), 3 } });
+    table.setPeersLoad({ { base::UpstreamId("one"), { 3, 3 } } });
     STRCMP_EQUAL("two", chosen(asks("m")).c_str());
 }
 
+TEST(Dispatch, ACallGoesWhereFewerPromptsWaitToBeRead)
+{
+    // First tokens would come late although another engine could have given them at once: an engine with many slots looked
+    // idle with a dozen calls whose prompts it had yet to read, and a shared beginning drew more of them there.
+    table.put(engine("one", "m", 128), now);
+    table.put(engine("two", "m", 128), now);
+    DispatchQuery query = asks("m");
+    query.sharedPrompt = "5c1e07a2";
+    std::string home = chosen(query);
+    std::string other = home == "one" ? "two" : "one";
+    for (int call = 0; call < 4; ++call)
+        table.onDispatched(base::UpstreamId(home), now);
+    for (int call = 0; call < 12; ++call) {
+        table.onDispatched(base::UpstreamId(other), now);
+        table.onAnswerBegun(base::UpstreamId(other));
+    }
+    STRCMP_EQUAL(other.c_str(), chosen(query).c_str());
+    // The answers have begun: what they share draws the call again.
+    for (int call = 0; call < 4; ++call)
+        table.onAnswerBegun(base::UpstreamId(home));
+    STRCMP_EQUAL(home.c_str(), chosen(query).c_str());
+}
+
 TEST(Dispatch, WhatStandsInTheWayIsTold)
 {
     CHECK_TRUE(obstacle(asks("m")) == Obstacle::NoUpstream);
@@ -233,20 +256,22 @@
 TEST(FleetReports, EveryKindComesBackAsItWasSent)
 {
     ReportSender sender { base::InstanceId("g"), Incarnation(5), 9 };
-    LoadReport load { sender, ConfigurationVersion(3), base::Revision(40), true, { { base::UpstreamId("e"), 2 } }, { { base::ClientAccountId("c"), base::Tokens(7) } },
+    LoadReport load { sender, ConfigurationVersion(3), base::Revision(40), true, { { base::UpstreamId("e"), { 2, 1 } } }, { { base::ClientAccountId("c"), base::Tokens(7) } },
         { { routing::RequestFingerprint("f"), routing::CrashId("x"), std::chrono::seconds(4) } }, { base::InstanceId("h") } };
     auto loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     LONGS_EQUAL(9, loadBack.sender.sequence);
     LONGS_EQUAL(40, loadBack.directory.value());
-    LONGS_EQUAL(2, loadBack.use.at(0).inFlight);
+    LONGS_EQUAL(2, loadBack.use.at(0).load.inFlight);
+    LONGS_EQUAL(1, loadBack.use.at(0).load.awaiting);
     LONGS_EQUAL(7, loadBack.charges.at(0).total.value());
     STRCMP_EQUAL("x", loadBack.strikes.at(0).crash.value().c_str());
     STRCMP_EQUAL("h", loadBack.unheard.at(0).value().c_str());
 
-    DemandReport demand { sender, { { { base::ModelId("m"), AdapterId("a1") }, 1, 2, 300 } } };
+    DemandReport demand { sender, { { { base::ModelId("m"), AdapterId("a1") }, 1, 2, 300, 1500 } } };
     auto demandBack = std::get<DemandReport>(*decodeReport(encodeReport(demand)));
     STRCMP_EQUAL("a1", demandBack.demand.at(0).target.adapter.value().c_str());
     LONGS_EQUAL(300, demandBack.demand.at(0).arrivalsPerKilosecond);
+    LONGS_EQUAL(1500, demandBack.demand.at(0).awaitingThousandths);
 
     PlanReport plan { sender, base::Epoch(6), { { base::UpstreamId("e"), StartMark(8), { base::ModelId("m"), AdapterId() }, true } }, { { { base::ModelId("n"), AdapterId() }, std::chrono::milliseconds(250) } } };
     auto planBack = std::get<PlanReport>(*decodeReport(encodeReport(plan)));
@@ -325,3 +350,23 @@
     book.onWaiting(target, 1);
     LONGS_EQUAL(1, book.summary(now + std::chrono::seconds(120)).at(0).waiting);
 }
+
+TEST(DemandBook, CallsWhosePromptsWaitAreAveragedOverASecondOrTwo)
+{
+    DemandBook book;
+    ModelTarget target { base::ModelId("m"), AdapterId() };
+    for (int call = 0; call < 4; ++call)
+        book.onSent(target, start);
+    int64_t soon = book.summary(start + std::chrono::milliseconds(100)).at(0).awaitingThousandths;
+    int64_t later = book.summary(start + std::chrono::seconds(8)).at(0).awaitingThousandths;
+    CHECK_TRUE(soon > 0 && soon < 400);
+    CHECK_TRUE(later > 3900 && later <= 4000);
+    for (int call = 0; call < 4; ++call)
+        book.onAnswerBegun(target, start + std::chrono::seconds(8));
+    TargetDemand begun = book.summary(start + std::chrono::seconds(16)).at(0);
+    CHECK_TRUE(begun.awaitingThousandths < 100);
+    LONGS_EQUAL(4, begun.running);
+    for (int call = 0; call < 4; ++call)
+        book.onEnded(target, true, start + std::chrono::seconds(16));
+    CHECK_TRUE(book.summary(start + std::chrono::seconds(17)).empty());
+}
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -191,6 +191,26 @@
     expectOrders({ "load m at two" });
 }
 
+// Demand moved to a model with one copy. No caller waited at an entry, as the engine had 128 slots; but first tokens came a
+// second late for six seconds, since all prompts were read one after the other there, while other engines held models that
+// nobody used.
+TEST(PlacementPlan, AModelWhosePromptsQueueAtItsEngineGetsAnotherCopyInPlaceOfAnIdleOne)
+{
+    addModel("m");
+    addModel("idle");
+    addModel("old");
+    addEngine("one", { "m" }).slots = 128;
+    PlannedEngine& other = addEngine("two", { "idle", "old" });
+    other.slots = 128;
+    other.onDisk = { base::ModelId("m"), base::ModelId("idle"), base::ModelId("old") };
+    input.demand.push_back({ model("m"), 0, 10, 8000, 500 });
+    expectOrders({});
+    input.demand.back().awaitingThousandths = 5000;
+    auto given = orders();
+    LONGS_EQUAL(1, given.size());
+    CHECK_TRUE(given[0].starts_with("unload") && given[0].ends_with("at two"));
+}
+
 TEST(PlacementPlan, ACallerIsToldHowLongALoadTakes)
 {
     addModel("m");
