Placement: room for one copy is made once, and kept only while its callers wait

In the next round, 100 ms later, the engine that was making the room looked later than the next engine (its running order counts a second at least), so the next one evicted too: seven engines each unloaded a model for one copy, six rooms stood empty for the two seconds of their reservations, and their models' callers were refused. Change: while room is being made for a model, that engine is its only way; a reservation ends when the model's callers do not wait any more; a load from the store into reserved room counts as begun. Tests: RoomForOneCopyIsMadeOnce, RoomThatIsNotNeededAnyMoreIsForOthers, red before.

--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -250,16 +250,43 @@
     void placeModels()
     {
         std::vector<Want> list = wants();
+        dropReservations(list);
         m_callersWait = std::any_of(list.begin(), list.end(), [](const Want& want) { return want.pressing(); });
         for (const Want& want : list)
             place(want);
         foreseeRunningLoads();
     }
 
+    // Room that was made for a model whose callers do not wait any more is free for others. What is loaded from the store
+    // into the rest counts as begun.
+    void dropReservations(const std::vector<Want>& list)
+    {
+        for (Engine& engine : m_engines) {
+            if (!engine.reserved)
+                continue;
+            bool wanted = std::any_of(list.begin(), list.end(), [&](const Want& want) { return want.pressing() && want.model->id == *engine.reserved; });
+            if (wanted) {
+                m_storeLoads += sourceAt(engine, *engine.reserved) == LoadSource::WeightStore ? 1 : 0;
+                continue;
+            }
+            engine.reserved.reset();
+            m_planner.m_reserved.erase(engine.state->id);
+        }
+    }
+
+    // While room is being made for a model, it is loaded there and no other room is made for it: another way may look sooner
+    // for a moment, and engine after engine would lose a model for the sake of one copy.
+    bool roomIsMadeElsewhere(const Engine& engine, const base::ModelId& model) const
+    {
+        return engine.reserved != model && std::any_of(m_engines.begin(), m_engines.end(), [&](const Engine& other) { return other.reserved == model; });
+    }
+
     void place(const Want& want)
     {
         std::optional<Way> best;
         for (Engine& engine : m_engines) {
+            if (roomIsMadeElsewhere(engine, want.model->id))
+                continue;
             auto way = wayAt(engine, want);
             if (way && (!best || way->key() < best->key()))
                 best = way;
@@ -308,7 +335,7 @@
         // While callers wait, what nobody waits for leaves the store to them.
         if (!want.pressing() && m_callersWait)
             return false;
-        way.now = way.now && m_storeLoads < m_input.storeLoadsAtOnce;
+        way.now = way.now && (way.engine->reserved == want.model->id || m_storeLoads < m_input.storeLoadsAtOnce);
         return true;
     }
 
@@ -357,7 +384,7 @@
     void load(const Way& way, const Want& want)
     {
         m_result.orders.push_back({ way.engine->state->id, OrderKind::Load, { want.model->id, AdapterId() }, way.source, loadTime(*want.model, way.source) });
-        m_storeLoads += way.source == LoadSource::WeightStore ? 1 : 0;
+        m_storeLoads += way.source == LoadSource::WeightStore && way.engine->reserved != want.model->id ? 1 : 0;
         way.engine->taken = true;
         way.engine->free -= want.model->memory.value();
         way.engine->ordered.insert(want.model->id);
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -115,6 +115,53 @@
     expectOrders({ "load m at full" });
 }
 
+// Callers of seven models were sent away when the day's first calls came: each of seven engines in turn was told to unload a
+// model to make room for the same copy, as the engine that was making room already looked a little later than the next one.
+// Six rooms then stood empty for two seconds.
+TEST(PlacementPlan, RoomForOneCopyIsMadeOnce)
+{
+    addModel("m");
+    for (const char* id : { "one", "two", "three" }) {
+        std::string held = std::string("held-") + id;
+        addModel(held);
+        addModel(held + "-too");
+        PlannedEngine& engine = addEngine(id, {});
+        engine.loaded[base::ModelId(held)];
+        engine.loaded[base::ModelId(held + "-too")];
+        engine.onDisk = { base::ModelId("m"), base::ModelId(held), base::ModelId(held + "-too") };
+    }
+    wait(model("m"));
+    auto given = planner.plan(input).orders;
+    LONGS_EQUAL(1, given.size());
+    CHECK_TRUE(given[0].kind == OrderKind::Unload);
+    PlannedEngine& first = *std::find_if(input.engines.begin(), input.engines.end(), [&](const auto& engine) { return engine.id == given[0].upstream; });
+    first.running = RunningOrder { OrderKind::Unload, given[0].target.model, LoadSource::HostMemory, {}, input.now };
+    input.now += std::chrono::milliseconds(100);
+    expectOrders({});
+    first.running.reset();
+    first.loaded.erase(given[0].target.model);
+    input.now += std::chrono::milliseconds(100);
+    expectOrders({ "load m at " + first.id.value() });
+}
+
+TEST(PlacementPlan, RoomThatIsNotNeededAnyMoreIsForOthers)
+{
+    // A model's callers had left before its room was free, and other models were kept out of it for two seconds.
+    addModel("m");
+    addModel("idle");
+    addModel("old");
+    addModel("n");
+    PlannedEngine& engine = addEngine("full", { "idle", "old" });
+    engine.onDisk = { base::ModelId("m"), base::ModelId("n") };
+    wait(model("m"));
+    std::string victim = orders().at(0).substr(7, orders().at(0).find(" at") - 7);
+    engine.loaded.erase(base::ModelId(victim));
+    input.demand.clear();
+    wait(model("n"));
+    input.now += std::chrono::milliseconds(100);
+    expectOrders({ "load n at full" });
+}
+
 TEST(PlacementPlan, WhatIsUsedIsNotEvicted)
 {
     addModel("m");
