Planner: the last one goes on without a pause, and a leaving one plans until it ends

Change: a second key, without a lease, names the gateway that gave the last orders. The same machine takes an own key over at once and does not pause; others leave an open duty to it for 400 ms. It is empty while a new holder pauses. SIGTERM does not end the duty. Reports are read during a pause. Tests: four of PlannerDuty in DecisionTest; the first is red without the change.

--- a/packages/direct/include/toucanstep/direct/PlannerDuty.h
+++ b/packages/direct/include/toucanstep/direct/PlannerDuty.h
@@ -2,7 +2,12 @@
 //
 // The duty is a key in the store under a lease. Its holder counts the lease from the moment at which it sent the renewal,
 // by a clock that also runs while the machine stands still, and stops early by a margin; the next holder waits for the
-// pause. The revision that created the key is the fence: it grows with each holder.
+// pause. The revision at which the key was written is the fence: it grows with each holder.
+//
+// A second key, without a lease, names the gateway that gave the last orders. That gateway need not pause: after all
+// processes were killed, after an outage of the store in which its lease ended, or when it starts again, it goes on at once.
+// So others leave an open duty to it for a moment. The second key is empty from the moment at which another holder takes the
+// duty until that one has given an order, and during that time everybody pauses.
 
 #pragma once
 
@@ -21,14 +26,31 @@
     base::Duration margin = std::chrono::milliseconds(300);
     // No order within this time after another holder's last one may have been sent.
     base::Duration handOver = std::chrono::seconds(3);
+    // For the last planner to take an open duty again before others do: a few calls to the store.
+    base::Duration lastPlannersStart = std::chrono::milliseconds(400);
+};
+
+// What the store says of the duty.
+struct DutyRecord {
+    std::optional<base::InstanceId> holder;
+    // Gave the last orders; empty while a new holder has yet to give one. Not set before the first planner.
+    std::optional<base::InstanceId> lastPlanner;
 };
 
 class PlannerDuty {
 public:
-    explicit PlannerDuty(PlannerDutySettings);
+    // `firstStart`: the whole fleet starts for the first time, and no planner was before.
+    PlannerDuty(PlannerDutySettings, base::InstanceId self, bool firstStart);
 
-    // The key is this gateway's, created at `fence`. Without a predecessor (the fleet's first start) there is no pause.
-    void onAcquired(base::Epoch fence, base::Instant renewalSent, base::Instant now, bool predecessorPossible);
+    // Whether this gateway may try to take the duty now. To be asked several times a second.
+    bool isOpen(const DutyRecord&, base::Instant now);
+    // Nobody else can have given an order since this machine did.
+    bool goesOn(const DutyRecord&) const;
+    // The key is this gateway's, written at `fence`.
+    void onAcquired(base::Epoch fence, base::Instant renewalSent, base::Instant now, bool goesOn);
+    // The store has yet to be told that this gateway gives orders.
+    bool unsettled() const { return m_fence && !m_settled; }
+    void setSettled(bool settled) { m_settled = settled; }
     void onRenewed(base::Instant renewalSent);
     // The lease has ended, another holder was seen, or an engine has met a higher fence.
     void onLost();
@@ -38,6 +60,11 @@
 
 private:
     PlannerDutySettings m_settings;
+    base::InstanceId m_self;
+    bool m_firstStart = false;
+    // Since when nobody has been seen to hold the duty.
+    std::optional<base::Instant> m_openSince;
+    bool m_settled = false;
     std::optional<base::Epoch> m_fence;
     base::Instant m_orderFrom;
     base::Instant m_validUntil;
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -41,6 +41,8 @@
 
 constexpr std::string_view memberPrefix = "toucanstep/gateways/";
 constexpr std::string_view plannerKey = "toucanstep/planner";
+// See PlannerDuty.
+constexpr std::string_view lastPlannerKey = "toucanstep/last-planner";
 // The revision that the asking gateway has follows.
 constexpr std::string_view copyTarget = "/fleet/directory?since=";
 constexpr std::string_view metricsTarget = "/metrics";
@@ -133,7 +135,7 @@
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_orders(
           loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
-    , m_duty(dutySettings(m_settings))
+    , m_duty(dutySettings(m_settings), m_settings.instance, m_settings.firstStart)
     , m_planner(PlacementSettings {})
     , m_directory(loop, *m_store, directorySettings(m_settings, *m_format), *this)
     , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
@@ -175,6 +177,8 @@
     m_calls.tick();
     if (m_duty.mayOrder(now))
         plan();
+    else if (m_duty.holds())
+        readEngines();
     sendDemand();
     sendPlan();
     catchUpFromPeer();
@@ -233,8 +237,8 @@
     base::LogLine("leaving").add("running", m_calls.running());
     m_leavingSince = m_loop.now();
     m_callers->closeAfterAnswers();
-    loseDuty("leaving");
-    // The keys go at once, so that the others need not wait for the lease to end.
+    // The planner goes on until its process ends: a successor would have to pause, and a process that starts again at once
+    // takes its duty up without one. Only the member's key goes now.
     base::Transaction transaction;
     transaction.operations.emplace_back(base::DeleteOperation { base::concat(memberPrefix, m_settings.instance) });
     m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
@@ -463,12 +467,28 @@
 
 // ---- the planner's duty
 
+// A new holder of the duty knows the engines' state by the time at which it may give orders.
+void GatewayCore::readEngines()
+{
+    auto state = m_calls.desiredState();
+    if (!state)
+        return;
+    base::Instant now = m_loop.now();
+    for (const auto& service : state->services) {
+        if (service.engine)
+            m_orders.engines(m_calls.upstreams(), service.id, now);
+    }
+    m_orders.tick(now);
+}
+
 void GatewayCore::plan()
 {
     auto state = m_calls.desiredState();
     if (!state)
         return;
     base::Instant now = m_loop.now();
+    if (m_duty.unsettled())
+        settleDuty();
     m_orders.tick(now);
     std::map<ModelTarget, TargetDemand> demand;
     auto add = [&](const std::vector<TargetDemand>& entries) {
@@ -509,18 +529,18 @@
 void GatewayCore::keepLease()
 {
     base::Instant now = m_loop.now();
-    if (m_leavingSince || m_leaseCall)
+    if (m_leaseCall || (m_leavingSince && !m_duty.holds()))
         return;
     if (!m_lease) {
         if (now >= m_nextRenewal)
             grantLease();
         return;
     }
-    if (!m_joined && !m_joining)
+    if (!m_joined && !m_joining && !m_leavingSince)
         joinFleet();
     if (now >= m_nextRenewal)
         renewLease();
-    if (m_joined && !m_duty.holds() && now >= m_nextDutyTry && m_directory.known() && !m_directory.entries().contains(std::string(plannerKey)))
+    if (m_joined && !m_duty.holds() && m_directory.known() && m_duty.isOpen(dutyRecord(), now) && now >= m_nextDutyTry)
         seekDuty();
 }
 
@@ -578,24 +598,59 @@
     });
 }
 
+const base::KeyValue* GatewayCore::entryOf(std::string_view key) const
+{
+    auto found = m_directory.entries().find(std::string(key));
+    return found == m_directory.entries().end() ? nullptr : &found->second;
+}
+
+DutyRecord GatewayCore::dutyRecord() const
+{
+    DutyRecord record;
+    if (const base::KeyValue* holder = entryOf(plannerKey))
+        record.holder = base::InstanceId(holder->value);
+    if (const base::KeyValue* last = entryOf(lastPlannerKey))
+        record.lastPlanner = base::InstanceId(last->value);
+    return record;
+}
+
 void GatewayCore::seekDuty()
 {
     if (m_dutyCall || m_leavingSince)
         return;
     m_dutyCall = true;
     m_nextDutyTry = m_loop.now() + dutyRetry;
+    const base::KeyValue* holder = entryOf(plannerKey);
+    const base::KeyValue* last = entryOf(lastPlannerKey);
+    bool goesOn = m_duty.goesOn(dutyRecord());
     base::Transaction transaction;
-    transaction.comparisons.push_back({ std::string(plannerKey), base::Revision(0) });
+    transaction.comparisons.push_back({ std::string(plannerKey), holder ? holder->modified : base::Revision(0) });
+    transaction.comparisons.push_back({ std::string(lastPlannerKey), last ? last->modified : base::Revision(0) });
     transaction.operations.emplace_back(base::PutOperation { std::string(plannerKey), m_settings.instance.value(), m_lease });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
+    transaction.operations.emplace_back(base::PutOperation { std::string(lastPlannerKey), goesOn ? m_settings.instance.value() : std::string(), {} });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this, goesOn](base::Outcome<base::TransactionReply> outcome) {
         m_dutyCall = false;
         const auto* reply = std::get_if<base::TransactionReply>(&outcome);
         if (!reply || !reply->committed || m_leavingSince)
             return;
-        m_duty.onAcquired(base::Epoch(reply->revision.value()), m_leaseSent, m_loop.now(), !m_settings.firstStart);
+        m_duty.onAcquired(base::Epoch(reply->revision.value()), m_leaseSent, m_loop.now(), goesOn);
         m_orders.begin(m_duty.fence());
         m_plannerPeer.reset();
-        base::LogLine("planner_duty_taken").add("fence", m_duty.fence());
+        base::LogLine("planner_duty_taken").add("fence", m_duty.fence()).add("pause", goesOn ? "no" : "yes");
+    });
+}
+
+// From the first order on this gateway is the last that gave one. Until that is written, a process that starts again here
+// pauses as any other would.
+void GatewayCore::settleDuty()
+{
+    m_duty.setSettled(true);
+    base::Transaction transaction;
+    transaction.comparisons.push_back({ std::string(plannerKey), base::Revision(m_duty.fence().value()) });
+    transaction.operations.emplace_back(base::PutOperation { std::string(lastPlannerKey), m_settings.instance.value(), {} });
+    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
+        if (!std::holds_alternative<base::TransactionReply>(outcome))
+            m_duty.setSettled(false);
     });
 }
 
@@ -611,7 +666,7 @@
     // An older copy of the store does not show this gateway's key yet.
     if (m_directory.revision().value() < m_duty.fence().value())
         return;
-    if (entry == m_directory.entries().end() || entry->second.created.value() != m_duty.fence().value())
+    if (entry == m_directory.entries().end() || entry->second.modified.value() != m_duty.fence().value())
         loseDuty("the key is not this gateway's any more");
 }
 
@@ -620,11 +675,11 @@
     if (!m_duty.holds())
         return;
     base::LogLine("planner_duty_lost").add("fence", m_duty.fence()).add("reason", why);
-    base::Revision created(m_duty.fence().value());
+    base::Revision acquired(m_duty.fence().value());
     m_duty.onLost();
     m_nextDutyTry = m_loop.now() + m_settings.plannerLease * 2;
     base::Transaction transaction;
-    transaction.comparisons.push_back({ std::string(plannerKey), created });
+    transaction.comparisons.push_back({ std::string(plannerKey), acquired });
     transaction.operations.emplace_back(base::DeleteOperation { std::string(plannerKey) });
     m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
 }
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -48,6 +48,7 @@
     void sendLoadReport();
     void sendDemand();
     void sendPlan();
+    void readEngines();
     void plan();
     void setPeersLoad();
     void updatePeers();
@@ -60,7 +61,10 @@
     void grantLease();
     void renewLease();
     void joinFleet();
+    const base::KeyValue* entryOf(std::string_view key) const;
+    DutyRecord dutyRecord() const;
     void seekDuty();
+    void settleDuty();
     void onDutySeen();
     void loseDuty(std::string_view why);
 
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -221,14 +221,16 @@
 
 TEST_GROUP(PlannerDuty)
 {
-    PlannerDuty duty { { std::chrono::milliseconds(1500), std::chrono::milliseconds(300), std::chrono::seconds(3) } };
+    PlannerDuty duty { { std::chrono::milliseconds(1500), std::chrono::milliseconds(300), std::chrono::seconds(3) }, base::InstanceId("self"), false };
+    const base::InstanceId self { "self" };
+    const base::InstanceId other { "other" };
 };
 
 TEST(PlannerDuty, TheLeaseCountsFromTheMomentTheRenewalWasSent)
 {
     // Two gateways would order the same engine: a machine stands still while the answer to its renewal is on the way, and
     // counts the lease from the moment at which it reads that answer.
-    duty.onAcquired(base::Epoch(4), start, start, false);
+    duty.onAcquired(base::Epoch(4), start, start, true);
     CHECK_TRUE(duty.mayOrder(start + std::chrono::milliseconds(1199)));
     CHECK_FALSE(duty.mayOrder(start + std::chrono::milliseconds(1200)));
     duty.onRenewed(start + std::chrono::milliseconds(500));
@@ -238,7 +240,7 @@
 
 TEST(PlannerDuty, ASuccessorWaitsWhereEnginesDoNotCheckFences)
 {
-    duty.onAcquired(base::Epoch(4), start, start, true);
+    duty.onAcquired(base::Epoch(4), start, start, false);
     duty.onRenewed(start + std::chrono::seconds(10));
     CHECK_FALSE(duty.mayOrder(start + std::chrono::milliseconds(2999)));
     CHECK_TRUE(duty.mayOrder(start + std::chrono::seconds(3)));
@@ -246,11 +248,53 @@
 
 TEST(PlannerDuty, ALostDutyOrdersNothing)
 {
-    duty.onAcquired(base::Epoch(4), start, start, false);
+    duty.onAcquired(base::Epoch(4), start, start, true);
     duty.onLost();
     CHECK_FALSE(duty.mayOrder(start));
 }
 
+// All gateways were killed and came back within a second. Nothing was loaded for five more: the old planner's key stood until
+// its lease ended, another gateway took the duty then, and paused although the last planner could have gone on.
+TEST(PlannerDuty, TheLastPlannerTakesItsDutyUpAgainWithoutAPause)
+{
+    DutyRecord record { self, self };
+    CHECK_TRUE(duty.isOpen(record, start));
+    CHECK_TRUE(duty.goesOn(record));
+    duty.onAcquired(base::Epoch(4), start, start, duty.goesOn(record));
+    CHECK_TRUE(duty.mayOrder(start));
+    CHECK_FALSE(duty.unsettled());
+}
+
+TEST(PlannerDuty, OthersLeaveAnOpenDutyToTheLastPlannerForAMoment)
+{
+    DutyRecord record { std::nullopt, other };
+    CHECK_FALSE(duty.isOpen(record, start));
+    CHECK_FALSE(duty.isOpen(record, start + std::chrono::milliseconds(399)));
+    CHECK_TRUE(duty.isOpen(record, start + std::chrono::milliseconds(400)));
+    CHECK_FALSE(duty.goesOn(record));
+    // Somebody had it meanwhile: the moment begins anew.
+    CHECK_FALSE(duty.isOpen({ other, other }, start + std::chrono::seconds(1)));
+    CHECK_FALSE(duty.isOpen(record, start + std::chrono::seconds(2)));
+}
+
+// A gateway took the duty from another, was killed while it paused, and came back: it must not take itself for the last that
+// gave orders, or the orders of two planners would mingle at an engine.
+TEST(PlannerDuty, AProcessThatStartsAgainWithinItsPausePausesAnew)
+{
+    DutyRecord paused { self, base::InstanceId() };
+    CHECK_TRUE(duty.isOpen(paused, start));
+    CHECK_FALSE(duty.goesOn(paused));
+    duty.onAcquired(base::Epoch(4), start, start, duty.goesOn(paused));
+    CHECK_FALSE(duty.mayOrder(start + std::chrono::seconds(1)));
+    CHECK_TRUE(duty.unsettled());
+}
+
+TEST(PlannerDuty, OnlyAFirstStartNeedsNoPauseWithoutALastPlanner)
+{
+    CHECK_FALSE(duty.goesOn({}));
+    CHECK_TRUE(PlannerDuty({}, self, true).goesOn({}));
+}
+
 TEST_GROUP(FleetReports) {};
 
 TEST(FleetReports, EveryKindComesBackAsItWasSent)
