Limits: a gateway that starts beside others takes their buckets over; a new one's part is shared

Change: a report carries a digest of whom its sender hears (equal digests: everyone hears everyone), and the buckets' stocks while a newly started gateway is heard. Tests: ANewGatewaysPartIsSharedAlthoughItDoesNotKnowOfOneThatIsGone, AGatewayThatStartsBesideOthersTakesOverWhatTheBucketsHold, both red before.

--- a/packages/direct/include/toucanstep/direct/AccountLimits.h
+++ b/packages/direct/include/toucanstep/direct/AccountLimits.h
@@ -6,7 +6,7 @@
 // peer is heard, for the time since it was heard last and together with what it charged in that time. So the parts of a
 // divided fleet add up to one whole from the moment of the division, also before anyone has noticed it. A gateway that
 // hears only some of the fleet caps its buckets at its part. A bucket begins empty, so a fleet that is killed and starts
-// again gives nobody a second burst.
+// again gives nobody a second burst; a gateway that starts beside others takes their view of the buckets over instead.
 //
 // Two gateways that do not hear each other may both hear a third, and must not both spend its part. So a gateway shares a
 // peer's part only if it hears everyone whom that peer hears, and that peer hears it: all who share a part then hear each
@@ -39,6 +39,15 @@
     base::Duration peerSilence = std::chrono::milliseconds(350);
     // A peer that left the list of gateways counts for this long, as a window of the limits may still hold its calls.
     base::Duration peerMemory = std::chrono::seconds(10);
+    // A gateway that was first heard less than this long ago is told what the buckets hold, and takes it over if it has
+    // started less than this long ago itself: a few reports' time.
+    base::Duration startTime = std::chrono::milliseconds(600);
+};
+
+struct AccountStock {
+    base::ClientAccountId account;
+    // Below zero where more was spent than there was.
+    base::Tokens stock;
 };
 
 // What a gateway tells its peers of the limits.
@@ -47,6 +56,10 @@
     std::vector<AccountCharge> charges;
     // Gateways that count and that the sender has not heard of late.
     std::vector<base::InstanceId> unheard;
+    // The same for all senders that hear the same gateways, themselves included.
+    int64_t heardDigest = 0;
+    // What the buckets hold, while a gateway that has just started is heard.
+    std::vector<AccountStock> stocks;
 };
 
 class AccountLimits {
@@ -57,7 +70,8 @@
     void setAccounts(const DesiredState&, base::Instant now);
     // The other gateways, as the list has them.
     void setPeers(const std::set<base::InstanceId>&, base::Instant now);
-    void setSelf(base::InstanceId self) { m_self = std::move(self); }
+    // `now`: the time of this gateway's start.
+    void setSelf(base::InstanceId, base::Instant now);
     void onReport(const base::InstanceId& peer, const LimitReport&, base::Instant now);
 
     // Charges the account and returns nothing, or charges nothing and returns when the tokens are expected to be there.
@@ -80,26 +94,41 @@
         base::Instant countsUntil;
         bool listed = false;
         std::set<base::InstanceId> unheard;
+        int64_t heardDigest = 0;
+        // When its present start was first heard.
+        base::Instant since;
         std::map<base::ClientAccountId, base::Tokens> totals;
     };
 
-    // The gateways among which the rate is divided, and how many of their parts this one may spend, its own included.
+    // The gateways among which the rate is divided; this one is among the heard and the shared.
     struct Parts {
         int64_t all = 1;
+        int64_t heard = 1;
+        // This gateway may spend their parts.
         int64_t shared = 1;
-        double share() const { return static_cast<double>(shared) / static_cast<double>(all); }
+        double ofBurst() const { return static_cast<double>(heard) / static_cast<double>(all); }
+        double ofRate() const { return static_cast<double>(shared) / static_cast<double>(all); }
     };
     Parts parts(base::Instant now) const;
     bool heardOfLate(const Peer&, base::Instant now) const;
     bool counts(const Peer&, base::Instant now) const;
+    // Whom this gateway hears.
+    struct Hearing {
+        std::vector<base::InstanceId> unheard;
+        int64_t digest = 0;
+    };
+    Hearing hearing(base::Instant now) const;
     // Whether this gateway may spend the peer's part.
-    bool shares(const Peer&, const std::vector<base::InstanceId>& ownUnheard) const;
-    std::vector<base::InstanceId> unheard(base::Instant now) const;
+    bool shares(const Peer&, const Hearing& own) const;
+    void adopt(const std::vector<AccountStock>&);
     // Adds the gateway's own part since the last time.
     static void accrue(Bucket&, const Parts&, base::Instant now);
 
     AccountLimitsSettings m_settings;
     base::InstanceId m_self;
+    base::Instant m_started;
+    // It knows what the buckets held before its start.
+    bool m_hasAdopted = false;
     std::map<base::ClientAccountId, Bucket> m_buckets;
     std::map<base::InstanceId, Peer> m_peers;
 };
--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -37,10 +37,8 @@
     base::Revision directory;
     bool leaving = false;
     std::vector<UpstreamUse> use;
-    std::vector<AccountCharge> charges;
+    LimitReport limits;
     std::vector<routing::StrikeMessage> strikes;
-    // Other gateways that the sender has not heard of late.
-    std::vector<base::InstanceId> unheard;
 };
 
 struct TargetDemand {
--- a/packages/direct/src/AccountLimits.cpp
+++ b/packages/direct/src/AccountLimits.cpp
@@ -4,6 +4,22 @@
 
 namespace toucanstep::direct {
 
+namespace {
+
+// Fits into what every reader of a report takes for a whole number.
+constexpr int64_t digestMask = (int64_t(1) << 53) - 1;
+
+// FNV-1a.
+int64_t digestOf(const base::InstanceId& id)
+{
+    uint64_t hash = 14695981039346656037U;
+    for (unsigned char letter : id.value())
+        hash = (hash ^ letter) * 1099511628211U;
+    return static_cast<int64_t>(hash) & digestMask;
+}
+
+} // namespace
+
 AccountLimits::AccountLimits(AccountLimitsSettings settings)
     : m_settings(settings)
 {
@@ -19,31 +35,45 @@
     return heardOfLate(peer, now) || peer.listed || now < peer.countsUntil;
 }
 
-std::vector<base::InstanceId> AccountLimits::unheard(base::Instant now) const
+void AccountLimits::setSelf(base::InstanceId self, base::Instant now)
 {
-    std::vector<base::InstanceId> list;
+    m_self = std::move(self);
+    m_started = now;
+}
+
+AccountLimits::Hearing AccountLimits::hearing(base::Instant now) const
+{
+    Hearing own { {}, digestOf(m_self) };
     for (const auto& [id, peer] : m_peers) {
-        if (counts(peer, now) && !heardOfLate(peer, now))
-            list.push_back(id);
+        if (heardOfLate(peer, now))
+            own.digest = (own.digest + digestOf(id)) & digestMask;
+        else if (counts(peer, now))
+            own.unheard.push_back(id);
     }
-    return list;
+    return own;
 }
 
-bool AccountLimits::shares(const Peer& peer, const std::vector<base::InstanceId>& ownUnheard) const
+bool AccountLimits::shares(const Peer& peer, const Hearing& own) const
 {
-    bool hearsAllThatItHears = std::all_of(ownUnheard.begin(), ownUnheard.end(), [&](const auto& id) { return peer.unheard.contains(id); });
+    // A peer that has just started may not even know of a gateway that has been gone for a while.
+    if (peer.heardDigest == own.digest)
+        return true;
+    bool hearsAllThatItHears = std::all_of(own.unheard.begin(), own.unheard.end(), [&](const auto& id) { return peer.unheard.contains(id); });
     return hearsAllThatItHears && !peer.unheard.contains(m_self);
 }
 
 AccountLimits::Parts AccountLimits::parts(base::Instant now) const
 {
     Parts parts;
-    auto ownUnheard = unheard(now);
+    Hearing own = hearing(now);
     for (const auto& [id, peer] : m_peers) {
         if (!counts(peer, now))
             continue;
         ++parts.all;
-        parts.shared += heardOfLate(peer, now) && shares(peer, ownUnheard) ? 1 : 0;
+        if (!heardOfLate(peer, now))
+            continue;
+        ++parts.heard;
+        parts.shared += shares(peer, own) ? 1 : 0;
     }
     return parts;
 }
@@ -52,7 +82,7 @@
 {
     base::Duration time = std::max<base::Duration>(now - bucket.updated, base::Duration::zero());
     bucket.stock += bucket.rate / static_cast<double>(parts.all) * base::toSeconds(time);
-    bucket.stock = std::min(bucket.stock, bucket.burst * parts.share());
+    bucket.stock = std::min(bucket.stock, bucket.burst * parts.ofBurst());
     bucket.updated = std::max(bucket.updated, now);
 }
 
@@ -106,12 +136,15 @@
     base::Duration heardFor = !firstHeard && sameStart ? now - *peer.heard : base::Duration::zero();
     if (!sameStart)
         peer.totals.clear();
+    if (firstHeard || !sameStart)
+        peer.since = now;
     peer.incarnation = report.incarnation;
     peer.heard = now;
     peer.countsUntil = now + m_settings.peerMemory;
     peer.unheard = { report.unheard.begin(), report.unheard.end() };
+    peer.heardDigest = report.heardDigest;
     // After a longer silence others may have shared its part meanwhile.
-    bool shared = heardFor <= m_settings.peerSilence && shares(peer, unheard(now));
+    bool shared = heardFor <= m_settings.peerSilence && shares(peer, hearing(now));
     Parts all = parts(now);
     for (const AccountCharge& charge : report.charges) {
         auto total = peer.totals.try_emplace(charge.account, firstHeard ? charge.total : base::Tokens()).first;
@@ -125,6 +158,20 @@
         bucket.stock += (shared ? part : std::min(part, std::max(spent, 0.0))) - spent;
         accrue(bucket, all, now);
     }
+    if (now - m_started < m_settings.startTime)
+        adopt(report.stocks);
+}
+
+// Again with each report: until all gateways are heard, a bucket is capped at a part. What was spent here since the start
+// may not be known to the peer.
+void AccountLimits::adopt(const std::vector<AccountStock>& stocks)
+{
+    for (const AccountStock& known : stocks) {
+        auto bucket = m_buckets.find(known.account);
+        if (bucket != m_buckets.end())
+            bucket->second.stock = std::max(bucket->second.stock, std::min(bucket->second.burst, static_cast<double>((known.stock - bucket->second.charged).value())));
+        m_hasAdopted |= bucket != m_buckets.end();
+    }
 }
 
 std::optional<base::Instant> AccountLimits::charge(const base::ClientAccountId& account, base::Tokens cost, base::Instant now)
@@ -137,13 +184,13 @@
     accrue(bucket, all, now);
     double amount = static_cast<double>(cost.value());
     // A call above the whole burst is let in by a full bucket, which it then owes.
-    double needed = std::min(amount, bucket.burst * all.share());
+    double needed = std::min(amount, bucket.burst * all.ofBurst());
     if (bucket.stock >= needed) {
         bucket.stock -= amount;
         bucket.charged += cost;
         return std::nullopt;
     }
-    double rate = std::max(bucket.rate * all.share(), 1.0);
+    double rate = std::max(bucket.rate * all.ofRate(), 1.0);
     return now + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>((needed - bucket.stock) / rate));
 }
 
@@ -158,9 +205,16 @@
 
 LimitReport AccountLimits::report(Incarnation incarnation, base::Instant now) const
 {
-    LimitReport report { incarnation, {}, unheard(now) };
-    for (const auto& [account, bucket] : m_buckets)
+    Hearing own = hearing(now);
+    LimitReport report { incarnation, {}, std::move(own.unheard), own.digest, {} };
+    bool anyNew = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return heardOfLate(entry.second, now) && now - entry.second.since < m_settings.startTime; });
+    // What has just started itself knows nothing of what was spent before.
+    bool tellStocks = anyNew && (m_hasAdopted || now - m_started > m_settings.startTime * 2);
+    for (const auto& [account, bucket] : m_buckets) {
         report.charges.push_back({ account, bucket.charged });
+        if (tellStocks)
+            report.stocks.push_back({ account, base::Tokens(static_cast<int64_t>(bucket.stock)) });
+    }
     return report;
 }
 
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -32,15 +32,18 @@
     for (const auto& entry : report.use)
         use.push_back({ entry.upstream.value(), entry.load.inFlight, entry.load.awaiting });
     Json charges = Json::array();
-    for (const auto& charge : report.charges)
+    for (const auto& charge : report.limits.charges)
         charges.push_back({ charge.account.value(), charge.total.value() });
     Json strikes = Json::array();
     for (const auto& strike : report.strikes)
         strikes.push_back({ strike.fingerprint.value(), strike.crash.value(), inMilliseconds(strike.remaining) });
     Json unheard = Json::array();
-    for (const auto& peer : report.unheard)
+    for (const auto& peer : report.limits.unheard)
         unheard.push_back(peer.value());
-    return Json::array({ head(ReportKind::Load, report.sender), report.configuration.value(), report.directory.value(), report.leaving, use, charges, strikes, unheard });
+    Json stocks = Json::array();
+    for (const auto& known : report.limits.stocks)
+        stocks.push_back({ known.account.value(), known.stock.value() });
+    return Json::array({ head(ReportKind::Load, report.sender), report.configuration.value(), report.directory.value(), report.leaving, use, charges, strikes, unheard, report.limits.heardDigest, stocks });
 }
 
 Json encode(const DemandReport& report)
@@ -93,17 +96,21 @@
 
 LoadReport decodeLoad(const Json& value, ReportSender sender)
 {
-    LoadReport report { std::move(sender), number<ConfigurationVersion>(value.at(1)), number<base::Revision>(value.at(2)), value.at(3).get<bool>(), {}, {}, {}, {} };
+    LoadReport report { std::move(sender), number<ConfigurationVersion>(value.at(1)), number<base::Revision>(value.at(2)), value.at(3).get<bool>(), {}, {}, {} };
+    report.limits.incarnation = report.sender.incarnation;
     for (const Json& entry : value.at(4))
         report.use.push_back({ text<base::UpstreamId>(entry.at(0)), { whole(entry.at(1)), whole(entry.at(2)) } });
     for (const Json& entry : value.at(5))
-        report.charges.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
+        report.limits.charges.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
     for (const Json& entry : value.at(6)) {
         report.strikes.push_back({ text<routing::RequestFingerprint>(entry.at(0)), text<routing::CrashId>(entry.at(1)),
             span(entry.at(2)) });
     }
     for (const Json& entry : value.at(7))
-        report.unheard.push_back(text<base::InstanceId>(entry));
+        report.limits.unheard.push_back(text<base::InstanceId>(entry));
+    report.limits.heardDigest = whole(value.at(8));
+    for (const Json& entry : value.at(9))
+        report.limits.stocks.push_back({ text<base::ClientAccountId>(entry.at(0)), number<base::Tokens>(entry.at(1)) });
     return report;
 }
 
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -141,7 +141,7 @@
     , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
     , m_incarnation(wallMilliseconds())
 {
-    m_calls.limits().setSelf(m_settings.instance);
+    m_calls.limits().setSelf(m_settings.instance, m_loop.now());
 }
 
 GatewayCore::~GatewayCore()
@@ -378,9 +378,7 @@
         if (entry.own.inFlight)
             report.use.push_back({ id, entry.own });
     }
-    LimitReport limits = m_calls.limits().report(m_incarnation, m_loop.now());
-    report.charges = std::move(limits.charges);
-    report.unheard = std::move(limits.unheard);
+    report.limits = m_calls.limits().report(m_incarnation, m_loop.now());
     report.strikes = m_calls.recentStrikes();
     m_link->sendToAll(report);
 }
@@ -427,7 +425,7 @@
 {
     base::Instant now = m_loop.now();
     m_peers[report.sender.instance] = { report, now };
-    m_calls.limits().onReport(report.sender.instance, { report.sender.incarnation, report.charges, report.unheard }, now);
+    m_calls.limits().onReport(report.sender.instance, report.limits, now);
     m_calls.quarantine().merge(report.strikes, now);
     setPeersLoad();
     m_calls.wakeWaiting();
--- a/packages/direct/test/AccountLimitsTest.cpp
+++ b/packages/direct/test/AccountLimitsTest.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <deque>
+#include <limits>
+#include <numeric>
 
 using namespace toucanstep;
 using namespace toucanstep::direct;
@@ -50,11 +52,16 @@
         else
             m_cutLinks.erase({ from, to });
     }
-    void restart(size_t number)
+    // `unknown`: a gateway that the new process has never heard of; none if it is not a number of one.
+    void restart(size_t number, size_t unknown = std::numeric_limits<size_t>::max())
     {
         m_limits[number] = AccountLimits(AccountLimitsSettings {});
         ++m_incarnations[number];
-        begin(number);
+        begin(number, unknown);
+    }
+    int64_t passed() const
+    {
+        return std::accumulate(m_passed.begin(), m_passed.end(), int64_t(0), [](int64_t sum, const auto& call) { return sum + call.second; });
     }
     bool call(size_t number, int64_t cost)
     {
@@ -94,13 +101,13 @@
     AccountLimits& limits(size_t number) { return m_limits[number]; }
 
 private:
-    void begin(size_t number)
+    void begin(size_t number, size_t unknown = std::numeric_limits<size_t>::max())
     {
-        m_limits[number].setSelf(gateway(number));
+        m_limits[number].setSelf(gateway(number), m_now);
         m_limits[number].setAccounts(m_state, m_now);
         std::set<base::InstanceId> peers;
         for (size_t other = 0; other < m_limits.size(); ++other) {
-            if (other != number)
+            if (other != number && other != unknown)
                 peers.insert(gateway(other));
         }
         m_limits[number].setPeers(peers, m_now);
@@ -281,6 +288,41 @@
     });
 }
 
+// A gateway was removed for good and another one came. The new one had never heard of the old one, which the others took for a
+// gateway that it might hear, so none of them shared its part: callers were refused with half of their account's rate unused.
+TEST(AccountLimits, ANewGatewaysPartIsSharedAlthoughItDoesNotKnowOfOneThatIsGone)
+{
+    Fleet fleet(5, rate, burst);
+    fleet.setCut(4, true);
+    fleet.restart(3, 4);
+    for (int step = 0; step < 20; ++step)
+        fleet.step();
+    int64_t before = fleet.passed();
+    for (int step = 0; step < 60; ++step) {
+        for (int call = 0; call < 40; ++call)
+            fleet.call(0, 5);
+        fleet.step();
+    }
+    // Four fifths: the part of the one that is gone is kept for it.
+    CHECK_TRUE(fleet.passed() - before >= 6 * rate * 75 / 100);
+}
+
+// A gateway was stopped and started again, as all are in turn when a version is rolled out. Callers whose account had used
+// nothing for seconds were refused there for being over its rate, since the new process began with empty buckets.
+TEST(AccountLimits, AGatewayThatStartsBesideOthersTakesOverWhatTheBucketsHold)
+{
+    Fleet fleet(4, rate, burst);
+    for (int step = 0; step < 30; ++step)
+        fleet.step();
+    fleet.restart(0);
+    fleet.step();
+    fleet.step();
+    CHECK_TRUE(fleet.call(0, burst * 9 / 10));
+    fleet.step();
+    // What it spent counts at the others as before.
+    CHECK_FALSE(fleet.call(1, burst * 6 / 10));
+}
+
 TEST(AccountLimits, NoHistoryOfCutsAndRestartsPassesMoreThanTheLimit)
 {
     CHECK_PROPERTY([] {
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -300,16 +300,20 @@
 TEST(FleetReports, EveryKindComesBackAsItWasSent)
 {
     ReportSender sender { base::InstanceId("g"), Incarnation(5), 9 };
-    LoadReport load { sender, ConfigurationVersion(3), base::Revision(40), true, { { base::UpstreamId("e"), { 2, 1 } } }, { { base::ClientAccountId("c"), base::Tokens(7) } },
-        { { routing::RequestFingerprint("f"), routing::CrashId("x"), std::chrono::seconds(4) } }, { base::InstanceId("h") } };
+    LoadReport load { sender, ConfigurationVersion(3), base::Revision(40), true, { { base::UpstreamId("e"), { 2, 1 } } } };
+    load.limits = { sender.incarnation, { { base::ClientAccountId("c"), base::Tokens(7) } }, { base::InstanceId("h") }, 77, { { base::ClientAccountId("c"), base::Tokens(-8) } } };
+    load.strikes = { { routing::RequestFingerprint("f"), routing::CrashId("x"), std::chrono::seconds(4) } };
     auto loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     LONGS_EQUAL(9, loadBack.sender.sequence);
     LONGS_EQUAL(40, loadBack.directory.value());
     LONGS_EQUAL(2, loadBack.use.at(0).load.inFlight);
     LONGS_EQUAL(1, loadBack.use.at(0).load.awaiting);
-    LONGS_EQUAL(7, loadBack.charges.at(0).total.value());
+    LONGS_EQUAL(5, loadBack.limits.incarnation.value());
+    LONGS_EQUAL(7, loadBack.limits.charges.at(0).total.value());
+    LONGS_EQUAL(77, loadBack.limits.heardDigest);
+    LONGS_EQUAL(-8, loadBack.limits.stocks.at(0).stock.value());
     STRCMP_EQUAL("x", loadBack.strikes.at(0).crash.value().c_str());
-    STRCMP_EQUAL("h", loadBack.unheard.at(0).value().c_str());
+    STRCMP_EQUAL("h", loadBack.limits.unheard.at(0).value().c_str());
 
     DemandReport demand { sender, { { { base::ModelId("m"), AdapterId("a1") }, 1, 2, 300, 1500 } } };
     auto demandBack = std::get<DemandReport>(*decodeReport(encodeReport(demand)));
