Limits: a call waits for its account's tokens where these come early enough for its latency target

Who is refused comes back among newcomers and mostly finds the tokens gone again. Change: a line for each account at each gateway. A call waits for 0.3 of its latency target at most, nobody of its account overtakes it, and one that would wait longer is refused at once with the time at which the tokens for those before it and for itself are there.

--- a/packages/direct/include/toucanstep/direct/AccountLimits.h
+++ b/packages/direct/include/toucanstep/direct/AccountLimits.h
@@ -76,6 +76,8 @@
 
     // Charges the account and returns nothing, or charges nothing and returns when the tokens are expected to be there.
     std::optional<base::Instant> charge(const base::ClientAccountId&, base::Tokens, base::Instant now);
+    // When that much is expected to be there, if nobody else spends it.
+    base::Instant expected(const base::ClientAccountId&, base::Tokens, base::Instant now) const;
     // The call was charged and has not run anywhere.
     void giveBack(const base::ClientAccountId&, base::Tokens);
     LimitReport report(Incarnation, base::Instant now) const;
@@ -121,6 +123,7 @@
     // Whether this gateway may spend the peer's part.
     bool shares(const Peer&, const Hearing& own) const;
     void adopt(const std::vector<AccountStock>&);
+    static base::Instant whenThere(const Bucket&, const Parts&, double needed, base::Instant now);
     // Adds the gateway's own part since the last time.
     static void accrue(Bucket&, const Parts&, base::Instant now);
 
--- a/packages/direct/src/AccountLimits.cpp
+++ b/packages/direct/src/AccountLimits.cpp
@@ -190,8 +190,19 @@
         bucket.charged += cost;
         return std::nullopt;
     }
-    double rate = std::max(bucket.rate * all.ofRate(), 1.0);
-    return now + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>((needed - bucket.stock) / rate));
+    return whenThere(bucket, all, needed, now);
+}
+
+base::Instant AccountLimits::whenThere(const Bucket& bucket, const Parts& parts, double needed, base::Instant now)
+{
+    double rate = std::max(bucket.rate * parts.ofRate(), 1.0);
+    return now + std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(std::max(needed - bucket.stock, 0.0) / rate));
+}
+
+base::Instant AccountLimits::expected(const base::ClientAccountId& account, base::Tokens cost, base::Instant now) const
+{
+    auto found = m_buckets.find(account);
+    return found == m_buckets.end() ? now : whenThere(found->second, parts(now), static_cast<double>(cost.value()), now);
 }
 
 void AccountLimits::giveBack(const base::ClientAccountId& account, base::Tokens cost)
--- a/packages/direct/src/CallDesk.cpp
+++ b/packages/direct/src/CallDesk.cpp
@@ -42,6 +42,7 @@
 {
     cutOffAll();
     m_loop.cancel(m_pumpTimer);
+    m_loop.cancel(m_tokenTimer);
 }
 
 void CallDesk::cutOffAll()
@@ -90,6 +91,42 @@
     return m_plannerHeard && now() - *m_plannerHeard < plannerSilence;
 }
 
+TokenLine::Decision CallDesk::takeTokens(const std::shared_ptr<CallRun>& run, const base::ClientAccountId& account, base::Tokens cost, base::Instant holdUntil)
+{
+    TokenLine::Decision decision = m_tokenLine.take(m_limits, account, cost, holdUntil, now());
+    if (decision.answer == TokenAnswer::Held) {
+        m_held.emplace(decision.number, run);
+        if (!m_tokenTimer)
+            m_tokenTimer = m_loop.at(decision.expected, [this] { serveTokenLine(); });
+    }
+    return decision;
+}
+
+void CallDesk::leaveTokenLine(HeldCallNumber number)
+{
+    m_tokenLine.remove(number);
+    m_held.erase(number);
+}
+
+void CallDesk::serveTokenLine()
+{
+    m_loop.cancel(m_tokenTimer);
+    m_tokenTimer = 0;
+    for (const auto& due : m_tokenLine.due(m_limits, now())) {
+        auto held = m_held.extract(due.number);
+        if (held.empty())
+            continue;
+        if (due.charged)
+            held.mapped()->onTokens();
+        else
+            held.mapped()->onNoTokens(due.expected);
+    }
+    // A fraction of a token short is looked at again in a moment, and not at once.
+    constexpr auto shortestPause = std::chrono::milliseconds(2);
+    if (auto next = m_tokenLine.next(m_limits, now()))
+        m_tokenTimer = m_loop.at(std::max(*next, now() + shortestPause), [this] { serveTokenLine(); });
+}
+
 void CallDesk::wait(const std::shared_ptr<CallRun>& run)
 {
     run->setWaitNumber(++m_lastNumber);
@@ -160,6 +197,8 @@
     m_upstreams.expireNotices(time);
     m_quarantine.expire(time);
     strikeForCrashes();
+    if (!m_tokenLine.empty())
+        serveTokenLine();
     auto runs = m_runs;
     for (const auto& run : runs) {
         if (!run->underWay())
--- a/packages/direct/src/CallDesk.h
+++ b/packages/direct/src/CallDesk.h
@@ -8,6 +8,7 @@
 #include "toucanstep/direct/DemandBook.h"
 #include "toucanstep/direct/DesiredState.h"
 #include "toucanstep/direct/Dispatch.h"
+#include "toucanstep/direct/TokenLine.h"
 #include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WaitingLine.h"
 #include "toucanstep/direct/WireFormat.h"
@@ -69,6 +70,9 @@
     size_t waiting() const { return m_waiting.size(); }
 
     // For CallRun.
+    // Charges the account, or holds the call: onTokens() or onNoTokens() follows.
+    TokenLine::Decision takeTokens(const std::shared_ptr<CallRun>&, const base::ClientAccountId&, base::Tokens, base::Instant holdUntil);
+    void leaveTokenLine(HeldCallNumber);
     void wait(const std::shared_ptr<CallRun>&);
     void stopWaiting(CallRun&);
     void ended(CallRun&);
@@ -86,6 +90,7 @@
 
 private:
     void strikeForCrashes();
+    void serveTokenLine();
     void pump();
     // Those that wait, in the order in which they may go on now.
     std::vector<std::shared_ptr<CallRun>> inTurn() const;
@@ -99,6 +104,9 @@
     std::shared_ptr<const DesiredState> m_state;
     UpstreamTable m_upstreams;
     AccountLimits m_limits;
+    TokenLine m_tokenLine;
+    std::map<HeldCallNumber, std::shared_ptr<CallRun>> m_held;
+    io::EventLoop::TimerId m_tokenTimer = 0;
     DemandBook m_demand;
     routing::Quarantine m_quarantine;
     std::map<base::ServiceId, routing::RetryBudget> m_budgets;
--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -32,6 +32,8 @@
 constexpr auto patienceWithoutPlan = std::chrono::milliseconds(1500);
 // How long a call waits where no upstream of its service can be used: as long as one that crashed needs to be noticed.
 constexpr auto patienceWithoutUpstream = std::chrono::milliseconds(400);
+// A call waits for its account's tokens for this part of its latency target; it still has to be sent and begun.
+constexpr double heldPart = 0.3;
 // Retry-After where nothing better is known.
 constexpr auto defaultRetryAfter = std::chrono::milliseconds(500);
 // Retry-After of calls that are refused together is spread over this part more, so that they do not return together.
@@ -73,7 +75,8 @@
 
 void CallRun::start()
 {
-    if (!admit())
+    bool admitted = admit();
+    if (m_phase == Phase::Done)
         return;
     m_timer = m_desk.loop().at(m_deadline, [weak = weak_from_this()] {
         if (auto self = weak.lock())
@@ -83,7 +86,14 @@
         if (auto self = weak.lock())
             self->callerLeft();
     });
-    m_desk.demand().onArrival(m_call.target, m_arrived);
+    if (admitted)
+        goOn();
+}
+
+void CallRun::goOn()
+{
+    m_phase = Phase::Checking;
+    m_desk.demand().onArrival(m_call.target, m_desk.now());
     m_desk.countForBudget(m_service);
     waitAgain();
 }
@@ -129,15 +139,40 @@
     }
     if (!chooseService(*m_route))
         return false;
-    if (account && account->limited()) {
-        base::Tokens cost = account->countsTokens ? (m_call.statesTokens ? m_call.cost() : account->baseCost) : base::Tokens(1);
-        if (auto retryAt = m_desk.limits().charge(m_account, cost, m_arrived)) {
-            refuse(statusTooManyRequests, "rate_limited", Ran::No, "the account is over its rate", base::remaining(m_arrived, *retryAt));
-            return false;
-        }
-        m_charged = cost;
+    return !account || !account->limited() || takeTokens(*account);
+}
+
+bool CallRun::takeTokens(const Account& account)
+{
+    m_cost = account.countsTokens ? (m_call.statesTokens ? m_call.cost() : account.baseCost) : base::Tokens(1);
+    auto holdUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * heldPart);
+    TokenLine::Decision decision = m_desk.takeTokens(shared_from_this(), m_account, m_cost, holdUntil);
+    switch (decision.answer) {
+    case TokenAnswer::Charged:
+        m_charged = m_cost;
+        return true;
+    case TokenAnswer::Held:
+        m_held = decision.number;
+        m_phase = Phase::Held;
+        return false;
+    case TokenAnswer::Refused:
+        onNoTokens(decision.expected);
+        break;
     }
-    return true;
+    return false;
+}
+
+void CallRun::onTokens()
+{
+    m_held.reset();
+    m_charged = m_cost;
+    goOn();
+}
+
+void CallRun::onNoTokens(base::Instant expected)
+{
+    m_held.reset();
+    refuse(statusTooManyRequests, "rate_limited", Ran::No, "the account is over its rate", base::remaining(m_desk.now(), expected));
 }
 
 bool CallRun::chooseService(const Route& route)
@@ -518,7 +553,7 @@
     auto self = shared_from_this();
     if (m_phase == Phase::Done)
         return;
-    if (m_phase == Phase::Waiting && !m_runs && !m_firstByte)
+    if ((m_phase == Phase::Waiting || m_phase == Phase::Held) && !m_runs && !m_firstByte)
         refuse(statusUnavailable, "leaving", Ran::No, "the gateway ends", defaultRetryAfter);
     else
         failed("the gateway ends");
@@ -550,6 +585,8 @@
 void CallRun::finish(std::string_view outcome, int status)
 {
     m_phase = Phase::Done;
+    if (m_held)
+        m_desk.leaveTokenLine(*m_held);
     m_desk.loop().cancel(m_timer);
     base::Instant time = m_desk.now();
     base::LogLine line("call_ended");
--- a/packages/direct/src/CallRun.h
+++ b/packages/direct/src/CallRun.h
@@ -28,6 +28,10 @@
     void onUpstreamSilent();
     // The process ends: the caller is told what can be said.
     void cutOff();
+    // Its account has the tokens for it, and it is charged.
+    void onTokens();
+    // They have not come in time.
+    void onNoTokens(base::Instant expected);
 
     WaitingTurn turn() const;
 
@@ -48,6 +52,8 @@
 private:
     enum class Phase {
         Checking,
+        // For its account's tokens.
+        Held,
         Waiting,
         Sent,
         // Bytes of an answer have gone to the caller.
@@ -59,8 +65,10 @@
         Maybe,
     };
 
-    // Returns nothing if all is well, or ends the call.
+    // Whether the call may go on at once; otherwise it has been ended, or waits for its account's tokens.
     bool admit();
+    bool takeTokens(const Account&);
+    void goOn();
     bool chooseService(const Route&);
     void send(const base::UpstreamId&);
     std::string requestHead(const base::UpstreamId&) const;
@@ -89,7 +97,9 @@
     base::ClientAccountId m_account;
     base::ServiceId m_service;
     routing::RequestFingerprint m_fingerprint;
+    base::Tokens m_cost;
     base::Tokens m_charged;
+    std::optional<HeldCallNumber> m_held;
     int64_t m_rank = 0;
     uint64_t m_waitNumber = 0;
     Phase m_phase = Phase::Checking;
