--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -25,10 +25,6 @@
 constexpr auto noticeLife = std::chrono::milliseconds(2000);
 // Of the time within which a change must be in force: a first call that fails leaves time for a second one.
 constexpr int watchPausePercent = 38;
-// A lease is renewed this many times in its length, so that a lost answer or two do not end it.
-constexpr int renewalsPerLease = 4;
-constexpr auto storeCallTimeout = std::chrono::milliseconds(900);
-constexpr auto dutyRetry = std::chrono::milliseconds(500);
 // Without an answer of the store for this long beyond a watch's pause, a peer that reads it is asked for its copy.
 constexpr auto storeSilence = std::chrono::milliseconds(900);
 // And for this long it counts as having been away, so that what lapsed meanwhile gets a moment to come back.
@@ -39,10 +35,6 @@
 // What runs at this time before SIGKILL is ended by the process itself, with an answer where one can be given.
 constexpr auto stopMargin = std::chrono::milliseconds(700);
 
-constexpr std::string_view memberPrefix = "toucanstep/gateways/";
-constexpr std::string_view plannerKey = "toucanstep/planner";
-// See PlannerDuty.
-constexpr std::string_view lastPlannerKey = "toucanstep/last-planner";
 // The revision that the asking gateway has follows.
 constexpr std::string_view copyTarget = "/fleet/directory?since=";
 constexpr std::string_view metricsTarget = "/metrics";
@@ -68,14 +60,6 @@
     return calls;
 }
 
-PlannerDutySettings dutySettings(const DirectGatewaySettings& settings)
-{
-    PlannerDutySettings duty;
-    duty.lease = settings.plannerLease;
-    duty.handOver = settings.plannerHandOver;
-    return duty;
-}
-
 base::Duration watchPause(const DirectGatewaySettings& settings)
 {
     return settings.changeBound * watchPausePercent / 100;
@@ -134,10 +118,10 @@
     , m_store(makeStore(loop, m_storeClient, watchPause(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_orders(
-          loop, m_client, *m_format, m_settings.instance.value(), [this] { loseDuty("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
-    , m_duty(dutySettings(m_settings), m_settings.instance, m_settings.firstStart)
+          loop, m_client, *m_format, m_settings.instance.value(), [this] { m_duty.lose("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
     , m_planner(PlacementSettings {})
     , m_directory(loop, *m_store, directorySettings(m_settings, *m_format), *this)
+    , m_duty(loop, *m_store, m_directory, m_settings, [this] { onDutyTaken(); })
     , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
     , m_incarnation(wallMilliseconds())
 {
@@ -171,13 +155,13 @@
 void GatewayCore::beat()
 {
     base::Instant now = m_loop.now();
-    keepLease();
+    m_duty.beat();
     setPeersLoad();
     sendLoadReport();
     m_calls.tick();
-    if (m_duty.mayOrder(now))
+    if (m_duty.duty().mayOrder(now))
         plan();
-    else if (m_duty.holds())
+    else if (holdsDuty())
         readEngines();
     sendDemand();
     sendPlan();
@@ -210,7 +194,7 @@
 
 void GatewayCore::demandNow()
 {
-    if (m_duty.holds()) {
+    if (holdsDuty()) {
         planNow();
         return;
     }
@@ -220,7 +204,7 @@
 
 void GatewayCore::planNow()
 {
-    if (m_duty.mayOrder(m_loop.now()))
+    if (m_duty.duty().mayOrder(m_loop.now()))
         plan();
 }
 
@@ -237,11 +221,7 @@
     base::LogLine("leaving").add("running", m_calls.running());
     m_leavingSince = m_loop.now();
     m_callers->closeAfterAnswers();
-    // The planner goes on until its process ends: a successor would have to pause, and a process that starts again at once
-    // takes its duty up without one. Only the member's key goes now.
-    base::Transaction transaction;
-    transaction.operations.emplace_back(base::DeleteOperation { base::concat(memberPrefix, m_settings.instance) });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
+    m_duty.leave();
 }
 
 // ---- the directory
@@ -271,7 +251,8 @@
 
 void GatewayCore::onDirectoryUpdated()
 {
-    onDutySeen();
+    if (auto planner = m_duty.onDirectoryUpdated())
+        m_plannerPeer = planner;
     m_calls.wakeWaiting();
 }
 
@@ -386,7 +367,7 @@
 void GatewayCore::sendDemand()
 {
     base::Instant now = m_loop.now();
-    if (now < m_nextDemand || !m_plannerPeer || m_duty.holds())
+    if (now < m_nextDemand || !m_plannerPeer || holdsDuty())
         return;
     m_nextDemand = now + demandInterval;
     m_link->sendTo(*m_plannerPeer, DemandReport { nextSender(), m_calls.demand().summary(now) });
@@ -395,10 +376,10 @@
 void GatewayCore::sendPlan()
 {
     base::Instant now = m_loop.now();
-    if (!m_duty.holds() || now < m_nextPlanReport)
+    if (!holdsDuty() || now < m_nextPlanReport)
         return;
     m_nextPlanReport = now + planReportInterval;
-    PlanReport report { nextSender(), m_duty.fence(), m_orders.notices(), m_expected };
+    PlanReport report { nextSender(), m_duty.duty().fence(), m_orders.notices(), m_expected };
     m_link->sendToAll(report);
     onPlanReport(report);
 }
@@ -417,7 +398,7 @@
 {
     m_peerDemand[report.sender.instance] = { m_loop.now(), report.demand };
     bool anyWaits = std::any_of(report.demand.begin(), report.demand.end(), [](const TargetDemand& demand) { return demand.waiting > 0; });
-    if (anyWaits && m_duty.holds())
+    if (anyWaits && holdsDuty())
         soon(m_planTimer, &GatewayCore::planNow);
 }
 
@@ -452,8 +433,8 @@
     m_planFence = report.fence;
     if (report.sender.instance != m_settings.instance) {
         m_plannerPeer = report.sender.instance;
-        if (m_duty.holds() && report.fence > m_duty.fence())
-            loseDuty("another gateway plans with a newer fence");
+        if (holdsDuty() && report.fence > m_duty.duty().fence())
+            m_duty.lose("another gateway plans with a newer fence");
     }
     base::Instant until = m_loop.now() + noticeLife;
     for (const auto& notice : report.notices)
@@ -465,6 +446,12 @@
 
 // ---- the planner's duty
 
+void GatewayCore::onDutyTaken()
+{
+    m_orders.begin(m_duty.duty().fence());
+    m_plannerPeer.reset();
+}
+
 // A new holder of the duty knows the engines' state by the time at which it may give orders.
 void GatewayCore::readEngines()
 {
@@ -485,8 +472,7 @@
     if (!state)
         return;
     base::Instant now = m_loop.now();
-    if (m_duty.unsettled())
-        settleDuty();
+    m_duty.settle();
     m_orders.tick(now);
     std::map<ModelTarget, TargetDemand> demand;
     auto add = [&](const std::vector<TargetDemand>& entries) {
@@ -524,164 +510,6 @@
     }
 }
 
-void GatewayCore::keepLease()
-{
-    base::Instant now = m_loop.now();
-    if (m_leaseCall || (m_leavingSince && !m_duty.holds()))
-        return;
-    if (!m_lease) {
-        if (now >= m_nextRenewal)
-            grantLease();
-        return;
-    }
-    if (!m_joined && !m_joining && !m_leavingSince)
-        joinFleet();
-    if (now >= m_nextRenewal)
-        renewLease();
-    if (m_joined && !m_duty.holds() && m_directory.known() && m_duty.isOpen(dutyRecord(), now) && now >= m_nextDutyTry)
-        seekDuty();
-}
-
-void GatewayCore::grantLease()
-{
-    m_leaseCall = true;
-    base::Instant sent = m_loop.now();
-    m_nextRenewal = sent + m_settings.plannerLease / renewalsPerLease;
-    m_store->grantLease(m_settings.plannerLease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
-        m_leaseCall = false;
-        if (const auto* lease = std::get_if<base::LeaseId>(&outcome)) {
-            m_lease = *lease;
-            m_leaseSent = sent;
-            m_joined = false;
-            joinFleet();
-        }
-    });
-}
-
-void GatewayCore::renewLease()
-{
-    m_leaseCall = true;
-    base::Instant sent = m_loop.now();
-    m_nextRenewal = sent + m_settings.plannerLease / renewalsPerLease;
-    m_store->keepLeaseAlive(*m_lease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
-        m_leaseCall = false;
-        if (std::holds_alternative<base::LeaseId>(outcome)) {
-            m_leaseSent = sent;
-            m_duty.onRenewed(sent);
-            return;
-        }
-        const base::Error& error = std::get<base::Error>(outcome);
-        base::LogLine("lease_not_renewed").add("reason", error.message);
-        if (error.kind != base::ErrorKind::Rejected)
-            return;
-        m_lease.reset();
-        m_joined = false;
-        m_nextRenewal = {};
-        if (m_duty.holds())
-            loseDuty("the lease has ended");
-    });
-}
-
-void GatewayCore::joinFleet()
-{
-    m_joining = true;
-    base::Transaction transaction;
-    transaction.operations.emplace_back(base::PutOperation { base::concat(memberPrefix, m_settings.instance), m_settings.peers.text(), m_lease });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
-        m_joining = false;
-        const auto* reply = std::get_if<base::TransactionReply>(&outcome);
-        m_joined = reply && reply->committed;
-        if (!m_joined)
-            base::LogLine("join_failed").add("reason", reply ? "refused" : std::get<base::Error>(outcome).message);
-    });
-}
-
-const base::KeyValue* GatewayCore::entryOf(std::string_view key) const
-{
-    auto found = m_directory.entries().find(std::string(key));
-    return found == m_directory.entries().end() ? nullptr : &found->second;
-}
-
-DutyRecord GatewayCore::dutyRecord() const
-{
-    DutyRecord record;
-    if (const base::KeyValue* holder = entryOf(plannerKey))
-        record.holder = base::InstanceId(holder->value);
-    if (const base::KeyValue* last = entryOf(lastPlannerKey))
-        record.lastPlanner = base::InstanceId(last->value);
-    return record;
-}
-
-void GatewayCore::seekDuty()
-{
-    if (m_dutyCall || m_leavingSince)
-        return;
-    m_dutyCall = true;
-    m_nextDutyTry = m_loop.now() + dutyRetry;
-    const base::KeyValue* holder = entryOf(plannerKey);
-    const base::KeyValue* last = entryOf(lastPlannerKey);
-    bool goesOn = m_duty.goesOn(dutyRecord());
-    base::Transaction transaction;
-    transaction.comparisons.push_back({ std::string(plannerKey), holder ? holder->modified : base::Revision(0) });
-    transaction.comparisons.push_back({ std::string(lastPlannerKey), last ? last->modified : base::Revision(0) });
-    transaction.operations.emplace_back(base::PutOperation { std::string(plannerKey), m_settings.instance.value(), m_lease });
-    transaction.operations.emplace_back(base::PutOperation { std::string(lastPlannerKey), goesOn ? m_settings.instance.value() : std::string(), {} });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this, goesOn](base::Outcome<base::TransactionReply> outcome) {
-        m_dutyCall = false;
-        const auto* reply = std::get_if<base::TransactionReply>(&outcome);
-        if (!reply || !reply->committed || m_leavingSince)
-            return;
-        m_duty.onAcquired(base::Epoch(reply->revision.value()), m_leaseSent, m_loop.now(), goesOn);
-        m_orders.begin(m_duty.fence());
-        m_plannerPeer.reset();
-        base::LogLine("planner_duty_taken").add("fence", m_duty.fence()).add("pause", goesOn ? "no" : "yes");
-    });
-}
-
-// From the first order on this gateway is the last that gave one. Until that is written, a process that starts again here
-// pauses as any other would.
-void GatewayCore::settleDuty()
-{
-    m_duty.setSettled(true);
-    base::Transaction transaction;
-    transaction.comparisons.push_back({ std::string(plannerKey), base::Revision(m_duty.fence().value()) });
-    transaction.operations.emplace_back(base::PutOperation { std::string(lastPlannerKey), m_settings.instance.value(), {} });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
-        if (!std::holds_alternative<base::TransactionReply>(outcome))
-            m_duty.setSettled(false);
-    });
-}
-
-// The key in the store is another's, or gone, although this gateway believes that it holds the duty.
-void GatewayCore::onDutySeen()
-{
-    auto entry = m_directory.entries().find(std::string(plannerKey));
-    if (!m_duty.holds()) {
-        if (entry != m_directory.entries().end() && entry->second.value != m_settings.instance.value())
-            m_plannerPeer = base::InstanceId(entry->second.value);
-        return;
-    }
-    // An older copy of the store does not show this gateway's key yet.
-    if (m_directory.revision().value() < m_duty.fence().value())
-        return;
-    if (entry == m_directory.entries().end() || entry->second.modified.value() != m_duty.fence().value())
-        loseDuty("the key is not this gateway's any more");
-}
-
-void GatewayCore::loseDuty(std::string_view why)
-{
-    if (!m_duty.holds())
-        return;
-    base::LogLine("planner_duty_lost").add("fence", m_duty.fence()).add("reason", why);
-    base::Revision acquired(m_duty.fence().value());
-    m_duty.onLost();
-    m_nextDutyTry = m_loop.now() + m_settings.plannerLease * 2;
-    base::Transaction transaction;
-    transaction.comparisons.push_back({ std::string(plannerKey), acquired });
-    transaction.operations.emplace_back(base::DeleteOperation { std::string(plannerKey) });
-    m_store->commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
-}
-
 std::string GatewayCore::statusText() const
 {
     auto state = m_calls.desiredState();
@@ -691,7 +519,7 @@
         { "version", state ? state->version.value() : 0 },
         { "directory_revision", m_directory.revision().value() },
         { "upstreams", 0 },
-        { "planner", m_duty.holds() },
+        { "planner", holdsDuty() },
         { "running", m_calls.running() },
         { "waiting", m_calls.waiting() },
     };
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -3,11 +3,11 @@
 #pragma once
 
 #include "CallDesk.h"
+#include "DutyKeeper.h"
 #include "FleetLink.h"
 #include "OrderDesk.h"
 #include "toucanstep/direct/DirectGateway.h"
 #include "toucanstep/direct/Directory.h"
-#include "toucanstep/direct/PlannerDuty.h"
 
 #include <atomic>
 
@@ -56,17 +56,8 @@
     void setUpstream(const base::KeyValue&);
     void catchUpFromPeer();
 
-    // Lease, membership and the planner's duty.
-    void keepLease();
-    void grantLease();
-    void renewLease();
-    void joinFleet();
-    const base::KeyValue* entryOf(std::string_view key) const;
-    DutyRecord dutyRecord() const;
-    void seekDuty();
-    void settleDuty();
-    void onDutySeen();
-    void loseDuty(std::string_view why);
+    bool holdsDuty() const { return m_duty.duty().holds(); }
+    void onDutyTaken();
 
     ReportSender nextSender();
     bool ready() const;
@@ -81,9 +72,9 @@
     std::unique_ptr<base::KeyValueStore> m_store;
     CallDesk m_calls;
     OrderDesk m_orders;
-    PlannerDuty m_duty;
     PlacementPlanner m_planner;
     Directory m_directory;
+    DutyKeeper m_duty;
     std::unique_ptr<OperatorHandler> m_operatorHandler;
     std::unique_ptr<FleetLink> m_link;
     std::unique_ptr<http1::Server> m_callers;
@@ -98,14 +89,6 @@
     base::Epoch m_planFence;
     std::optional<base::InstanceId> m_plannerPeer;
 
-    std::optional<base::LeaseId> m_lease;
-    base::Instant m_leaseSent;
-    bool m_leaseCall = false;
-    bool m_joined = false;
-    bool m_joining = false;
-    bool m_dutyCall = false;
-    base::Instant m_nextRenewal;
-    base::Instant m_nextDutyTry;
     base::Instant m_nextDemand;
     base::Instant m_nextPlanReport;
     base::Instant m_nextSweep;
