--- a/packages/direct/src/CallDesk.cpp
+++ b/packages/direct/src/CallDesk.cpp
@@ -67,6 +67,7 @@
 void CallDesk::setDesiredState(std::shared_ptr<const DesiredState> state)
 {
     m_state = std::move(state);
+    m_inForceSince = now();
     m_limits.setAccounts(*m_state, now());
     wakeWaiting();
 }
--- a/packages/direct/src/CallDesk.h
+++ b/packages/direct/src/CallDesk.h
@@ -45,6 +45,10 @@
 
     void setDesiredState(std::shared_ptr<const DesiredState>);
     std::shared_ptr<const DesiredState> desiredState() const { return m_state; }
+    base::Instant inForceSince() const { return m_inForceSince; }
+    // When the store last answered, for the log.
+    void noteStore(base::Instant heard) { m_storeHeard = heard; }
+    base::Instant storeHeard() const { return m_storeHeard; }
     // What the planner expects of targets that are loaded nowhere; replaces what it said before.
     void setExpectedLoads(const std::vector<ExpectedLoad>&);
     // Upstreams or their loaded models changed, or calls ended: those that wait may go on now.
@@ -102,6 +106,8 @@
     base::MetricsRegistry& m_metrics;
     CallDeskSettings m_settings;
     std::shared_ptr<const DesiredState> m_state;
+    base::Instant m_inForceSince;
+    base::Instant m_storeHeard;
     UpstreamTable m_upstreams;
     AccountLimits m_limits;
     TokenLine m_tokenLine;
--- a/packages/direct/src/CallRun.h
+++ b/packages/direct/src/CallRun.h
@@ -91,6 +91,9 @@
     CallDesk& m_desk;
     std::shared_ptr<http1::ServerExchange> m_caller;
     std::shared_ptr<const DesiredState> m_state;
+    // When it had come into force, and when the store had last been heard, as of the call's arrival.
+    base::Instant m_stateSince;
+    base::Instant m_storeHeard;
     // Of m_state.
     const Route* m_route = nullptr;
     CallerCall m_call;
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -96,7 +96,7 @@
             auto since = http1::parseNumber(std::string_view(target).substr(copyTarget.size()));
             exchange->answer(std::move(head), encodeCopy(m_core.m_directory.copySince(base::Revision(since.value_or(0)))));
         } else if (target == metricsTarget) {
-            exchange->answer(std::move(head), m_core.m_metrics.render());
+            exchange->answer(std::move(head), m_core.metricsText());
         } else if (target == statusTarget) {
             exchange->answer(std::move(head), m_core.statusText());
         } else {
@@ -251,6 +251,8 @@
 
 void GatewayCore::onDirectoryUpdated()
 {
+    if (auto answered = m_directory.lastAnswer())
+        m_calls.noteStore(*answered);
     if (auto planner = m_duty.onDirectoryUpdated())
         m_plannerPeer = planner;
     m_calls.wakeWaiting();
@@ -259,7 +261,9 @@
 void GatewayCore::setDesiredState(const base::KeyValue& entry)
 {
     std::string reason;
+    base::Instant began = m_loop.now();
     auto state = m_format->readDesiredState(entry.value, reason);
+    int64_t readMilliseconds = base::toMilliseconds(m_loop.now() - began);
     if (!state) {
         base::LogLine("desired_state_unreadable").add("revision", entry.modified).add("reason", reason);
         m_metrics.count("toucanstep_unreadable_entries_total", "what=\"desired_state\"");
@@ -268,7 +272,9 @@
     auto inForce = m_calls.desiredState();
     if (inForce && inForce->version >= state->version)
         return;
-    base::LogLine("desired_state_in_force").add("version", state->version).add("routes", state->routes.size()).add("accounts", state->accounts.size());
+    base::LogLine("desired_state_in_force").add("version", state->version).add("routes", state->routes.size()).add("accounts", state->accounts.size()).add("revision", entry.modified).add("bytes", entry.value.size()).add("read_ms", readMilliseconds);
+    m_metrics.gauge("toucanstep_desired_state_version", "", static_cast<double>(state->version.value()));
+    m_metrics.gauge("toucanstep_desired_state_bytes", "", static_cast<double>(entry.value.size()));
     http1::ServerBounds bounds;
     bounds.headBytes = state->callers.headBytes;
     bounds.bodyBytes = state->callers.bodyBytes;
@@ -334,7 +340,9 @@
             const auto* answer = std::get_if<http1::FetchedAnswer>(&outcome);
             auto copy = answer ? decodeCopy(answer->body) : std::nullopt;
             if (copy && m_directory.adopt(*copy))
-                base::LogLine("directory_from_peer").add("peer", id).add("revision", m_directory.revision());
+                base::LogLine("directory_from_peer").add("peer", id).add("revision", m_directory.revision()).add("bytes", answer->body.size());
+            else if (!copy)
+                base::LogLine("directory_from_peer_failed").add("peer", id).add("reason", answer ? "the copy cannot be read" : std::get<base::Error>(outcome).message);
         });
         return;
     }
@@ -510,6 +518,14 @@
     }
 }
 
+std::string GatewayCore::metricsText()
+{
+    if (auto answered = m_directory.lastAnswer())
+        m_metrics.gauge("toucanstep_store_silence_seconds", "", base::toSeconds(m_loop.now() - *answered));
+    m_metrics.gauge("toucanstep_directory_revision", "", static_cast<double>(m_directory.revision().value()));
+    return m_metrics.render();
+}
+
 std::string GatewayCore::statusText() const
 {
     auto state = m_calls.desiredState();
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -61,6 +61,7 @@
 
     ReportSender nextSender();
     bool ready() const;
+    std::string metricsText();
     std::string statusText() const;
 
     io::EventLoop& m_loop;
--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -110,12 +110,16 @@
     int status = 0;
     HeaderList headers;
     std::string body;
+    // When the request was handed to the client, and when the head of its answer had come.
+    base::Instant sent;
+    base::Instant began;
 };
 
 using FetchCallback = std::function<void(base::Outcome<FetchedAnswer>)>;
 
 // Sends a request and collects its whole answer. The error is Unavailable where nothing was sent, Timeout where it may have
-// arrived and no answer came by the deadline or the connection broke, and Malformed where the answer cannot be read.
+// arrived and no answer came by the deadline or the connection broke, and Malformed where the answer cannot be read. Its
+// message says how many bytes of the answer's body had come.
 // The callback comes once, from the loop, and never from within this call; it does not come once the client is gone.
 void fetch(io::EventLoop&, Client&, const Peer&, std::string_view method, std::string_view target, const HeaderList&, std::string_view body, base::Instant deadline, FetchCallback);
 
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -310,14 +310,16 @@
 
     void start(Client& client, const Peer& peer, OutgoingRequest request, base::Instant deadline)
     {
+        m_answer.sent = m_loop.now();
         m_client = client.underWay();
         m_client.lock()->insert(shared_from_this());
         m_exchange = client.send(peer, std::move(request), this);
-        m_timer = m_loop.at(deadline, [this] { finish(base::Error { base::ErrorKind::Timeout, "no answer in time" }); });
+        m_timer = m_loop.at(deadline, [this] { fail(base::ErrorKind::Timeout, "no whole answer in time"); });
     }
 
     void onHead(ResponseHead head) override
     {
+        m_answer.began = m_loop.now();
         m_answer.status = head.status;
         m_answer.headers = std::move(head.headers);
     }
@@ -327,18 +329,23 @@
     {
         switch (breakage) {
         case Breakage::NotSent:
-            finish(base::Error { base::ErrorKind::Unavailable, "not connected" });
+            fail(base::ErrorKind::Unavailable, "not connected");
             return;
         case Breakage::Malformed:
-            finish(base::Error { base::ErrorKind::Malformed, "the answer cannot be read" });
+            fail(base::ErrorKind::Malformed, "the answer cannot be read");
             return;
         case Breakage::Broken:
-            finish(base::Error { base::ErrorKind::Timeout, "the connection broke before the answer was whole" });
+            fail(base::ErrorKind::Timeout, "the connection broke before the answer was whole");
             return;
         }
     }
 
 private:
+    void fail(base::ErrorKind kind, std::string_view what)
+    {
+        finish(base::Error { kind, base::concat(what, "; ", m_answer.body.size(), " bytes of it came") });
+    }
+
     void finish(base::Outcome<FetchedAnswer> outcome)
     {
         auto self = shared_from_this();
