Store and peers: an answer that is still arriving is not given up

Cause: a watch call had 800 ms from its sending to its answer's last byte, a listing 1,500 ms, a peer's copy 900 ms. On a link of 10 Mbit/s an answer of 1.1 MB needs 900 ms of an idle link. Cut off, the call was repeated and began again at the first byte, for ever, and took the link from callers; the peer's copies that came beside it took half of the same link and failed likewise. Class: a deadline on the whole of work whose length depends on its size, and a retry that keeps nothing of what was done.

Ruled out: reading (105 ms at most), a call decided early and sent late (version_age_ms), the store (it answers within 8 ms).

Now a fetch is bounded by three things: when its answer begins, for how long nothing of it may come, and a last end which only a link far slower than any in use reaches. A connection that has gone silent is left as soon as before (its answer does not begin). A peer is asked only while nothing arrives from the store.

--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -112,6 +112,8 @@
     virtual void grantLease(Duration timeToLive, Instant deadline, std::function<void(Outcome<LeaseId>)>) = 0;
     virtual void keepLeaseAlive(LeaseId, Instant deadline, std::function<void(Outcome<LeaseId>)>) = 0;
     virtual std::unique_ptr<WatchHandle> watch(std::string prefix, Revision from, std::shared_ptr<WatchListener>) = 0;
+    // When a part of a good answer last came, whole or not; nothing where the implementation does not tell.
+    virtual std::optional<Instant> lastProgress() const { return std::nullopt; }
 };
 
 } // namespace toucanstep::base
--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -47,7 +47,8 @@
     base::Duration outageAfter = std::chrono::milliseconds(1500);
     // Between an error and the next attempt.
     base::Duration retryPause = std::chrono::milliseconds(200);
-    base::Duration readTimeout = std::chrono::milliseconds(1500);
+    // For all pages of a read. The store's client gives up sooner where nothing comes.
+    base::Duration readTimeout = std::chrono::seconds(12);
 };
 
 class Directory {
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -30,6 +30,8 @@
 // And for this long it counts as having been away, so that what lapsed meanwhile gets a moment to come back.
 constexpr auto storeOutage = std::chrono::milliseconds(1500);
 constexpr auto catchUpInterval = std::chrono::milliseconds(400);
+// A copy from a peer must be whole in this time; the largest text passes a link of 1 Mbit/s in it.
+constexpr auto longestCopy = std::chrono::seconds(12);
 // After SIGTERM the balancer needs two missed questions, a second apart, before it sends no new connections.
 constexpr auto balancerNotices = std::chrono::milliseconds(2600);
 // What runs at this time before SIGKILL is ended by the process itself, with an answer where one can be given.
@@ -326,7 +328,9 @@
 void GatewayCore::catchUpFromPeer()
 {
     base::Instant now = m_loop.now();
-    bool heardStore = m_directory.lastAnswer() && now - *m_directory.lastAnswer() < watchPause(m_settings) + storeSilence;
+    // An answer that is still arriving counts: a peer's copy would only take a part of the same link.
+    auto heard = std::max(m_directory.lastAnswer(), m_store->lastProgress());
+    bool heardStore = heard && now - *heard < watchPause(m_settings) + storeSilence;
     if (heardStore || m_catchingUp || now < m_nextCatchUp)
         return;
     for (const auto& [id, state] : m_peers) {
@@ -335,7 +339,7 @@
             continue;
         m_catchingUp = true;
         m_nextCatchUp = now + catchUpInterval;
-        http1::fetch(m_loop, m_client, { id.value(), endpoint->second }, "GET", base::concat(copyTarget, m_directory.revision()), {}, "", now + storeCallTimeout, [this, id = id](base::Outcome<http1::FetchedAnswer> outcome) {
+        http1::fetch(m_loop, m_client, { id.value(), endpoint->second }, "GET", base::concat(copyTarget, m_directory.revision()), {}, "", http1::FetchBounds { now + storeCallTimeout, now + longestCopy, storeCallTimeout }, [this, id = id](base::Outcome<http1::FetchedAnswer> outcome) {
             m_catchingUp = false;
             const auto* answer = std::get_if<http1::FetchedAnswer>(&outcome);
             auto copy = answer ? decodeCopy(answer->body) : std::nullopt;
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -300,21 +300,23 @@
 // owns itself, since the loop ends before the deadline.
 class Fetch final : public ExchangeListener, public std::enable_shared_from_this<Fetch> {
 public:
-    Fetch(io::EventLoop& loop, FetchCallback callback)
+    Fetch(io::EventLoop& loop, FetchBounds bounds, FetchCallback callback, FetchProgress progress)
         : m_loop(loop)
+        , m_bounds(bounds)
         , m_callback(std::move(callback))
+        , m_progress(std::move(progress))
     {
     }
 
     ~Fetch() override { m_loop.cancel(m_timer); }
 
-    void start(Client& client, const Peer& peer, OutgoingRequest request, base::Instant deadline)
+    void start(Client& client, const Peer& peer, OutgoingRequest request)
     {
         m_answer.sent = m_loop.now();
         m_client = client.underWay();
         m_client.lock()->insert(shared_from_this());
         m_exchange = client.send(peer, std::move(request), this);
-        m_timer = m_loop.at(deadline, [this] { fail(base::ErrorKind::Timeout, "no whole answer in time"); });
+        m_timer = m_loop.at(givenUpAt(), [this] { checkTime(); });
     }
 
     void onHead(ResponseHead head) override
@@ -322,8 +324,13 @@
         m_answer.began = m_loop.now();
         m_answer.status = head.status;
         m_answer.headers = std::move(head.headers);
+        noteProgress();
+    }
+    void onBody(std::string_view piece) override
+    {
+        m_answer.body.append(piece);
+        noteProgress();
     }
-    void onBody(std::string_view piece) override { m_answer.body.append(piece); }
     void onWhole() override { finish(std::move(m_answer)); }
     void onBroken(Breakage breakage) override
     {
@@ -341,6 +348,31 @@
     }
 
 private:
+    base::Instant givenUpAt() const
+    {
+        if (!m_heard)
+            return std::min(m_bounds.begin, m_bounds.end);
+        bool silenceFirst = m_bounds.end - *m_heard > m_bounds.longestSilence;
+        return silenceFirst ? *m_heard + m_bounds.longestSilence : m_bounds.end;
+    }
+
+    void noteProgress()
+    {
+        m_heard = m_loop.now();
+        if (m_progress)
+            m_progress(m_answer);
+    }
+
+    // The timer is moved only when it is due, not with each piece.
+    void checkTime()
+    {
+        base::Instant until = givenUpAt();
+        if (m_loop.now() >= until)
+            fail(base::ErrorKind::Timeout, "no whole answer in time");
+        else
+            m_timer = m_loop.at(until, [this] { checkTime(); });
+    }
+
     void fail(base::ErrorKind kind, std::string_view what)
     {
         finish(base::Error { kind, base::concat(what, "; ", m_answer.body.size(), " bytes of it came") });
@@ -361,7 +393,11 @@
     }
 
     io::EventLoop& m_loop;
+    FetchBounds m_bounds;
     FetchCallback m_callback;
+    FetchProgress m_progress;
+    // When a part of the answer last came.
+    std::optional<base::Instant> m_heard;
     std::weak_ptr<Client::UnderWay> m_client;
     std::unique_ptr<Exchange> m_exchange;
     io::EventLoop::TimerId m_timer = 0;
@@ -371,6 +407,11 @@
 } // namespace
 
 void fetch(io::EventLoop& loop, Client& client, const Peer& peer, std::string_view method, std::string_view target, const HeaderList& headers, std::string_view body, base::Instant deadline, FetchCallback callback)
+{
+    fetch(loop, client, peer, method, target, headers, body, FetchBounds { deadline, deadline, base::Duration::max() }, std::move(callback));
+}
+
+void fetch(io::EventLoop& loop, Client& client, const Peer& peer, std::string_view method, std::string_view target, const HeaderList& headers, std::string_view body, FetchBounds bounds, FetchCallback callback, FetchProgress progress)
 {
     OutgoingRequest request;
     request.head.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
@@ -383,8 +424,8 @@
     }
     request.head.append("\r\n");
     request.body = body;
-    request.connectDeadline = deadline;
-    std::make_shared<Fetch>(loop, std::move(callback))->start(client, peer, std::move(request), deadline);
+    request.connectDeadline = bounds.begin;
+    std::make_shared<Fetch>(loop, bounds, std::move(callback), std::move(progress))->start(client, peer, std::move(request));
 }
 
 } // namespace toucanstep::http1
