--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -42,8 +42,17 @@
     int64_t retrySlack = 50;
 };
 
-// Makes the store's client. Each answer of a watch is a call that is paid for, so a watch waits `watchPause` before it asks again.
-using StoreFactory = std::function<std::unique_ptr<base::KeyValueStore>(io::EventLoop&, http1::Client&, base::Duration watchPause)>;
+// How the store is watched where each answer of a watch is a call that is paid for.
+struct WatchPace {
+    // Of upstreams, which change often: between an answer and the next call, so that changes come together.
+    base::Duration pause {};
+    // Of the desired state, which seldom changes: how long one call waits for a change. A connection that has gone silent is
+    // noticed a moment later.
+    base::Duration wait {};
+};
+
+// Makes the store's client.
+using StoreFactory = std::function<std::unique_ptr<base::KeyValueStore>(io::EventLoop&, http1::Client&, WatchPace)>;
 
 class DirectGateway {
 public:
--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -41,11 +41,11 @@
 struct DirectorySettings {
     // Of the keys. Empty: all keys.
     std::string prefix;
-    // Keys with this prefix that vanish right after an outage of the store may have lapsed only because of it.
+    // Keys with this prefix that vanish right after an outage of the store may have lapsed only because of it. Empty: none.
     std::string lapsingPrefix;
     // How long they are kept then. The users' platform brings living ones back within two seconds of its return.
     base::Duration lapseGrace = std::chrono::milliseconds(1900);
-    // Without an answer for this long the store counts as having been away.
+    // Without an answer for this long the store counts as having been away. Used where keys may lapse.
     base::Duration outageAfter = std::chrono::milliseconds(1500);
     // Between an error and the next attempt.
     base::Duration retryPause = std::chrono::milliseconds(200);
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -191,7 +191,7 @@
 void Directory::noteAnswer()
 {
     base::Instant now = m_loop.now();
-    if (m_lastAnswer && now - *m_lastAnswer > m_settings.outageAfter) {
+    if (!m_settings.lapsingPrefix.empty() && m_lastAnswer && now - *m_lastAnswer > m_settings.outageAfter) {
         base::LogLine("store_regained").add("prefix", m_settings.prefix).add("away_ms", base::toMilliseconds(now - *m_lastAnswer));
         m_lapseUntil = now + m_settings.lapseGrace;
     }
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -24,6 +24,8 @@
 constexpr auto noticeLife = std::chrono::milliseconds(2000);
 // Of the time within which a change must be in force: a first call that fails leaves time for a second one.
 constexpr int watchPausePercent = 38;
+// A connection to the store that has gone silent is left within the time for a change: a call waits so much less.
+constexpr auto silentConnectionMargin = std::chrono::milliseconds(500);
 // Without an answer of the store for this long beyond a watch's pause, a peer that reads it is asked for its copy.
 constexpr auto storeSilence = std::chrono::milliseconds(900);
 // And for this long it counts as having been away, so that what lapsed meanwhile gets a moment to come back.
@@ -61,6 +63,12 @@
     return settings.changeBound * watchPausePercent / 100;
 }
 
+WatchPace watchPace(const DirectGatewaySettings& settings)
+{
+    base::Duration pause = watchPause(settings);
+    return { pause, std::max(pause, settings.changeBound - silentConnectionMargin) };
+}
+
 StoreMirrorSettings mirrorSettings(const DirectGatewaySettings& settings, const WireFormat& format)
 {
     StoreMirrorSettings mirror;
@@ -115,7 +123,7 @@
     , m_format(std::move(format))
     , m_client(loop)
     , m_storeClient(loop)
-    , m_store(makeStore(loop, m_storeClient, watchPause(m_settings)))
+    , m_store(makeStore(loop, m_storeClient, watchPace(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_orders(
           loop, m_client, *m_format, m_settings.instance.value(), [this] { m_duty.lose("an engine has met a newer fence"); }, [this] { soon(m_tellTimer, &GatewayCore::tellPlanNow); soon(m_planTimer, &GatewayCore::planNow); })
--- a/packages/direct/src/StoreMirror.cpp
+++ b/packages/direct/src/StoreMirror.cpp
@@ -33,7 +33,8 @@
         DirectorySettings directory;
         directory.prefix = prefixes[which];
         directory.outageAfter = m_settings.outageAfter;
-        directory.lapsingPrefix = m_settings.upstreamPrefix;
+        if (which == static_cast<size_t>(StorePart::Upstreams))
+            directory.lapsingPrefix = m_settings.upstreamPrefix;
         m_parts[which].directory = std::make_unique<Directory>(m_loop, m_store, directory, listener);
     }
 }
