--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -358,12 +358,17 @@
 
     void noteProgress()
     {
+        bool begins = !m_heard;
         m_heard = m_loop.now();
+        if (begins) {
+            m_loop.cancel(m_timer);
+            m_timer = m_loop.at(givenUpAt(), [this] { checkTime(); });
+        }
         if (m_progress)
             m_progress(m_answer);
     }
 
-    // The timer is moved only when it is due, not with each piece.
+    // While an answer is arriving the timer is moved only when it is due, not with each piece.
     void checkTime()
     {
         base::Instant until = givenUpAt();
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -201,6 +201,26 @@
     CHECK_TRUE(kindOf({ "127.0.0.1", 1 }) == base::ErrorKind::Unavailable);
 }
 
+TEST(Client, AnAnswerThatStopsIsGivenUpBeforeItsEndAndSaysWhatHadCome)
+{
+    // Guards against a connection that goes silent in the middle of an answer and holds up its caller until the last end.
+    RawServer server(loop, [](const ScriptedRequest&) { return ScriptedAnswer { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", Then::Keep }; });
+    Mailbox<base::Error> errors;
+    Mailbox<size_t> progress;
+    loop.runAndWait([&] {
+        base::Instant never = loop.now() + std::chrono::hours(1);
+        fetch(
+            loop, *client, { "store", server.endpoint() }, "GET", "/x", {}, "", FetchBounds { never, never, std::chrono::milliseconds(50) },
+            [&](base::Outcome<FetchedAnswer> outcome) { errors.put(std::get<base::Error>(outcome)); },
+            [&](const FetchedAnswer& sofar) { progress.put(sofar.body.size()); });
+    });
+    auto error = errors.take();
+    CHECK_TRUE(error.has_value());
+    CHECK_TRUE(error->kind == base::ErrorKind::Timeout);
+    CHECK_TRUE(error->message.find("; 3 bytes") != std::string::npos);
+    CHECK_TRUE(progress.take().has_value());
+}
+
 TEST(Client, AFetchThatOutlivesItsClientCallsNobody)
 {
     // A process crashed at its end: the answer to its last call to the store came after the parts that had asked were gone.
