--- a/packages/direct/src/CallRun.cpp
+++ b/packages/direct/src/CallRun.cpp
@@ -593,8 +593,10 @@
     base::Instant time = m_desk.now();
     base::LogLine line("call_ended");
     line.add("id", m_call.id).add("outcome", outcome).add("status", status);
+    if (m_state)
+        line.add("version", m_state->version).add("version_age_ms", base::toMilliseconds(m_arrived - m_stateSince)).add("store_age_ms", base::toMilliseconds(m_arrived - m_storeHeard));
     if (m_route)
-        line.add("route", m_route->id).add("version", m_state->version).add("version_age_ms", base::toMilliseconds(m_arrived - m_stateSince)).add("store_age_ms", base::toMilliseconds(m_arrived - m_storeHeard)).add("target_ms", base::toMilliseconds(m_route->latencyTarget));
+        line.add("route", m_route->id).add("target_ms", base::toMilliseconds(m_route->latencyTarget));
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_waitedFor)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("total_ms", base::toMilliseconds(time - m_arrived));
