--- a/packages/direct/test/StoreMirrorTest.cpp
+++ b/packages/direct/test/StoreMirrorTest.cpp
@@ -40,21 +40,44 @@
     Mailbox<size_t> updates;
 };
 
-// Gives peers copies of a mirror, and counts what it is asked for.
+// Gives peers copies of a mirror, and notes what it is asked for.
 class CopyHandler final : public http1::RequestHandler {
 public:
-    explicit CopyHandler(const StoreMirror& mirror)
-        : m_mirror(mirror)
+    CopyHandler(io::EventLoop& loop, const StoreMirror& mirror)
+        : m_loop(loop)
+        , m_mirror(mirror)
     {
     }
     void onRequest(std::shared_ptr<http1::ServerExchange> exchange) override
     {
         targets.push_back(exchange->head().target);
-        exchange->answer({}, m_mirror.copyFor(exchange->head().target).value_or(""));
+        std::string copy = m_mirror.copyFor(exchange->head().target).value_or("");
+        if (pause == base::Duration::zero()) {
+            exchange->answer({}, copy);
+            return;
+        }
+        exchange->begin({});
+        writeFrom(exchange, copy, 0);
     }
+
     std::vector<std::string> targets;
+    // Between the bytes of an answer.
+    base::Duration pause {};
 
 private:
+    void writeFrom(const std::shared_ptr<http1::ServerExchange>& exchange, const std::string& copy, size_t at)
+    {
+        if (exchange->gone())
+            return;
+        if (at == copy.size()) {
+            exchange->end();
+            return;
+        }
+        exchange->write(copy.substr(at, 1));
+        m_loop.at(m_loop.now() + pause, [this, exchange, copy, at] { writeFrom(exchange, copy, at + 1); });
+    }
+
+    io::EventLoop& m_loop;
     const StoreMirror& m_mirror;
 };
 
@@ -83,7 +106,7 @@
             peer = std::make_unique<StoreMirror>(loop, peerStore, *client, settings, peerKeys);
             settings.silence = base::Duration::zero();
             mirror = std::make_unique<StoreMirror>(loop, store, *client, settings, keys);
-            handler = std::make_unique<CopyHandler>(*peer);
+            handler = std::make_unique<CopyHandler>(loop, *peer);
             base::Error error;
             auto listening = base::valueOr(error, [&] { return http1::Server::listen(loop, { "127.0.0.1", 0 }, *handler); });
             if (listening)
@@ -145,6 +168,22 @@
     });
 }
 
+TEST(StoreMirror, ACopyThatIsStillArrivingIsNotCutOff)
+{
+    // Guards against copies that never arrive: one that needs longer than its request's deadline began anew each time.
+    readAll(store, 5);
+    readAll(peerStore, 5);
+    while (keys.updates.take(base::Duration::zero()))
+        continue;
+    loop.runAndWait([this] { handler->pause = std::chrono::milliseconds(80); });
+    answer(peerStore, "text", 9);
+    // 1.3 s for the copy, where its answer must begin within 0.9 s.
+    LONGS_EQUAL(16, peer->copyFor("/fleet/directory/0/5")->size());
+    catchUp();
+    CHECK_TRUE(keys.updates.take().has_value());
+    loop.runAndWait([this] { LONGS_EQUAL(1, handler->targets.size()); });
+}
+
 TEST(StoreMirror, WhileAnAnswerOfTheStoreIsArrivingNoPeerIsAsked)
 {
     // Guards against a copy that takes half of the link from the store's own answer, so that neither arrives.
