--- a/packages/direct/include/toucanstep/direct/DesiredState.h
+++ b/packages/direct/include/toucanstep/direct/DesiredState.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,6 +57,8 @@
     // Maximum number of times one request may be sent; a send that is known not to have run does not count.
     int64_t attempts = 1;
     std::vector<Destination> destinations;
+    // Regions whose upstreams may run its calls; empty for all.
+    std::set<base::RegionId> allowedRegions;
 
     // A resumable stream counts as idempotent, since a second run continues after the events already delivered.
     bool mayRepeat() const { return repeatability == Repeatability::Idempotent || resumable; }
@@ -82,8 +85,16 @@
     const ModelTraits* findModel(const base::ModelId&) const;
 };
 
+// An upstream that has started a short time ago is cold, and crashes at a high rate of calls.
+struct ColdStartTraits {
+    base::Duration duration {};
+    // Tolerated by one upstream, from all gateways together.
+    int64_t callsPerSecond = 0;
+};
+
 struct ServiceTraits {
     base::ServiceId id;
+    std::optional<ColdStartTraits> coldStart;
     // Only set for pools of model engines.
     std::optional<EngineTraits> engine;
 };
@@ -95,6 +106,8 @@
     // Cost of a call that specifies no token count; 1 if calls rather than tokens are counted.
     base::Tokens baseCost { 1 };
     bool countsTokens = false;
+    // Regions whose upstreams may run its calls; empty for all.
+    std::set<base::RegionId> allowedRegions;
 
     bool limited() const { return limits.tokensPerSecond.value() > 0; }
 };
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -17,6 +17,7 @@
 #include "toucanstep/http1/Client.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 
 namespace toucanstep::direct {
@@ -24,6 +25,7 @@
 struct DirectGatewaySettings {
     base::InstanceId instance;
     base::FailureDomain domain;
+    std::map<base::FailureDomain, base::RegionId> regions;
     base::Endpoint callers;
     base::Endpoint readiness;
     // Address of this gateway for datagrams from other gateways and for operators' HTTP requests.
--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/direct/include/toucanstep/direct/Upstream.h
@@ -26,9 +26,13 @@
     base::ServiceId service;
     base::Endpoint endpoint;
     base::FailureDomain domain;
+    // Empty if the region of the domain is not known.
+    base::RegionId region;
     StartId start;
     int64_t slots = 1;
     bool draining = false;
+    // How much longer the upstream is cold; zero for a warm one.
+    base::Duration coldFor {};
     LoadedModels loaded;
     // Models whose weights are cached in the engine's host memory or on its disk.
     std::set<base::ModelId> inHostMemory;
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamSelection.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include "toucanstep/direct/ColdStartLimit.h"
 #include "toucanstep/direct/UpstreamTable.h"
 
 #include <set>
@@ -21,6 +22,13 @@
     std::string promptPrefix;
     // The part of the running calls that end before their ends are reported, from 0 to 1.
     double turnover = 0;
+    // The calls per second that a cold upstream of the service tolerates, and this gateway's part of them; without them a cold
+    // upstream is used as a warm one.
+    std::optional<int64_t> coldCallsPerSecond;
+    const ColdStartLimit* coldStarts = nullptr;
+    // Regions in which the call may run, of its route and of its account. Null or empty for all.
+    const std::set<base::RegionId>* routeRegions = nullptr;
+    const std::set<base::RegionId>* accountRegions = nullptr;
     // Unique to the call: spreads calls among equally busy upstreams.
     std::string spreadKey;
 };
@@ -34,6 +42,10 @@
     AdapterNotLoaded,
     // All slots are in use at each upstream that could run it.
     Full,
+    // The upstreams that could run it are cold and get no further call from this gateway for now.
+    Cold,
+    // Every upstream of the service is outside the regions in which the call may run.
+    OutsideRegions,
 };
 
 std::string_view toText(BlockReason);
@@ -44,6 +56,8 @@
     // Of all upstreams that hold the target: their free slots, and the calls that they run.
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
+    // Set if the call is blocked because upstreams are cold: when one of them takes it at the latest.
+    std::optional<base::Instant> acceptedFrom;
 };
 
 UpstreamSelection selectUpstream(const UpstreamTable&, const UpstreamQuery&, base::Instant now);
--- a/packages/direct/include/toucanstep/direct/UpstreamTable.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamTable.h
@@ -27,6 +27,8 @@
     std::optional<base::Instant> awaitingSince;
     // Not used before this time, since a connection could not be opened.
     base::Instant avoidUntil;
+    // Cold until this time, see ColdStartTraits.
+    base::Instant coldUntil;
 
     int64_t inFlight() const { return own.inFlight + peers.inFlight; }
     int64_t awaiting() const { return own.awaiting + peers.awaiting; }
@@ -40,6 +42,13 @@
     UpstreamEntry* find(const base::UpstreamId&);
     const std::map<base::UpstreamId, UpstreamEntry>& all() const { return m_entries; }
 
+    // Upstreams of an evacuated domain get no calls until the evacuation ends.
+    void evacuate(const base::FailureDomain&);
+    // The domain's upstreams may have become cold during the evacuation; they count as cold until `coldUntil`.
+    void endEvacuation(const base::FailureDomain&, base::Instant coldUntil);
+    bool isEvacuated(const UpstreamEntry& entry) const { return m_evacuated.contains(entry.description.domain); }
+    const std::set<base::FailureDomain>& evacuatedDomains() const { return m_evacuated; }
+
     // A notice overrides the list until `until`, since the list shows the planner's changes later.
     void addNotice(const LoadedNotice&, base::Instant until);
     bool holds(const UpstreamEntry&, const ModelTarget&, base::Instant now) const;
@@ -65,6 +74,7 @@
         base::Instant until;
     };
     std::map<base::UpstreamId, UpstreamEntry> m_entries;
+    std::set<base::FailureDomain> m_evacuated;
     std::map<base::UpstreamId, std::map<ModelTarget, Notice>> m_notices;
 };
 
--- a/packages/direct/include/toucanstep/direct/WaitDecision.h
+++ b/packages/direct/include/toucanstep/direct/WaitDecision.h
@@ -23,6 +23,8 @@
     std::optional<base::Instant> expectedLoad;
     // The planner has reported recently; without it nothing is loaded.
     bool plannerActive = true;
+    // When a cold upstream takes the call; only for that block reason.
+    std::optional<base::Instant> acceptedFrom;
 };
 
 enum class WaitDecision {
@@ -30,6 +32,8 @@
     RefuseNotLoadedInTime,
     RefuseNotLoaded,
     RefuseNoUpstream,
+    RefuseOutsideRegions,
+    RefuseCold,
     RefuseOverloaded,
 };
 
--- a/packages/direct/include/toucanstep/direct/WireFormat.h
+++ b/packages/direct/include/toucanstep/direct/WireFormat.h
@@ -29,8 +29,11 @@
 public:
     virtual ~WireFormat() = default;
 
-    // Keys in the store: the key of the desired state, and the prefix of the upstream entries.
+    // Keys in the store: the prefix of all keys that the operators write, the key of the desired state, the prefix of the keys
+    // that name evacuated domains, and the prefix of the upstream entries.
+    virtual std::string_view operatorPrefix() const = 0;
     virtual std::string_view desiredStateKey() const = 0;
+    virtual std::string_view evacuationPrefix() const = 0;
     virtual std::string_view upstreamPrefix() const = 0;
     virtual std::string_view readinessTarget() const = 0;
 
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -6,6 +6,7 @@
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/direct/AccountLimits.h"
 #include "toucanstep/direct/CallTimes.h"
+#include "toucanstep/direct/ColdStartLimit.h"
 #include "toucanstep/direct/CrashDetector.h"
 #include "toucanstep/direct/DemandTracker.h"
 #include "toucanstep/direct/DesiredState.h"
@@ -72,6 +73,7 @@
     http1::Client& client() { return m_client; }
     const WireFormat& format() const { return m_format; }
     UpstreamTable& upstreams() { return m_upstreams; }
+    const UpstreamTable& upstreams() const { return m_upstreams; }
     AccountLimits& limits() { return m_limits; }
     DemandTracker& demand() { return m_demand; }
     routing::Quarantine& quarantine() { return m_quarantine; }
@@ -81,6 +83,7 @@
     size_t waiting() const { return m_waiting.size(); }
     SlotShare& slotShare() { return m_slotShare; }
     CallTimes& callTimes() { return m_callTimes; }
+    ColdStartLimit& coldStarts() { return m_coldStarts; }
     // The calls that wait for a slot, by queue.
     QueuedCallCounts queuedCalls() const;
 
@@ -141,6 +144,7 @@
     StandingQueueDetector m_standingQueues;
     SlotShare m_slotShare;
     CallTimes m_callTimes;
+    ColdStartLimit m_coldStarts;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -97,6 +97,7 @@
             }
         }
         planned.push_back(engine->planningState(entry, now));
+        planned.back().draining |= table.isEvacuated(entry);
     }
     auto storeLoads = static_cast<size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) { return item.second->loadsFromStore(); }));
     for (auto& [id, engine] : m_engines)
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -72,7 +72,7 @@
 StoreMirrorSettings mirrorSettings(const DirectGatewaySettings& settings, const WireFormat& format)
 {
     StoreMirrorSettings mirror;
-    mirror.desiredStatePrefix = format.desiredStateKey();
+    mirror.desiredStatePrefix = format.operatorPrefix();
     mirror.upstreamPrefix = format.upstreamPrefix();
     mirror.fleetPrefix = fleetPrefix;
     mirror.outageThreshold = watchPollDelay(settings) + storeOutageThreshold;
@@ -164,6 +164,7 @@
 {
     base::Instant now = m_loop.now();
     m_election.tick();
+    m_calls.coldStarts().setMembership(m_election.registered(), m_election.leaseEnd(), now);
     setPeersLoad();
     sendLoadReport();
     m_calls.tick();
@@ -238,6 +239,8 @@
 {
     if (entry.key == m_format->desiredStateKey())
         setDesiredState(entry);
+    else if (entry.key.starts_with(m_format->evacuationPrefix()))
+        evacuate(base::FailureDomain(entry.key.substr(m_format->evacuationPrefix().size())));
     else if (entry.key.starts_with(m_format->upstreamPrefix()))
         setUpstream(entry);
     else if (entry.key.starts_with(memberPrefix))
@@ -252,15 +255,40 @@
         m_calls.upstreams().remove(id);
         m_engineController.onUpstreamGone(id);
         m_client.forget(id.value());
+    } else if (key.starts_with(m_format->evacuationPrefix())) {
+        endEvacuation(base::FailureDomain(key.substr(m_format->evacuationPrefix().size())));
     } else if (key.starts_with(memberPrefix)) {
         updatePeers();
     }
 }
 
+void GatewayCore::evacuate(const base::FailureDomain& domain)
+{
+    base::LogLine("domain_evacuated").add("domain", domain);
+    m_calls.upstreams().evacuate(domain);
+}
+
+// The list may show only later that upstreams of the domain have become cold.
+void GatewayCore::endEvacuation(const base::FailureDomain& domain)
+{
+    base::LogLine("domain_evacuation_ended").add("domain", domain);
+    base::Duration coldFor {};
+    if (auto state = m_calls.desiredState()) {
+        for (const auto& service : state->services)
+            coldFor = std::max(coldFor, service.coldStart ? service.coldStart->duration : base::Duration::zero());
+    }
+    m_calls.upstreams().endEvacuation(domain, m_loop.now() + coldFor);
+    m_calls.wakeWaiting();
+}
+
 void GatewayCore::onDirectoryUpdated()
 {
     if (auto answered = m_mirror.lastAnswer())
         m_calls.setLastStoreContact(*answered);
+    if (auto answered = m_mirror.part(StorePart::Fleet).lastAnswer(); answered && answered != m_lastListAnswer) {
+        m_lastListAnswer = answered;
+        m_calls.coldStarts().onListAnswer(*answered);
+    }
     if (auto planner = m_election.onDirectoryUpdated())
         m_plannerPeer = planner;
     m_calls.wakeWaiting();
@@ -305,6 +333,8 @@
     if (!known || known->description.draining != description->draining || known->description.start != description->start) {
         base::LogLine("upstream_seen").add("upstream", description->id).add("service", description->service).add("endpoint", description->endpoint.text()).add("draining", description->draining ? "yes" : "no").add("models", description->loaded.size());
     }
+    if (auto region = m_settings.regions.find(description->domain); region != m_settings.regions.end())
+        description->region = region->second;
     m_engineController.onUpstream(*description);
     m_calls.upstreams().put(std::move(*description), m_loop.now());
 }
@@ -322,6 +352,7 @@
         peers.emplace(id, *endpoint);
         ids.insert(id);
     }
+    m_calls.coldStarts().setListed(ids, m_loop.now());
     // A peer that has only lost contact with the store still sends reports although its key has expired with its lease.
     for (const auto& [id, state] : m_peers) {
         auto known = m_transport->peers().find(id);
@@ -543,12 +574,16 @@
 std::string GatewayCore::statusText() const
 {
     auto state = m_calls.desiredState();
+    Json evacuated = Json::array();
+    for (const auto& domain : m_calls.upstreams().evacuatedDomains())
+        evacuated.push_back(domain.value());
     Json status {
         { "instance", m_settings.instance.value() },
         { "ready", ready() },
         { "version", state ? state->version.value() : 0 },
         { "directory_revision", m_mirror.part(StorePart::DesiredState).revision().value() },
-        { "upstreams", 0 },
+        { "upstreams", m_calls.upstreams().all().size() },
+        { "evacuated_domains", evacuated },
         { "planner", isPlanner() },
         { "running", m_calls.running() },
         { "waiting", m_calls.waiting() },
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -55,6 +55,8 @@
     void updatePeers();
     void setDesiredState(const base::KeyValue&);
     void setUpstream(const base::KeyValue&);
+    void evacuate(const base::FailureDomain&);
+    void endEvacuation(const base::FailureDomain&);
     // Peers with a recent report, starting after this gateway's own name, so that gateways ask different peers.
     std::vector<CopySource> copySources() const;
 
@@ -93,6 +95,7 @@
     PlannerSuccession m_succession;
     std::optional<base::InstanceId> m_plannerPeer;
 
+    std::optional<base::Instant> m_lastListAnswer;
     base::Instant m_nextDemand;
     base::Instant m_nextPlanReport;
     base::Instant m_nextSweep;
--- a/packages/direct/src/LeaderElection.cpp
+++ b/packages/direct/src/LeaderElection.cpp
@@ -9,6 +9,8 @@
 
 // Renewals per lease duration, so that one or two lost responses do not end the lease.
 constexpr int renewalsPerLease = 4;
+// The clocks of the store and of this gateway may run at slightly different rates.
+constexpr auto leaseMargin = std::chrono::milliseconds(100);
 constexpr auto campaignRetryInterval = std::chrono::milliseconds(500);
 
 // See PlannerLeadership.
@@ -61,6 +63,11 @@
         campaign();
 }
 
+base::Instant LeaderElection::leaseEnd() const
+{
+    return m_lease ? m_leaseRequestedAt + m_settings.plannerLease - leaseMargin : base::Instant();
+}
+
 void LeaderElection::grantLease()
 {
     m_leaseRequestPending = true;
--- a/packages/direct/src/LeaderElection.h
+++ b/packages/direct/src/LeaderElection.h
@@ -27,6 +27,10 @@
     LeaderElection(io::EventLoop&, base::KeyValueStore&, const Directory&, const DirectGatewaySettings&, std::function<void()> onElected);
 
     const PlannerLeadership& leadership() const { return m_leadership; }
+    // This gateway's key is in the list of gateways.
+    bool registered() const { return m_registered && !m_leaving; }
+    // Until when the lease of that key lasts at least, by this gateway's clock.
+    base::Instant leaseEnd() const;
     // Has to be called several times a second.
     void tick();
     // Deletes the membership key because the process is about to end. The leadership is kept until then: a successor would
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -124,6 +124,7 @@
             return false;
         }
         m_account = account->limits.id;
+        m_accountRegions = &account->allowedRegions;
     }
     m_priority = account && account->priority ? *account->priority : m_route->priority;
     base::Duration limit = m_call.timeLimit ? std::min(*m_call.timeLimit, m_route->timeout) : m_route->timeout;
@@ -202,10 +203,16 @@
     query.domain = m_dispatcher.settings().domain;
     query.spreadKey = m_call.id.value();
     query.turnover = m_dispatcher.turnover(queue());
+    query.routeRegions = &m_route->allowedRegions;
+    query.accountRegions = m_accountRegions;
+    query.coldStarts = &m_dispatcher.coldStarts();
+    if (const ServiceTraits* service = m_state->findService(m_service); service && service->coldStart)
+        query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
         query.promptPrefix = m_call.prompt.front().hash;
     UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), query, m_dispatcher.now());
     m_runningThere = choice.inFlight;
+    m_acceptedFrom = choice.acceptedFrom;
     if (choice.blockReason != BlockReason::None)
         return choice.blockReason;
     if (!m_dispatcher.takeSlot(*this, choice))
@@ -249,7 +256,7 @@
 {
     base::Instant time = m_dispatcher.now();
     auto expected = m_dispatcher.expectedLoad(m_call.target);
-    BlockedCall blocked { blockReason, m_arrived, m_answerStartDeadline, m_firstByte.has_value(), expected, m_dispatcher.plannerActive() };
+    BlockedCall blocked { blockReason, m_arrived, m_answerStartDeadline, m_firstByte.has_value(), expected, m_dispatcher.plannerActive(), m_acceptedFrom };
     Execution execution = m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun;
     switch (decideWait(blocked, time)) {
     case WaitDecision::Wait:
@@ -264,6 +271,12 @@
     case WaitDecision::RefuseNoUpstream:
         refuse(statusUnavailable, "no_upstream", execution, "no upstream of the service can be used", defaultRetryAfter);
         break;
+    case WaitDecision::RefuseOutsideRegions:
+        refuse(statusUnavailable, "outside_regions", execution, "no upstream of the service is in a region in which the call may run");
+        break;
+    case WaitDecision::RefuseCold:
+        refuse(statusUnavailable, "cold", execution, "the upstreams that could run the call have just started", base::remaining(time, *m_acceptedFrom));
+        break;
     case WaitDecision::RefuseOverloaded:
         refuse(statusUnavailable, "overloaded", execution, "no upstream can take the call in time", defaultRetryAfter);
         break;
@@ -320,6 +333,7 @@
     ++m_sends;
     ++m_possibleRuns;
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
+    m_dispatcher.coldStarts().onCall(upstream, m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
 }
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -104,6 +104,8 @@
     const Route* m_route = nullptr;
     CallMetadata m_call;
     base::ClientAccountId m_account;
+    // Points into m_state; null for a call without an account.
+    const std::set<base::RegionId>* m_accountRegions = nullptr;
     base::ServiceId m_service;
     routing::RequestFingerprint m_fingerprint;
     base::Tokens m_cost;
@@ -122,6 +124,8 @@
     BlockReason m_blockReason = BlockReason::None;
     // Calls that ran at the upstreams with its target when the call could not be sent.
     int64_t m_runningThere = 0;
+    // When a cold upstream takes the call, if it waits for one.
+    std::optional<base::Instant> m_acceptedFrom;
     std::optional<base::Instant> m_firstSent;
     base::Instant m_lastSent;
     io::EventLoop::TimerId m_timer = 0;
--- a/packages/direct/src/StoreMirror.h
+++ b/packages/direct/src/StoreMirror.h
@@ -19,7 +19,7 @@
 namespace toucanstep::direct {
 
 enum class StorePart : size_t {
-    // The desired state: one large value that seldom changes.
+    // What the operators write: the desired state, which is one large value that seldom changes, and evacuations.
     DesiredState,
     Upstreams,
     // Gateways and the holder of the planner role.
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -22,19 +22,36 @@
 constexpr double otherDomainWeight = 0.4;
 // Cost of not using the preferred upstream of a prompt prefix, which has the prefix in its cache and need not read it again.
 constexpr double promptPrefixWeight = 1.5;
+// Cost of being cold: a call that another upstream can run leaves the few calls that a cold one tolerates to others.
+constexpr double coldWeight = 2;
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
 
 // The part of an upstream's slots that are assumed free without a report, at most.
 constexpr double maxEndedUnreported = 0.0625;
 
-bool isCandidate(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+bool isCandidate(const UpstreamTable& table, const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
 {
     const UpstreamDescription& described = entry.description;
-    return described.service == query.service && !described.draining && entry.avoidUntil <= now
+    return described.service == query.service && !described.draining && entry.avoidUntil <= now && !table.isEvacuated(entry)
         && !(query.triedUpstreams && query.triedUpstreams->contains(described.id));
 }
 
+bool isAllowedRegion(const UpstreamEntry& entry, const UpstreamQuery& query)
+{
+    auto allows = [&](const std::set<base::RegionId>* regions) { return !regions || regions->empty() || regions->contains(entry.description.region); };
+    return allows(query.routeRegions) && allows(query.accountRegions);
+}
+
+// When the upstream takes a call of this gateway; not before it is warm if the gateway has no part of its rate.
+base::Instant acceptsFrom(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+{
+    if (entry.coldUntil <= now || !query.coldCallsPerSecond || !query.coldStarts)
+        return now;
+    auto next = query.coldStarts->nextCall(entry.description.id, *query.coldCallsPerSecond, now);
+    return next ? std::min(*next, entry.coldUntil) : entry.coldUntil;
+}
+
 // Calls that have ended count until they are reported, so that an upstream is given a little more than it has slots for.
 int64_t slotLimit(const UpstreamEntry& entry, double turnover)
 {
@@ -63,6 +80,8 @@
         cost += silentWeight;
     if (entry.description.domain != query.domain)
         cost += otherDomainWeight;
+    if (entry.coldUntil > now)
+        cost += coldWeight;
     return cost + spreadCost(query.spreadKey, entry.description.id);
 }
 
@@ -80,19 +99,28 @@
     case BlockReason::AdapterNotLoaded:
         return "adapter_not_loaded";
     case BlockReason::Full:
+        return "full";
+    case BlockReason::Cold:
+        return "cold";
+    case BlockReason::OutsideRegions:
         break;
     }
-    return "full";
+    return "outside_regions";
 }
 
 UpstreamSelection selectUpstream(const UpstreamTable& table, const UpstreamQuery& query, base::Instant now)
 {
     bool anyUpstream = false;
+    bool anyOutsideRegions = false;
     bool modelLoaded = false;
     std::vector<const UpstreamEntry*> holders;
     for (const auto& [id, entry] : table.all()) {
-        if (!isCandidate(entry, query, now))
+        if (!isCandidate(table, entry, query, now))
+            continue;
+        if (!isAllowedRegion(entry, query)) {
+            anyOutsideRegions = true;
             continue;
+        }
         anyUpstream = true;
         if (!table.holds(entry, query.target, now)) {
             modelLoaded = modelLoaded || (!query.target.adapter.empty() && table.holds(entry, { query.target.model, AdapterId() }, now));
@@ -110,11 +138,16 @@
     double bestCost = 0;
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
+    std::optional<base::Instant> acceptedFrom;
     for (const UpstreamEntry* entry : holders) {
         inFlight += entry->inFlight();
         int64_t free = slotLimit(*entry, query.turnover) - entry->inFlight();
         if (free <= 0)
             continue;
+        if (base::Instant from = acceptsFrom(*entry, query, now); from > now) {
+            acceptedFrom = std::min(acceptedFrom.value_or(from), from);
+            continue;
+        }
         freeSlots += free;
         double cost = costOf(*entry, query, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
         if (!best || cost < bestCost) {
@@ -125,7 +158,9 @@
     if (best)
         return { BlockReason::None, best->description.id, freeSlots, inFlight };
     if (!anyUpstream)
-        return { BlockReason::NoUpstream, {} };
+        return { anyOutsideRegions ? BlockReason::OutsideRegions : BlockReason::NoUpstream, {} };
+    if (acceptedFrom)
+        return { BlockReason::Cold, {}, 0, inFlight, acceptedFrom };
     if (!holders.empty())
         return { BlockReason::Full, {}, 0, inFlight };
     return { modelLoaded ? BlockReason::AdapterNotLoaded : BlockReason::NotLoaded, {} };
--- a/packages/direct/src/UpstreamTable.cpp
+++ b/packages/direct/src/UpstreamTable.cpp
@@ -1,5 +1,6 @@
 #include "toucanstep/direct/UpstreamTable.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace toucanstep::direct {
@@ -30,6 +31,23 @@
     if (isNew)
         entry.lastReceived = now;
     entry.description = std::move(description);
+    // The entry is older than `now`, so the upstream is warm by then.
+    if (entry.description.coldFor > base::Duration::zero())
+        entry.coldUntil = now + entry.description.coldFor;
+}
+
+void UpstreamTable::evacuate(const base::FailureDomain& domain)
+{
+    m_evacuated.insert(domain);
+}
+
+void UpstreamTable::endEvacuation(const base::FailureDomain& domain, base::Instant coldUntil)
+{
+    m_evacuated.erase(domain);
+    for (auto& [id, entry] : m_entries) {
+        if (entry.description.domain == domain)
+            entry.coldUntil = std::max(entry.coldUntil, coldUntil);
+    }
 }
 
 void UpstreamTable::remove(const base::UpstreamId& id)
--- a/packages/direct/src/WaitDecision.cpp
+++ b/packages/direct/src/WaitDecision.cpp
@@ -31,6 +31,10 @@
         decision = decideWaitForLoad(call, std::nullopt, now);
     else if (call.blockReason == BlockReason::NoUpstream && now - call.arrived > maxWaitWithoutUpstream)
         decision = WaitDecision::RefuseNoUpstream;
+    else if (call.blockReason == BlockReason::OutsideRegions)
+        decision = WaitDecision::RefuseOutsideRegions;
+    else if (call.blockReason == BlockReason::Cold && call.acceptedFrom && *call.acceptedFrom + minRunTime > call.answerStartDeadline)
+        decision = WaitDecision::RefuseCold;
     if (decision != WaitDecision::Wait)
         return decision;
     return now + minRunTime > call.answerStartDeadline ? WaitDecision::RefuseOverloaded : WaitDecision::Wait;
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -116,6 +116,64 @@
     CHECK_TRUE(blockReason(asks("m")) == BlockReason::Full);
 }
 
+// Guards against the crash of an engine that has just started: gateways that cannot know the others' calls saw an idle engine
+// and sent it all that waited.
+TEST(UpstreamSelection, AColdEngineGetsNoCallFromAGatewayWithoutAPartOfItsRate)
+{
+    ColdStartLimit unsettled({}, base::InstanceId("edge-1"));
+    UpstreamDescription cold = engine("one", "m");
+    cold.coldFor = std::chrono::seconds(3);
+    table.put(cold, now);
+    UpstreamQuery query = asks("m");
+    query.coldStarts = &unsettled;
+    query.coldCallsPerSecond = 29;
+    UpstreamSelection choice = selectUpstream(table, query, now);
+    CHECK_TRUE(choice.blockReason == BlockReason::Cold);
+    CHECK_TRUE(choice.acceptedFrom == now + std::chrono::seconds(3));
+    table.put(engine("two", "m"), now);
+    STRCMP_EQUAL("two", chosen(query).c_str());
+    now += std::chrono::seconds(3);
+    table.remove(base::UpstreamId("two"));
+    STRCMP_EQUAL("one", chosen(query).c_str());
+}
+
+// Guards against calls to a domain that the operator has emptied, and against a rush to its engines afterwards: they may have
+// become cold meanwhile, which the list shows only later.
+TEST(UpstreamSelection, AnEvacuatedDomainGetsNoCallsAndIsColdAfterwards)
+{
+    ColdStartLimit unsettled({}, base::InstanceId("edge-1"));
+    table.put(engine("one", "m"), now);
+    UpstreamQuery query = asks("m");
+    query.coldStarts = &unsettled;
+    query.coldCallsPerSecond = 29;
+    table.evacuate(base::FailureDomain("a"));
+    CHECK_TRUE(blockReason(query) == BlockReason::NoUpstream);
+    table.endEvacuation(base::FailureDomain("a"), now + std::chrono::seconds(3));
+    CHECK_TRUE(blockReason(query) == BlockReason::Cold);
+    now += std::chrono::seconds(3);
+    STRCMP_EQUAL("one", chosen(query).c_str());
+}
+
+// Guards against a call that runs outside the regions to which its route or its account is bound.
+TEST(UpstreamSelection, ACallRunsOnlyInTheRegionsOfItsRouteAndItsAccount)
+{
+    UpstreamDescription north = engine("one", "m");
+    north.region = base::RegionId("north");
+    UpstreamDescription south = engine("two", "m");
+    south.region = base::RegionId("south");
+    table.put(north, now);
+    table.put(south, now);
+    std::set<base::RegionId> both { base::RegionId("north"), base::RegionId("south") };
+    std::set<base::RegionId> onlySouth { base::RegionId("south") };
+    std::set<base::RegionId> elsewhere { base::RegionId("west") };
+    UpstreamQuery query = asks("m");
+    query.routeRegions = &both;
+    query.accountRegions = &onlySouth;
+    STRCMP_EQUAL("two", chosen(query).c_str());
+    query.routeRegions = &elsewhere;
+    CHECK_TRUE(blockReason(query) == BlockReason::OutsideRegions);
+}
+
 TEST(UpstreamSelection, DrainingEngineGetsNoNewCalls)
 {
     UpstreamDescription leaving = engine("one", "m");
--- a/packages/direct/test/WaitDecisionTest.cpp
+++ b/packages/direct/test/WaitDecisionTest.cpp
@@ -27,6 +27,22 @@
     expect(WaitDecision::Wait, start);
 }
 
+// Guards against holding a call for an engine that will take it only after its caller has left.
+TEST(WaitDecision, ACallThatAColdEngineTakesTooLateIsRefusedAtOnce)
+{
+    call.blockReason = BlockReason::Cold;
+    call.acceptedFrom = start + second;
+    expect(WaitDecision::Wait, start);
+    call.acceptedFrom = start + 2 * second;
+    expect(WaitDecision::RefuseCold, start);
+}
+
+TEST(WaitDecision, ACallThatMayRunInNoRegionIsRefusedAtOnce)
+{
+    call.blockReason = BlockReason::OutsideRegions;
+    expect(WaitDecision::RefuseOutsideRegions, start);
+}
+
 // Guards against refusing calls for an adapter because a further replica of its model is being loaded: 143 callers were told
 // to come back when that load ends, although other replicas could have had the adapter within milliseconds.
 TEST(WaitDecision, ACallForAnAdapterDoesNotWaitForAFurtherReplicaOfItsModel)
