Reports by difference, at an interval that grows with the fleet

Cause: each gateway sent its whole report to all others ten times a second, and the planner its whole plan with each change; a gateway's bytes grew as the machines to the power 1.5, 2.9 MB/s at 300 machines on links of 1.25 MB/s.

Load reports hold what has changed, each change twice, and one in ten is complete; their interval is such that a gateway receives 400 a second at most, as before up to 40 gateways. Demand and plan reports likewise. Receiving a report costs what has changed in it: the loads of peers are sums that are kept up to date. Silence of peers, slot shares and turnover count in intervals. Gateways with little processor time leave a vacant planner role to others for up to 0.4 s. Earlier builds ignore the new kinds and hear one complete report a second.

--- a/packages/direct/include/toucanstep/direct/AccountLimits.h
+++ b/packages/direct/include/toucanstep/direct/AccountLimits.h
@@ -36,13 +36,14 @@
 };
 
 struct AccountLimitsSettings {
-    // A peer that was not heard for this long, which is three lost reports in a row, may be partitioned and spend on its own.
-    base::Duration peerSilence = std::chrono::milliseconds(350);
+    // A peer that was not heard for this many intervals of reports, which is three lost ones in a row, may be partitioned and
+    // spend on its own.
+    double silentIntervals = 3.5;
     // A peer that left the gateway list counts for this long, since its calls may still be within a window of the limits.
     base::Duration departedPeerRetention = std::chrono::seconds(10);
-    // A gateway that was first heard less than this long ago is sent the balances, and adopts them if it started less than
-    // this long ago: the time of a few reports.
-    base::Duration startupWindow = std::chrono::milliseconds(600);
+    // A gateway that was first heard less than this many intervals ago is sent the balances, and adopts them if it started less
+    // than this many intervals ago.
+    double startupIntervals = 6;
 };
 
 struct AccountBalance {
@@ -61,12 +62,16 @@
     int64_t liveSetDigest = 0;
     // Sent while a newly started gateway is heard.
     std::vector<AccountBalance> balances;
+    // Otherwise an account that the peer has reported before and `charges` lacks was not charged since.
+    bool complete = true;
 };
 
 class AccountLimits {
 public:
     explicit AccountLimits(AccountLimitsSettings);
 
+    // The interval at which gateways report; it follows from the size of the fleet.
+    void setReportInterval(base::Duration);
     // Lowered limits apply to the balances at once.
     void setAccounts(const DesiredState&, base::Instant now);
     // The other gateways of the gateway list.
@@ -98,6 +103,8 @@
         bool listed = false;
         std::set<base::InstanceId> silentPeers;
         int64_t liveSetDigest = 0;
+        // Of its name.
+        int64_t digest = 0;
         // When its current incarnation was first heard.
         base::Instant incarnationSeenAt;
         std::map<base::ClientAccountId, base::Tokens> chargedTotals;
@@ -127,7 +134,11 @@
     // Adds the gateway's own share for the time since the last refill, and applies the cap.
     static void refill(Bucket&, const RateShares&, base::Instant now);
 
+    Peer& peerOf(const base::InstanceId&);
+
     AccountLimitsSettings m_settings;
+    base::Duration m_peerSilence {};
+    base::Duration m_startupWindow {};
     base::InstanceId m_self;
     base::Instant m_started;
     // Whether the balances include what was spent before this gateway's start.
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -36,6 +36,8 @@
     base::Duration plannerLease = std::chrono::milliseconds(1500);
     // Minimum delay between orders of successive planners. Zero if engines reject orders with an older fencing token.
     base::Duration plannerHandoverDelay {};
+    // Part of a processor core that this gateway may use. Gateways with more of it take the planner role first.
+    double processorShare = 1;
     // A change in the store must take effect within this time.
     base::Duration changePropagationLimit = std::chrono::seconds(2);
     // From SIGTERM to SIGKILL.
--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -1,5 +1,5 @@
-// Reports that gateways exchange as datagrams. Each report is self-contained and superseded by the next one, so loss and
-// duplication are harmless.
+// Reports that gateways exchange as datagrams. A complete report supersedes all earlier ones of its kind; the reports between
+// two complete ones hold the values that have changed, and earlier builds ignore them. So loss and duplication are harmless.
 
 #pragma once
 
@@ -8,6 +8,7 @@
 #include "toucanstep/direct/Upstream.h"
 #include "toucanstep/routing/Quarantine.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <string>
@@ -17,8 +18,16 @@
 
 namespace toucanstep::direct {
 
-// Interval of load reports. Fleet-wide limits depend on it (see AccountLimitsSettings::peerSilence).
-constexpr auto loadReportInterval = std::chrono::milliseconds(100);
+constexpr auto minLoadReportInterval = std::chrono::milliseconds(100);
+
+// Interval of load reports in a fleet of that many gateways, such that each receives no more than a fixed number per second.
+// Fleet-wide limits depend on it (see AccountLimits::setReportInterval).
+inline base::Duration loadReportInterval(size_t gateways)
+{
+    constexpr int reportsPerSecond = 400;
+    constexpr base::Duration second = std::chrono::seconds(1);
+    return std::max<base::Duration>(minLoadReportInterval, second * static_cast<int64_t>(gateways) / reportsPerSecond);
+}
 
 struct ReportSender {
     base::InstanceId instance;
@@ -40,6 +49,7 @@
     int64_t late = 0;
 
     int64_t total() const { return inTime + late; }
+    bool operator==(const QueuedCalls&) const = default;
 };
 
 // The calls for a model of a service, over all adapters; the model is empty for a service without models.
@@ -54,7 +64,7 @@
 using QueuedCallsByPriority = std::map<int64_t, QueuedCalls>;
 using QueuedCallCounts = std::map<ModelQueue, QueuedCallsByPriority>;
 
-// Sent to all gateways several times a second.
+// Sent to all gateways.
 struct LoadReport {
     ReportSender sender;
     ConfigurationVersion configuration;
@@ -66,6 +76,8 @@
     std::vector<routing::StrikeMessage> strikes;
     // The sender's own waiting calls. Earlier builds do not send it.
     QueuedCallCounts queued;
+    // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
+    bool complete = true;
 };
 
 struct TargetDemand {
@@ -110,6 +122,8 @@
     std::vector<TargetDemand> demand;
     // Set while the sender has not heard from the planner yet but has heard from an earlier one. Earlier builds do not send it.
     std::optional<PlannerHandover> handover;
+    // Otherwise `demand` holds only what has changed.
+    bool complete = true;
 };
 
 // A target that was loaded or is being unloaded, known to the planner before the upstream list shows it.
@@ -134,6 +148,8 @@
     std::vector<ExpectedLoad> expected;
     // Earlier builds do not send it.
     PlannerState state;
+    // Otherwise `notices` holds only what has changed, and `state` is left out.
+    bool complete = true;
 };
 
 using FleetReport = std::variant<LoadReport, DemandReport, PlanReport>;
--- a/packages/direct/include/toucanstep/direct/PlannerLeadership.h
+++ b/packages/direct/include/toucanstep/direct/PlannerLeadership.h
@@ -29,6 +29,8 @@
     base::Duration handoverDelay = std::chrono::seconds(3);
     // Time for the last planner to take a vacant leadership back before others try: a few calls to the store.
     base::Duration lastPlannerHeadStart = std::chrono::milliseconds(400);
+    // How long this gateway leaves a vacant leadership to gateways with more processor time.
+    base::Duration ownDelay {};
 };
 
 // The leadership keys in the store.
--- a/packages/direct/include/toucanstep/direct/SlotShare.h
+++ b/packages/direct/include/toucanstep/direct/SlotShare.h
@@ -28,6 +28,8 @@
     // `self` decides in which phase this gateway takes its part, so that gateways do not take theirs at the same moment.
     explicit SlotShare(std::string self);
 
+    // The interval at which gateways report.
+    void setReportInterval(base::Duration interval) { m_reportInterval = interval; }
     // The waiting calls of all other gateways together, as last reported; replaces the earlier value.
     void setPeers(QueuedCallCounts);
     // The slots that upstreams offer until the next report: of the free ones as many as are not taken before that shows, and
@@ -49,6 +51,7 @@
     Credit& creditAt(const ModelQueue&, base::Instant now);
 
     std::string m_self;
+    base::Duration m_reportInterval = minLoadReportInterval;
     QueuedCallCounts m_peers;
     std::map<ModelQueue, Credit> m_credits;
 };
--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/direct/include/toucanstep/direct/Upstream.h
@@ -46,6 +46,8 @@
     int64_t inFlight = 0;
     // Calls whose response has not begun; their prompts are queued or being processed.
     int64_t awaiting = 0;
+
+    bool operator==(const UpstreamLoad&) const = default;
 };
 
 // An engine's own report of its state.
--- a/packages/direct/include/toucanstep/direct/UpstreamTable.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamTable.h
@@ -56,6 +56,7 @@
     void expireNotices(base::Instant now);
 
     void setPeersLoad(const std::map<base::UpstreamId, UpstreamLoad>&);
+    void setPeersLoad(const base::UpstreamId&, const UpstreamLoad&);
     void onDispatched(const base::UpstreamId&, base::Instant now);
     void onAnswerBegun(const base::UpstreamId&);
     // A call has left the upstream; `begun` if onAnswerBegun() was called for it.
--- a/packages/direct/src/AccountLimits.cpp
+++ b/packages/direct/src/AccountLimits.cpp
@@ -1,5 +1,7 @@
 #include "toucanstep/direct/AccountLimits.h"
 
+#include "toucanstep/direct/FleetReports.h"
+
 #include <algorithm>
 
 namespace toucanstep::direct {
@@ -23,11 +25,26 @@
 AccountLimits::AccountLimits(AccountLimitsSettings settings)
     : m_settings(settings)
 {
+    setReportInterval(minLoadReportInterval);
+}
+
+void AccountLimits::setReportInterval(base::Duration interval)
+{
+    m_peerSilence = std::chrono::duration_cast<base::Duration>(interval * m_settings.silentIntervals);
+    m_startupWindow = std::chrono::duration_cast<base::Duration>(interval * m_settings.startupIntervals);
+}
+
+AccountLimits::Peer& AccountLimits::peerOf(const base::InstanceId& id)
+{
+    auto [place, isNew] = m_peers.try_emplace(id);
+    if (isNew)
+        place->second.digest = digestOf(id);
+    return place->second;
 }
 
 bool AccountLimits::recentlyHeard(const Peer& peer, base::Instant now) const
 {
-    return peer.lastHeard && now - *peer.lastHeard <= m_settings.peerSilence;
+    return peer.lastHeard && now - *peer.lastHeard <= m_peerSilence;
 }
 
 bool AccountLimits::isMember(const Peer& peer, base::Instant now) const
@@ -46,7 +63,7 @@
     LiveSet own { {}, digestOf(m_self) };
     for (const auto& [id, peer] : m_peers) {
         if (recentlyHeard(peer, now))
-            own.digest = (own.digest + digestOf(id)) & digestMask;
+            own.digest = (own.digest + peer.digest) & digestMask;
         else if (isMember(peer, now))
             own.silentPeers.push_back(id);
     }
@@ -117,7 +134,7 @@
         peer.listed = listed.contains(id);
     }
     for (const auto& id : listed)
-        m_peers[id].listed = true;
+        peerOf(id).listed = true;
     std::erase_if(m_peers, [&](const auto& entry) {
         const Peer& peer = entry.second;
         return !peer.listed && now >= peer.memberUntil && (!peer.lastHeard || now - *peer.lastHeard > m_settings.departedPeerRetention);
@@ -126,7 +143,7 @@
 
 void AccountLimits::onReport(const base::InstanceId& id, const LimitReport& report, base::Instant now)
 {
-    Peer& peer = m_peers[id];
+    Peer& peer = peerOf(id);
     if (peer.incarnation > report.incarnation)
         return;
     // What a peer had spent when it was first heard predates this gateway, whose bucket was empty then, and is not deducted.
@@ -145,13 +162,20 @@
     peer.silentPeers = { report.silentPeers.begin(), report.silentPeers.end() };
     peer.liveSetDigest = report.liveSetDigest;
     // During a longer silence other gateways may have spent its share.
-    bool maySpend = heardFor <= m_settings.peerSilence && maySpendShareOf(peer, liveSet(now));
+    bool maySpend = heardFor <= m_peerSilence && maySpendShareOf(peer, liveSet(now));
     RateShares shares = rateShares(now);
+    std::map<base::ClientAccountId, double> spentByAccount;
+    if (!report.complete) {
+        for (const auto& [account, total] : peer.chargedTotals)
+            spentByAccount[account] = 0;
+    }
     for (const AccountCharge& charge : report.charges) {
         auto total = peer.chargedTotals.try_emplace(charge.account, firstHeard ? charge.total : base::Tokens()).first;
-        auto spent = static_cast<double>((charge.total - total->second).value());
+        spentByAccount[charge.account] = static_cast<double>((charge.total - total->second).value());
         total->second = charge.total;
-        auto found = m_buckets.find(charge.account);
+    }
+    for (const auto& [account, spent] : spentByAccount) {
+        auto found = m_buckets.find(account);
         if (found == m_buckets.end())
             continue;
         Bucket& bucket = found->second;
@@ -159,7 +183,7 @@
         bucket.balance += (maySpend ? share : std::min(share, std::max(spent, 0.0))) - spent;
         refill(bucket, shares, now);
     }
-    if (now - m_started < m_settings.startupWindow)
+    if (now - m_started < m_startupWindow)
         adoptBalances(report.balances);
 }
 
@@ -219,9 +243,9 @@
 {
     LiveSet own = liveSet(now);
     LimitReport report { incarnation, {}, std::move(own.silentPeers), own.digest, {} };
-    bool anyNew = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return recentlyHeard(entry.second, now) && now - entry.second.incarnationSeenAt < m_settings.startupWindow; });
+    bool anyNew = std::any_of(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return recentlyHeard(entry.second, now) && now - entry.second.incarnationSeenAt < m_startupWindow; });
     // A gateway that has just started does not know what was spent before.
-    bool sendBalances = anyNew && (m_hasAdoptedBalances || now - m_started > m_settings.startupWindow * 2);
+    bool sendBalances = anyNew && (m_hasAdoptedBalances || now - m_started > m_startupWindow * 2);
     for (const auto& [account, bucket] : m_buckets) {
         report.charges.push_back({ account, bucket.charged });
         if (sendBalances)
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -185,9 +185,16 @@
     return queued;
 }
 
+void CallDispatcher::setReportInterval(base::Duration interval)
+{
+    m_reportInterval = interval;
+    m_slotShare.setReportInterval(interval);
+    m_limits.setReportInterval(interval);
+}
+
 double CallDispatcher::turnover(const ModelQueue& queue) const
 {
-    return m_callTimes.turnover(queue, loadReportInterval);
+    return m_callTimes.turnover(queue, m_reportInterval);
 }
 
 bool CallDispatcher::refusesOnArrival(const ProxiedCall& call, int64_t running)
@@ -198,7 +205,7 @@
     ModelQueue queue = call.queue();
     auto own = m_queued.find(queue);
     int64_t ahead = m_slotShare.callsAhead(queue, { call.priority(), QueueClass::InTime }, own == m_queued.end() ? QueuedCallsByPriority() : own->second);
-    double completionsPerSecond = static_cast<double>(running) * turnover(queue) / base::toSeconds(loadReportInterval);
+    double completionsPerSecond = static_cast<double>(running) * turnover(queue) / base::toSeconds(m_reportInterval);
     if (!willBecomeLate(ahead, completionsPerSecond, base::remaining(now(), call.lateFrom())))
         return false;
     m_standingQueues.onRefusedOnArrival(key, now());
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -82,6 +82,8 @@
     size_t running() const { return m_activeCalls.size(); }
     size_t waiting() const { return m_waiting.size(); }
     SlotShare& slotShare() { return m_slotShare; }
+    // The interval at which gateways report their loads to each other.
+    void setReportInterval(base::Duration);
     CallTimes& callTimes() { return m_callTimes; }
     ColdStartLimit& coldStarts() { return m_coldStarts; }
     // The calls that wait for a slot, by queue.
@@ -142,6 +144,7 @@
     std::function<void()> m_onTargetMissing;
     std::set<std::shared_ptr<ProxiedCall>> m_activeCalls;
     StandingQueueDetector m_standingQueues;
+    base::Duration m_reportInterval = minLoadReportInterval;
     SlotShare m_slotShare;
     CallTimes m_callTimes;
     ColdStartLimit m_coldStarts;
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -17,6 +17,9 @@
     Load = 1,
     Demand = 2,
     Plan = 3,
+    LoadChange = 4,
+    DemandChange = 5,
+    PlanChange = 6,
 };
 
 int64_t inMilliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
@@ -51,7 +54,7 @@
         for (const auto& [priority, calls] : priorities)
             queued.push_back({ queue.service.value(), queue.model.value(), priority, calls.inTime, calls.late });
     }
-    return Json::array({ encodeHeader(ReportKind::Load, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued });
 }
 
 Json encodeState(const PlannerState& state)
@@ -67,7 +70,7 @@
     Json demand = Json::array();
     for (const auto& entry : report.demand)
         demand.push_back({ entry.target.model.value(), entry.target.adapter.value(), entry.waiting, entry.running, entry.arrivalsPerKilosecond, entry.awaitingThousandths });
-    Json value = Json::array({ encodeHeader(ReportKind::Demand, report.sender), demand });
+    Json value = Json::array({ encodeHeader(report.complete ? ReportKind::Demand : ReportKind::DemandChange, report.sender), demand });
     if (report.handover) {
         value.push_back(report.handover->fence.value());
         value.push_back(encodeState(report.handover->state));
@@ -83,7 +86,7 @@
     Json expected = Json::array();
     for (const auto& load : report.expected)
         expected.push_back({ load.target.model.value(), load.target.adapter.value(), inMilliseconds(load.in) });
-    return Json::array({ encodeHeader(ReportKind::Plan, report.sender), report.fence.value(), notices, expected, encodeState(report.state) });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Plan : ReportKind::PlanChange, report.sender), report.fence.value(), notices, expected, encodeState(report.state) });
 }
 
 // The JSON library throws on values of another type, which decodeReport() turns into an empty result. However, it converts
@@ -191,6 +194,20 @@
     return report;
 }
 
+LoadReport asChange(LoadReport report)
+{
+    report.complete = false;
+    report.limits.complete = false;
+    return report;
+}
+
+template <typename Report>
+Report asChange(Report report)
+{
+    report.complete = false;
+    return report;
+}
+
 FleetReport decode(const Json& value)
 {
     const Json& header = value.at(0);
@@ -202,6 +219,12 @@
         return decodeDemand(value, std::move(sender));
     case ReportKind::Plan:
         return decodePlan(value, std::move(sender));
+    case ReportKind::LoadChange:
+        return asChange(decodeLoad(value, std::move(sender)));
+    case ReportKind::DemandChange:
+        return asChange(decodeDemand(value, std::move(sender)));
+    case ReportKind::PlanChange:
+        return asChange(decodePlan(value, std::move(sender)));
     }
     throw std::invalid_argument("unknown report kind");
 }
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -11,16 +11,22 @@
 
 namespace {
 
-constexpr auto tickInterval = loadReportInterval;
+constexpr auto tickInterval = std::chrono::milliseconds(100);
 // Related events within this time trigger one run of a task.
 constexpr auto coalescingDelay = std::chrono::milliseconds(3);
 constexpr auto demandInterval = std::chrono::milliseconds(200);
 constexpr auto planReportInterval = std::chrono::milliseconds(300);
+constexpr auto completePlanInterval = std::chrono::milliseconds(1200);
+// Per gateway of the fleet: bounds the rates at which the planner receives and sends reports.
+constexpr auto demandIntervalPerGateway = std::chrono::milliseconds(10);
+constexpr auto minCompleteDemandInterval = std::chrono::milliseconds(500);
+constexpr auto planSpacingPerGateway = std::chrono::microseconds(500);
 constexpr auto sweepInterval = std::chrono::seconds(1);
-// Older reports of a peer are ignored.
-constexpr auto reportLifetime = std::chrono::milliseconds(1500);
-// Must exceed planReportInterval, at which the planner repeats its notices.
-constexpr auto noticeLifetime = std::chrono::milliseconds(2000);
+// Older reports of a peer are ignored. In a large fleet they last for some intervals.
+constexpr auto minReportLifetime = std::chrono::milliseconds(1500);
+constexpr int reportLifetimeIntervals = 6;
+// Exceeds twice completePlanInterval, at which the planner repeats its notices.
+constexpr auto noticeLifetime = std::chrono::milliseconds(3000);
 // Poll delay as a percentage of the propagation limit; leaves time for a second request if the first one fails.
 constexpr int pollDelayPercent = 38;
 // A long poll is this much shorter than the propagation limit, so that a silent connection is abandoned within the limit.
@@ -126,7 +132,9 @@
     , m_store(makeStore(loop, m_storeClient, watchPollSettings(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_engineController(
-          loop, m_client, *m_format, m_settings.instance.value(), [this] { m_election.resign("an engine has seen a newer fencing token"); }, [this] { scheduleCoalesced(m_planReportTimer, &GatewayCore::sendPlanNow); scheduleCoalesced(m_planTimer, &GatewayCore::planNow); })
+          loop, m_client, *m_format, m_settings.instance.value(), [this] { m_election.resign("an engine has seen a newer fencing token"); }, [this] {
+              scheduleCoalesced(m_planReportTimer, &GatewayCore::sendPlanNow, std::max<base::Duration>(coalescingDelay, planSpacingPerGateway * m_transport->peers().size()));
+              scheduleCoalesced(m_planTimer, &GatewayCore::planNow, coalescingDelay); })
     , m_planner(PlacementSettings {})
     , m_mirror(loop, *m_store, m_client, mirrorSettings(m_settings, *m_format), *this)
     , m_election(loop, *m_store, m_mirror.part(StorePart::Fleet), m_settings, [this] { onElected(); })
@@ -149,7 +157,7 @@
     BOOST_LEAF_ASSIGN(m_readinessServer, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_operatorServer, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_transport, FleetTransport::open(m_loop, m_operatorServer->endpoint(), [this](const FleetReport& report) { onReport(report); }));
-    m_calls.onTargetMissing([this] { scheduleCoalesced(m_demandTimer, &GatewayCore::sendDemandNow); });
+    m_calls.onTargetMissing([this] { scheduleCoalesced(m_demandTimer, &GatewayCore::sendDemandNow, coalescingDelay); });
     m_mirror.start();
     tick();
     return {};
@@ -165,7 +173,8 @@
     base::Instant now = m_loop.now();
     m_election.tick();
     m_calls.coldStarts().setMembership(m_election.registered(), m_election.leaseEnd(), now);
-    setPeersLoad();
+    m_peerLoads.expire(reportLifetime(), now);
+    applyPeerLoads();
     sendLoadReport();
     m_calls.tick();
     if (m_election.leadership().maySendOrders(now))
@@ -191,11 +200,21 @@
     m_tickTimer = m_loop.at(now + tickInterval, [this] { tick(); });
 }
 
-void GatewayCore::scheduleCoalesced(io::EventLoop::TimerId& timer, void (GatewayCore::*task)())
+base::Duration GatewayCore::reportInterval() const
+{
+    return loadReportInterval(m_transport->peers().size() + 1);
+}
+
+base::Duration GatewayCore::reportLifetime() const
+{
+    return std::max<base::Duration>(minReportLifetime, reportInterval() * reportLifetimeIntervals);
+}
+
+void GatewayCore::scheduleCoalesced(io::EventLoop::TimerId& timer, void (GatewayCore::*task)(), base::Duration delay)
 {
     if (timer)
         return;
-    timer = m_loop.at(m_loop.now() + coalescingDelay, [this, &timer, task] {
+    timer = m_loop.at(m_loop.now() + delay, [this, &timer, task] {
         timer = 0;
         (this->*task)();
     });
@@ -290,7 +309,7 @@
         m_calls.coldStarts().onListAnswer(*answered);
     }
     if (auto planner = m_election.onDirectoryUpdated())
-        m_plannerPeer = planner;
+        setPlannerPeer(*planner);
     m_calls.wakeWaiting();
 }
 
@@ -336,7 +355,10 @@
     if (auto region = m_settings.regions.find(description->domain); region != m_settings.regions.end())
         description->region = region->second;
     m_engineController.onUpstream(*description);
+    base::UpstreamId id = description->id;
     m_calls.upstreams().put(std::move(*description), m_loop.now());
+    if (auto load = m_peerLoads.loads().find(id); load != m_peerLoads.loads().end())
+        m_calls.upstreams().setPeersLoad(id, load->second);
 }
 
 void GatewayCore::updatePeers()
@@ -354,24 +376,26 @@
     }
     m_calls.coldStarts().setListed(ids, m_loop.now());
     // A peer that has only lost contact with the store still sends reports although its key has expired with its lease.
-    for (const auto& [id, state] : m_peers) {
+    for (const auto& [id, peer] : m_peerLoads.peers()) {
         auto known = m_transport->peers().find(id);
-        if (!peers.contains(id) && known != m_transport->peers().end() && m_loop.now() - state.receivedAt < reportLifetime)
+        if (!peers.contains(id) && known != m_transport->peers().end())
             peers.emplace(id, known->second);
     }
+    m_hasNewPeers |= !std::includes(m_transport->peers().begin(), m_transport->peers().end(), peers.begin(), peers.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     m_transport->setPeers(std::move(peers));
     m_calls.limits().setPeers(ids, m_loop.now());
+    m_calls.setReportInterval(reportInterval());
 }
 
 std::vector<CopySource> GatewayCore::copySources() const
 {
     std::vector<CopySource> sources;
     size_t peersBefore = 0;
-    for (const auto& [id, state] : m_peers) {
+    for (const auto& [id, peer] : m_peerLoads.peers()) {
         auto endpoint = m_transport->peers().find(id);
-        if (m_loop.now() - state.receivedAt > reportLifetime || endpoint == m_transport->peers().end())
+        if (endpoint == m_transport->peers().end())
             continue;
-        sources.push_back({ { id.value(), endpoint->second }, state.load.directories });
+        sources.push_back({ { id.value(), endpoint->second }, peer.directories });
         if (id < m_settings.instance)
             ++peersBefore;
     }
@@ -388,6 +412,12 @@
 
 void GatewayCore::sendLoadReport()
 {
+    // The tick may come a little late.
+    constexpr auto tolerance = std::chrono::milliseconds(10);
+    base::Instant now = m_loop.now();
+    if (now + tolerance < m_nextLoadReport)
+        return;
+    m_nextLoadReport = now + reportInterval();
     LoadReport report;
     report.sender = nextSender();
     if (auto state = m_calls.desiredState())
@@ -401,7 +431,7 @@
     report.limits = m_calls.limits().report(m_incarnation, m_loop.now());
     report.strikes = m_calls.recentStrikes();
     report.queued = m_calls.queuedCalls();
-    m_transport->sendToAll(report);
+    m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
 }
 
 void GatewayCore::sendDemand()
@@ -410,7 +440,25 @@
     if (now < m_nextDemand || !m_plannerPeer || isPlanner())
         return;
     m_nextDemand = now + demandInterval;
-    m_transport->sendTo(*m_plannerPeer, DemandReport { nextSender(), m_calls.demand().summary(now), m_succession.handover(now) });
+    bool complete = now >= m_nextCompleteDemand;
+    if (complete)
+        m_nextCompleteDemand = now + completeDemandInterval();
+    DemandReport report { nextSender(), m_demandChanges.next(m_calls.demand().summary(now), complete), m_succession.handover(now), complete };
+    if (complete || !report.demand.empty())
+        m_transport->sendTo(*m_plannerPeer, report);
+}
+
+base::Duration GatewayCore::completeDemandInterval() const
+{
+    return std::max<base::Duration>(minCompleteDemandInterval, demandIntervalPerGateway * m_transport->peers().size());
+}
+
+void GatewayCore::setPlannerPeer(const base::InstanceId& planner)
+{
+    if (m_plannerPeer == planner)
+        return;
+    m_plannerPeer = planner;
+    m_nextCompleteDemand = {};
 }
 
 void GatewayCore::sendPlan()
@@ -420,8 +468,23 @@
         return;
     m_nextPlanReport = now + planReportInterval;
     PlanReport report { nextSender(), m_election.leadership().fence(), m_engineController.notices(), m_expectedLoads, m_engineController.state(now) };
-    m_transport->sendToAll(report);
     onPlanReport(report);
+    std::map<std::pair<base::UpstreamId, ModelTarget>, std::pair<StartId, bool>> notices;
+    for (const auto& notice : report.notices)
+        notices.emplace(std::pair(notice.upstream, notice.target), std::pair(notice.start, notice.loaded));
+    auto changes = m_noticeChanges.takeChanges(notices);
+    report.complete = now >= m_nextCompletePlan;
+    if (report.complete) {
+        m_nextCompletePlan = now + completePlanInterval;
+    } else {
+        report.notices.clear();
+        for (const auto& [key, value] : changes) {
+            if (value)
+                report.notices.push_back({ key.first, value->first, key.second, value->second });
+        }
+        report.state = {};
+    }
+    m_transport->sendToAll(report);
 }
 
 void GatewayCore::onReport(const FleetReport& report)
@@ -436,44 +499,38 @@
 
 void GatewayCore::onDemandReport(const DemandReport& report)
 {
-    m_peerDemand[report.sender.instance] = { m_loop.now(), report.demand };
+    m_peerDemand.apply(report, m_loop.now());
     if (report.handover && isPlanner())
         m_engineController.takeOver(*report.handover, m_loop.now());
     bool anyWaits = std::any_of(report.demand.begin(), report.demand.end(), [](const TargetDemand& demand) { return demand.waiting > 0; });
     if (anyWaits && isPlanner())
-        scheduleCoalesced(m_planTimer, &GatewayCore::planNow);
+        scheduleCoalesced(m_planTimer, &GatewayCore::planNow, coalescingDelay);
 }
 
 void GatewayCore::onLoadReport(const LoadReport& report)
 {
     base::Instant now = m_loop.now();
-    m_peers[report.sender.instance] = { report, now };
+    // A peer that was not heard for a while does not know this gateway's state either.
+    m_hasNewPeers |= !m_peerLoads.peers().contains(report.sender.instance);
+    if (!m_peerLoads.apply(report, now))
+        return;
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
     m_calls.quarantine().merge(report.strikes, now);
-    setPeersLoad();
-    m_calls.wakeWaiting();
+    applyPeerLoads();
 }
 
-void GatewayCore::setPeersLoad()
+void GatewayCore::applyPeerLoads()
 {
-    std::map<base::UpstreamId, UpstreamLoad> loads;
-    QueuedCallCounts queued;
-    for (const auto& [id, state] : m_peers) {
-        if (m_loop.now() - state.receivedAt > reportLifetime)
-            continue;
-        for (const auto& use : state.load.use) {
-            loads[use.upstream].inFlight += use.load.inFlight;
-            loads[use.upstream].awaiting += use.load.awaiting;
-        }
-        for (const auto& [queue, priorities] : state.load.queued) {
-            for (const auto& [priority, calls] : priorities) {
-                queued[queue][priority].inTime += calls.inTime;
-                queued[queue][priority].late += calls.late;
-            }
-        }
+    auto changed = m_peerLoads.takeChanged();
+    for (const auto& upstream : changed) {
+        auto load = m_peerLoads.loads().find(upstream);
+        m_calls.upstreams().setPeersLoad(upstream, load == m_peerLoads.loads().end() ? UpstreamLoad() : load->second);
     }
-    m_calls.upstreams().setPeersLoad(loads);
-    m_calls.slotShare().setPeers(std::move(queued));
+    bool queuedChanged = m_peerLoads.takeQueuedChanged();
+    if (queuedChanged)
+        m_calls.slotShare().setPeers(m_peerLoads.queued());
+    if (queuedChanged || !changed.empty())
+        m_calls.wakeWaiting();
 }
 
 void GatewayCore::onPlanReport(const PlanReport& report)
@@ -481,9 +538,10 @@
     if (report.fence < m_planFence)
         return;
     m_planFence = report.fence;
-    m_succession.onPlanReport(report.fence, report.state, m_loop.now());
+    if (report.complete)
+        m_succession.onPlanReport(report.fence, report.state, m_loop.now());
     if (report.sender.instance != m_settings.instance) {
-        m_plannerPeer = report.sender.instance;
+        setPlannerPeer(report.sender.instance);
         if (isPlanner() && report.fence > m_election.leadership().fence())
             m_election.resign("another gateway is planning with a newer fencing token");
     }
@@ -500,6 +558,8 @@
 void GatewayCore::onElected()
 {
     m_engineController.startTerm(m_election.leadership().fence());
+    m_noticeChanges = {};
+    m_nextCompletePlan = {};
     if (auto earlier = m_succession.last(m_loop.now()))
         m_engineController.takeOver(*earlier, m_loop.now());
     m_plannerPeer.reset();
@@ -528,21 +588,10 @@
     m_election.recordLastPlanner();
     m_engineController.tick(now);
     std::map<ModelTarget, TargetDemand> demand;
-    auto add = [&](const std::vector<TargetDemand>& entries) {
-        for (const auto& entry : entries) {
-            TargetDemand& sum = demand[entry.target];
-            sum.target = entry.target;
-            sum.waiting += entry.waiting;
-            sum.running += entry.running;
-            sum.arrivalsPerKilosecond += entry.arrivalsPerKilosecond;
-            sum.awaitingThousandths += entry.awaitingThousandths;
-        }
-    };
-    add(m_calls.demand().summary(now));
-    for (const auto& [id, reported] : m_peerDemand) {
-        if (now - reported.first < reportLifetime)
-            add(reported.second);
-    }
+    for (const auto& entry : m_calls.demand().summary(now))
+        PeerDemand::add(entry, demand);
+    m_peerDemand.expire(completeDemandInterval() * 3, now);
+    m_peerDemand.addTo(demand);
     m_expectedLoads.clear();
     for (const auto& service : state->services) {
         if (!service.engine)
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -7,7 +7,9 @@
 #include "FleetTransport.h"
 #include "LeaderElection.h"
 #include "StoreMirror.h"
+#include "toucanstep/direct/DemandReportChanges.h"
 #include "toucanstep/direct/DirectGateway.h"
+#include "toucanstep/direct/LoadReportChanges.h"
 #include "toucanstep/direct/PlannerSuccession.h"
 
 #include <atomic>
@@ -31,14 +33,9 @@
 private:
     // Serves the readiness and operator ports: readiness, metrics, status and store copies for peers.
     class OperatorHandler;
-    struct PeerState {
-        LoadReport load;
-        base::Instant receivedAt;
-    };
-
     void tick();
-    // Runs `task` once after a short delay; requests made in the meantime are merged into that run.
-    void scheduleCoalesced(io::EventLoop::TimerId&, void (GatewayCore::*task)());
+    // Runs `task` once after the delay; requests made in the meantime are merged into that run.
+    void scheduleCoalesced(io::EventLoop::TimerId&, void (GatewayCore::*task)(), base::Duration delay);
     void sendDemandNow();
     void planNow();
     void sendPlanNow();
@@ -51,7 +48,13 @@
     void sendPlan();
     void readEngines();
     void plan();
-    void setPeersLoad();
+    // Takes over what peers have reported since the last time.
+    void applyPeerLoads();
+    void setPlannerPeer(const base::InstanceId&);
+    // Both depend on the size of the fleet.
+    base::Duration reportInterval() const;
+    base::Duration reportLifetime() const;
+    base::Duration completeDemandInterval() const;
     void updatePeers();
     void setDesiredState(const base::KeyValue&);
     void setUpstream(const base::KeyValue&);
@@ -88,15 +91,24 @@
 
     Incarnation m_incarnation;
     int64_t m_sequence = 0;
-    std::map<base::InstanceId, PeerState> m_peers;
-    std::map<base::InstanceId, std::pair<base::Instant, std::vector<TargetDemand>>> m_peerDemand;
+    PeerLoads m_peerLoads;
+    LoadReportChanges m_loadChanges;
+    // Peers have been added since the last load report.
+    bool m_hasNewPeers = false;
+    PeerDemand m_peerDemand;
+    DemandReportChanges m_demandChanges;
+    // Targets of notices that the planner has sent, see LoadedNotice.
+    ChangeTracker<std::pair<base::UpstreamId, ModelTarget>, std::pair<StartId, bool>> m_noticeChanges;
     std::vector<ExpectedLoad> m_expectedLoads;
     base::Epoch m_planFence;
     PlannerSuccession m_succession;
     std::optional<base::InstanceId> m_plannerPeer;
 
     std::optional<base::Instant> m_lastListAnswer;
+    base::Instant m_nextLoadReport;
     base::Instant m_nextDemand;
+    base::Instant m_nextCompleteDemand;
+    base::Instant m_nextCompletePlan;
     base::Instant m_nextPlanReport;
     base::Instant m_nextSweep;
 
--- a/packages/direct/src/LeaderElection.cpp
+++ b/packages/direct/src/LeaderElection.cpp
@@ -3,6 +3,8 @@
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 
+#include <algorithm>
+
 namespace toucanstep::direct {
 
 namespace {
@@ -22,6 +24,10 @@
     PlannerLeadershipSettings leadership;
     leadership.lease = settings.plannerLease;
     leadership.handoverDelay = settings.plannerHandoverDelay;
+    // Planning and its reports to all gateways need more than the smallest machines have.
+    constexpr double amplePart = 0.4;
+    constexpr auto maxDelay = std::chrono::milliseconds(400);
+    leadership.ownDelay = std::chrono::duration_cast<base::Duration>(maxDelay * (1 - std::min(settings.processorShare / amplePart, 1.0)));
     return leadership;
 }
 
--- a/packages/direct/src/PlannerLeadership.cpp
+++ b/packages/direct/src/PlannerLeadership.cpp
@@ -23,7 +23,9 @@
         m_vacantSince = now;
     bool anotherCanResume = record.lastPlanner && !record.lastPlanner->empty() && *record.lastPlanner != m_self;
     bool leftToLastPlanner = anotherCanResume && m_settings.handoverDelay > base::Duration::zero();
-    return !leftToLastPlanner || now - *m_vacantSince >= m_settings.lastPlannerHeadStart;
+    base::Duration delay = m_settings.ownDelay + (leftToLastPlanner ? m_settings.lastPlannerHeadStart : base::Duration::zero());
+    bool resumes = record.lastPlanner && *record.lastPlanner == m_self;
+    return resumes || now - *m_vacantSince >= delay;
 }
 
 bool PlannerLeadership::canResume(const LeadershipRecord& record) const
--- a/packages/direct/src/SlotShare.cpp
+++ b/packages/direct/src/SlotShare.cpp
@@ -83,7 +83,7 @@
     double share = ownEqual / (ownEqual + static_cast<double>(othersOnlyBehind ? 1 : theirs.equal));
     double perInterval = std::max(slots - static_cast<double>(theirs.before), 0.0) * share;
     Credit& credit = creditAt(queue, now);
-    double intervals = std::clamp(base::toSeconds(now - credit.asOf) / base::toSeconds(loadReportInterval), 0.0, 1.0);
+    double intervals = std::clamp(base::toSeconds(now - credit.asOf) / base::toSeconds(m_reportInterval), 0.0, 1.0);
     credit.slots = std::min(credit.slots + perInterval * intervals, std::max(perInterval, 1.0));
     credit.asOf = now;
     // A call before all reported ones need not wait for a whole slot, but for the earlier ones of this gateway.
--- a/packages/direct/src/UpstreamTable.cpp
+++ b/packages/direct/src/UpstreamTable.cpp
@@ -128,6 +128,12 @@
     }
 }
 
+void UpstreamTable::setPeersLoad(const base::UpstreamId& id, const UpstreamLoad& load)
+{
+    if (UpstreamEntry* entry = find(id))
+        entry->peers = load;
+}
+
 void UpstreamTable::onDispatched(const base::UpstreamId& id, base::Instant now)
 {
     UpstreamEntry* entry = find(id);
