Gateways of a failure domain share what the store answers about upstreams

A gateway that the store has answered tells up to seven others of its domain the revision and the last change. Those that lack nothing move on to that revision, the others copy the changes from it, and all put off their own poll, which comes after 0.6 to 1.5 times the former delay: it stays within the bound without any peer. Only answers of the store are passed on. Silence of the store is told by the renewals of the lease as well.

--- a/apps/toucanstepd/DirectMain.cpp
+++ b/apps/toucanstepd/DirectMain.cpp
@@ -78,7 +78,7 @@
     auto gateway = base::valueOr(error, [&] {
         return direct::DirectGateway::start(settings->gateway, std::make_shared<platform::PlatformFormat>(),
             [store](io::EventLoop& loop, http1::Client& client, direct::WatchPollSettings polling) {
-                return platform::makePlatformStore(loop, client, store, { .watchPause = polling.pollDelay, .textWait = polling.longPollTimeout });
+                return platform::makePlatformStore(loop, client, store, { .watchPause = polling.pollDelay, .upstreamPause = polling.upstreamPollDelay, .upstreamPauseSpread = polling.upstreamPollDelaySpread, .textWait = polling.longPollTimeout });
             });
     });
     if (!gateway) {
--- a/bench/text_slope.cpp
+++ b/bench/text_slope.cpp
@@ -110,7 +110,7 @@
         base::Error error;
         auto started = base::valueOr(error, [&] {
             return direct::DirectGateway::start(settings, std::make_shared<platform::PlatformFormat>(), [at](io::EventLoop& loop, http1::Client& client, direct::WatchPollSettings polling) {
-                return platform::makePlatformStore(loop, client, at, { .watchPause = polling.pollDelay, .textWait = polling.longPollTimeout });
+                return platform::makePlatformStore(loop, client, at, { .watchPause = polling.pollDelay, .upstreamPause = polling.upstreamPollDelay, .upstreamPauseSpread = polling.upstreamPollDelaySpread, .textWait = polling.longPollTimeout });
             });
         });
         if (!started)
--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -94,6 +94,9 @@
 class WatchHandle {
 public:
     virtual ~WatchHandle() = default;
+    // The watcher has learned from elsewhere what has changed up to `revision`, which the service had at `asOf`. An
+    // implementation that polls may put off its next request accordingly.
+    virtual void onLearned(Revision, Instant) { }
 };
 
 // Calls return at once; callbacks run on a thread of the implementation, exactly once for each call.
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -49,8 +49,12 @@
 
 // How the store is watched if each answer to a watch is a billed request.
 struct WatchPollSettings {
-    // For upstreams, which change often: delay between an answer and the next request, so that changes are batched.
+    // Delay between an answer with changes and the next request, so that changes are batched.
     base::Duration pollDelay {};
+    // The same for upstreams, which change often, and by how much it may be longer. Gateways that share the answers then rarely
+    // ask at the same moment.
+    base::Duration upstreamPollDelay {};
+    base::Duration upstreamPollDelaySpread {};
     // For the desired state, which seldom changes: how long one request waits for a change. A connection that has gone
     // silent is detected shortly after this time.
     base::Duration longPollTimeout {};
--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -39,6 +39,14 @@
     std::vector<std::string> removed;
 };
 
+// What an answer of the store tells other gateways: nothing under the prefix has changed after `lastChange` up to `revision`,
+// which the store had at `asOf`.
+struct DirectoryConfirmation {
+    base::Revision revision;
+    base::Revision lastChange;
+    base::Instant asOf;
+};
+
 struct DirectorySettings {
     // Prefix of the replicated keys; empty for all keys.
     std::string prefix;
@@ -64,14 +72,19 @@
 
     base::Revision revision() const { return m_revision; }
     const std::map<std::string, base::KeyValue>& entries() const { return m_entries; }
-    // When the store last answered; empty before its first answer.
+    // When the store last answered this gateway; empty before its first answer.
     std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
+    // From the last answer of the store; nothing before the first one.
+    std::optional<DirectoryConfirmation> confirmation() const { return m_confirmation; }
+    // Takes over a peer's confirmation. Returns false if the replica lacks changes, which have to be copied from the peer.
+    bool confirm(const DirectoryConfirmation&);
     bool synced() const { return m_synced; }
     // Returns a delta since that revision, or a full snapshot if the removal log does not reach back that far.
     DirectoryCopy copySince(base::Revision) const;
     // Applies a peer's copy if it is newer than the replica and, for a delta, starts no later than the replica's revision.
-    // Returns whether it was applied.
-    bool applyPeerCopy(const DirectoryCopy&);
+    // Returns whether it was applied. A copy that was made because the store is silent is checked against the store later;
+    // one that the peer has confirmed at `confirmed` is not.
+    bool applyPeerCopy(const DirectoryCopy&, std::optional<base::Instant> confirmed = {});
 
 private:
     class Watcher;
@@ -85,6 +98,8 @@
     void remove(const std::string& key, base::Revision);
     void eraseEntry(const std::string& key);
     void recordAnswer();
+    // The state of the store is known as of `asOf`, from the store or from a peer.
+    void recordKnown(base::Instant asOf);
     void retryLater();
     void schedulePendingRemovals();
 
@@ -103,6 +118,10 @@
     // A peer's copy was applied and has not yet been checked against the store.
     bool m_peerCopyApplied = false;
     std::optional<base::Instant> m_lastAnswer;
+    std::optional<base::Instant> m_lastKnown;
+    std::optional<DirectoryConfirmation> m_confirmation;
+    // The revision of the last change, or a later one.
+    base::Revision m_lastChange;
     // Removals before this time may be a result of the outage that has just ended.
     base::Instant m_expiryGraceEnd;
     std::shared_ptr<Watcher> m_watcher;
--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -76,6 +76,8 @@
     std::vector<routing::StrikeMessage> strikes;
     // The sender's own waiting calls. Earlier builds do not send it.
     QueuedCallCounts queued;
+    // The sender's failure domain; only in a complete report. Earlier builds do not send it.
+    base::FailureDomain domain;
     // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
     bool complete = true;
 };
@@ -152,7 +154,15 @@
     bool complete = true;
 };
 
-using FleetReport = std::variant<LoadReport, DemandReport, PlanReport>;
+// Sent to a few gateways of the same failure domain when the store has answered the sender about upstreams, see
+// DirectoryConfirmation.
+struct UpstreamListReport {
+    ReportSender sender;
+    base::Revision revision;
+    base::Revision lastChange;
+};
+
+using FleetReport = std::variant<LoadReport, DemandReport, PlanReport, UpstreamListReport>;
 
 std::string encodeReport(const FleetReport&);
 // Returns nothing for malformed input.
--- a/packages/direct/include/toucanstep/direct/LoadReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/LoadReportChanges.h
@@ -34,6 +34,7 @@
     struct Peer {
         Incarnation incarnation;
         base::Instant receivedAt;
+        base::FailureDomain domain;
         std::vector<base::Revision> directories;
         std::map<base::UpstreamId, UpstreamLoad> use;
         QueuedCallCounts queued;
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -75,6 +75,7 @@
     }
     recordAnswer();
     replaceAll(std::get<base::RangeReply>(outcome));
+    m_confirmation = { m_revision, m_lastChange, m_loop.now() };
     startWatch();
     m_listener.onDirectoryUpdated();
 }
@@ -104,10 +105,25 @@
     return copy;
 }
 
-bool Directory::applyPeerCopy(const DirectoryCopy& copy)
+bool Directory::confirm(const DirectoryConfirmation& confirmation)
+{
+    if (!m_synced || confirmation.revision < m_revision)
+        return true;
+    if (confirmation.lastChange > m_revision)
+        return false;
+    recordKnown(confirmation.asOf);
+    m_revision = confirmation.revision;
+    if (m_watch)
+        m_watch->onLearned(m_revision, confirmation.asOf);
+    return true;
+}
+
+bool Directory::applyPeerCopy(const DirectoryCopy& copy, std::optional<base::Instant> confirmed)
 {
     if (copy.revision <= m_revision || copy.since > m_revision)
         return false;
+    if (confirmed)
+        recordKnown(*confirmed);
     if (copy.since.value()) {
         for (const auto& entry : copy.entries)
             put(entry);
@@ -118,7 +134,9 @@
         replaceAll({ copy.entries, copy.revision });
     }
     // Keep the watch: if each copy restarted it, it would wait its poll delay again and never query the store.
-    m_peerCopyApplied = true;
+    if (confirmed && m_watch)
+        m_watch->onLearned(m_revision, *confirmed);
+    m_peerCopyApplied |= !confirmed;
     m_listener.onDirectoryUpdated();
     return true;
 }
@@ -144,8 +162,9 @@
     }
     for (const auto& key : missing)
         remove(key, reply.revision);
-    if (!m_synced)
-        m_removalLogStart = reply.revision;
+    // The list does not show keys that were removed since the last one, which a peer may still have.
+    m_lastChange = reply.revision;
+    m_removalLogStart = reply.revision;
     m_revision = reply.revision;
     m_synced = true;
 }
@@ -167,6 +186,7 @@
             put(event.entry);
     }
     m_revision = std::max(m_revision, revision);
+    m_confirmation = { m_revision, m_lastChange, m_loop.now() };
     m_listener.onDirectoryUpdated();
     // The store is reachable again: verify what peers supplied by one list of all keys.
     if (std::exchange(m_peerCopyApplied, false))
@@ -190,16 +210,22 @@
 
 void Directory::recordAnswer()
 {
-    base::Instant now = m_loop.now();
-    if (!m_settings.leasedPrefix.empty() && m_lastAnswer && now - *m_lastAnswer > m_settings.outageThreshold) {
-        base::LogLine("store_regained").add("prefix", m_settings.prefix).add("away_ms", base::toMilliseconds(now - *m_lastAnswer));
-        m_expiryGraceEnd = now + m_settings.expiryGrace;
+    m_lastAnswer = m_loop.now();
+    recordKnown(*m_lastAnswer);
+}
+
+void Directory::recordKnown(base::Instant asOf)
+{
+    if (!m_settings.leasedPrefix.empty() && m_lastKnown && asOf - *m_lastKnown > m_settings.outageThreshold) {
+        base::LogLine("store_regained").add("prefix", m_settings.prefix).add("away_ms", base::toMilliseconds(asOf - *m_lastKnown));
+        m_expiryGraceEnd = m_loop.now() + m_settings.expiryGrace;
     }
-    m_lastAnswer = now;
+    m_lastKnown = std::max(m_lastKnown, std::optional(asOf));
 }
 
 void Directory::put(const base::KeyValue& entry)
 {
+    m_lastChange = std::max(m_lastChange, entry.modified);
     m_entries[entry.key] = entry;
     m_pendingRemovals.erase(entry.key);
     m_listener.onEntry(entry);
@@ -213,13 +239,17 @@
 
 void Directory::remove(const std::string& key, base::Revision revision)
 {
-    if (!m_entries.contains(key) || m_pendingRemovals.contains(key))
+    m_lastChange = std::max(m_lastChange, revision);
+    if (m_pendingRemovals.contains(key))
         return;
+    // Also a key that this replica has not seen: a peer that copies from it may have.
     m_removalLog.emplace_back(revision, key);
     if (m_removalLog.size() > maxRemovalLogEntries) {
         m_removalLogStart = m_removalLog.front().first;
         m_removalLog.pop_front();
     }
+    if (!m_entries.contains(key))
+        return;
     if (m_loop.now() < m_expiryGraceEnd && key.starts_with(m_settings.leasedPrefix)) {
         m_pendingRemovals.emplace(key, m_expiryGraceEnd);
         schedulePendingRemovals();
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -20,6 +20,7 @@
     LoadChange = 4,
     DemandChange = 5,
     PlanChange = 6,
+    UpstreamList = 7,
 };
 
 int64_t inMilliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
@@ -54,7 +55,7 @@
         for (const auto& [priority, calls] : priorities)
             queued.push_back({ queue.service.value(), queue.model.value(), priority, calls.inTime, calls.late });
     }
-    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value() });
 }
 
 Json encodeState(const PlannerState& state)
@@ -89,6 +90,11 @@
     return Json::array({ encodeHeader(report.complete ? ReportKind::Plan : ReportKind::PlanChange, report.sender), report.fence.value(), notices, expected, encodeState(report.state) });
 }
 
+Json encode(const UpstreamListReport& report)
+{
+    return Json::array({ encodeHeader(ReportKind::UpstreamList, report.sender), report.revision.value(), report.lastChange.value() });
+}
+
 // The JSON library throws on values of another type, which decodeReport() turns into an empty result. However, it converts
 // floating-point numbers to integers silently, which is undefined behavior for values out of range.
 int64_t asInteger(const Json& value)
@@ -150,6 +156,9 @@
     constexpr size_t queuedIndex = 10;
     if (value.size() <= queuedIndex)
         return report;
+    constexpr size_t domainIndex = 11;
+    if (value.size() > domainIndex)
+        report.domain = asText<base::FailureDomain>(value.at(domainIndex));
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
@@ -219,6 +228,8 @@
         return decodeDemand(value, std::move(sender));
     case ReportKind::Plan:
         return decodePlan(value, std::move(sender));
+    case ReportKind::UpstreamList:
+        return UpstreamListReport { std::move(sender), asNumber<base::Revision>(value.at(1)), asNumber<base::Revision>(value.at(2)) };
     case ReportKind::LoadChange:
         return asChange(decodeLoad(value, std::move(sender)));
     case ReportKind::DemandChange:
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -29,6 +29,9 @@
 constexpr auto noticeLifetime = std::chrono::milliseconds(3000);
 // Poll delay as a percentage of the propagation limit; leaves time for a second request if the first one fails.
 constexpr int pollDelayPercent = 38;
+// The delay between polls of upstreams is drawn between these percentages of the poll delay.
+constexpr int minPollPercent = 60;
+constexpr int maxPollPercent = 150;
 // A long poll is this much shorter than the propagation limit, so that a silent connection is abandoned within the limit.
 constexpr auto silentConnectionMargin = std::chrono::milliseconds(500);
 // Time without data from the store, beyond the poll delay, after which peers are asked for copies.
@@ -72,7 +75,7 @@
 WatchPollSettings watchPollSettings(const DirectGatewaySettings& settings)
 {
     base::Duration pollDelay = watchPollDelay(settings);
-    return { pollDelay, std::max(pollDelay, settings.changePropagationLimit - silentConnectionMargin) };
+    return { pollDelay, pollDelay * minPollPercent / 100, pollDelay * (maxPollPercent - minPollPercent) / 100, std::max(pollDelay, settings.changePropagationLimit - silentConnectionMargin) };
 }
 
 StoreMirrorSettings mirrorSettings(const DirectGatewaySettings& settings, const WireFormat& format)
@@ -183,7 +186,7 @@
         readEngines();
     sendDemand();
     sendPlan();
-    m_mirror.catchUp(copySources());
+    m_mirror.catchUp(copySources(), m_election.lastAnswer());
     if (now >= m_nextSweep) {
         m_nextSweep = now + sweepInterval;
         m_client.sweep();
@@ -308,6 +311,7 @@
         m_lastListAnswer = answered;
         m_calls.coldStarts().onListAnswer(*answered);
     }
+    shareUpstreamList();
     if (auto planner = m_election.onDirectoryUpdated())
         setPlannerPeer(*planner);
     m_calls.wakeWaiting();
@@ -424,6 +428,7 @@
         report.configuration = state->version;
     report.directories = m_mirror.revisions();
     report.leaving = m_leavingSince.has_value();
+    report.domain = m_settings.domain;
     for (const auto& [id, entry] : m_calls.upstreams().all()) {
         if (entry.own.inFlight)
             report.use.push_back({ id, entry.own });
@@ -495,6 +500,46 @@
         onDemandReport(*demand);
     else if (const auto* plan = std::get_if<PlanReport>(&report))
         onPlanReport(*plan);
+    else if (const auto* list = std::get_if<UpstreamListReport>(&report))
+        onUpstreamListReport(*list);
+}
+
+// Groups of a bounded size keep the cost of serving copies bounded, and the traffic within a failure domain.
+std::vector<base::InstanceId> GatewayCore::nearbyPeers() const
+{
+    constexpr size_t maxGroupSize = 8;
+    std::vector<base::InstanceId> members;
+    for (const auto& [id, peer] : m_peerLoads.peers()) {
+        if (peer.domain == m_settings.domain)
+            members.push_back(id);
+    }
+    auto self = members.insert(std::lower_bound(members.begin(), members.end(), m_settings.instance), m_settings.instance);
+    size_t groups = (members.size() + maxGroupSize - 1) / maxGroupSize;
+    auto own = static_cast<size_t>(self - members.begin());
+    std::vector<base::InstanceId> nearby;
+    for (size_t index = own % groups; index < members.size(); index += groups) {
+        if (index != own)
+            nearby.push_back(members[index]);
+    }
+    return nearby;
+}
+
+void GatewayCore::shareUpstreamList()
+{
+    auto confirmation = m_mirror.upstreamConfirmation();
+    if (!confirmation || confirmation->asOf == m_lastSharedAnswer)
+        return;
+    m_lastSharedAnswer = confirmation->asOf;
+    UpstreamListReport report { nextSender(), confirmation->revision, confirmation->lastChange };
+    for (const auto& peer : nearbyPeers())
+        m_transport->sendTo(peer, report);
+}
+
+void GatewayCore::onUpstreamListReport(const UpstreamListReport& report)
+{
+    auto peer = m_transport->peers().find(report.sender.instance);
+    if (peer != m_transport->peers().end())
+        m_mirror.onUpstreamsConfirmed({ peer->first.value(), peer->second }, { report.revision, report.lastChange, m_loop.now() });
 }
 
 void GatewayCore::onDemandReport(const DemandReport& report)
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -42,10 +42,15 @@
     void onReport(const FleetReport&);
     void onDemandReport(const DemandReport&);
     void onLoadReport(const LoadReport&);
+    void onUpstreamListReport(const UpstreamListReport&);
     void onPlanReport(const PlanReport&);
     void sendLoadReport();
     void sendDemand();
     void sendPlan();
+    // Tells nearby gateways about the store's last answer about upstreams.
+    void shareUpstreamList();
+    // The peers with which this gateway shares the store's answers.
+    std::vector<base::InstanceId> nearbyPeers() const;
     void readEngines();
     void plan();
     // Takes over what peers have reported since the last time.
@@ -105,6 +110,7 @@
     std::optional<base::InstanceId> m_plannerPeer;
 
     std::optional<base::Instant> m_lastListAnswer;
+    base::Instant m_lastSharedAnswer;
     base::Instant m_nextLoadReport;
     base::Instant m_nextDemand;
     base::Instant m_nextCompleteDemand;
--- a/packages/direct/src/LeaderElection.cpp
+++ b/packages/direct/src/LeaderElection.cpp
@@ -82,6 +82,7 @@
     m_store.grantLease(m_settings.plannerLease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
         m_leaseRequestPending = false;
         if (const auto* lease = std::get_if<base::LeaseId>(&outcome)) {
+            m_lastAnswer = m_loop.now();
             m_lease = *lease;
             m_leaseRequestedAt = sent;
             m_registered = false;
@@ -98,6 +99,7 @@
     m_store.keepLeaseAlive(*m_lease, sent + storeCallTimeout, [this, sent](base::Outcome<base::LeaseId> outcome) {
         m_leaseRequestPending = false;
         if (std::holds_alternative<base::LeaseId>(outcome)) {
+            m_lastAnswer = m_loop.now();
             m_leaseRequestedAt = sent;
             m_leadership.onRenewed(sent);
             return;
--- a/packages/direct/src/LeaderElection.h
+++ b/packages/direct/src/LeaderElection.h
@@ -31,6 +31,8 @@
     bool registered() const { return m_registered && !m_leaving; }
     // Until when the lease of that key lasts at least, by this gateway's clock.
     base::Instant leaseEnd() const;
+    // When the store last answered a call about the lease.
+    std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
     // Has to be called several times a second.
     void tick();
     // Deletes the membership key because the process is about to end. The leadership is kept until then: a successor would
@@ -63,6 +65,7 @@
     bool m_registering = false;
     bool m_campaigning = false;
     bool m_leaving = false;
+    std::optional<base::Instant> m_lastAnswer;
     base::Instant m_nextRenewal;
     base::Instant m_nextCampaign;
 };
--- a/packages/direct/src/LoadReportChanges.cpp
+++ b/packages/direct/src/LoadReportChanges.cpp
@@ -28,6 +28,7 @@
     ++m_sinceComplete;
     current.complete = false;
     current.limits.complete = false;
+    current.domain = {};
     current.use.clear();
     for (auto& [upstream, load] : changedUse)
         current.use.push_back({ upstream, load.value_or(UpstreamLoad()) });
@@ -72,6 +73,7 @@
     m_queuedChanged |= peer.queued != report.queued;
     peer.queued = report.queued;
     if (report.complete) {
+        peer.domain = report.domain;
         std::set<base::UpstreamId> used;
         for (const auto& entry : report.use)
             used.insert(entry.upstream);
--- a/packages/direct/src/StoreMirror.cpp
+++ b/packages/direct/src/StoreMirror.cpp
@@ -66,11 +66,19 @@
     return last;
 }
 
-void StoreMirror::catchUp(const std::vector<CopySource>& sources)
+void StoreMirror::onUpstreamsConfirmed(const http1::Peer& peer, const DirectoryConfirmation& confirmation)
+{
+    constexpr auto which = static_cast<size_t>(StorePart::Upstreams);
+    Part& upstreams = m_parts[which];
+    if (!upstreams.directory->confirm(confirmation) && !upstreams.copying)
+        copyFrom(which, peer, confirmation.asOf);
+}
+
+void StoreMirror::catchUp(const std::vector<CopySource>& sources, std::optional<base::Instant> storeAnswered)
 {
     base::Instant now = m_loop.now();
     // An answer that is still arriving counts as data: a copy would only compete for bandwidth on the same link.
-    auto heard = std::max(lastAnswer(), m_store.lastProgress());
+    auto heard = std::max({ lastAnswer(), m_store.lastProgress(), storeAnswered });
     if (heard && now - *heard < m_settings.silenceThreshold)
         return;
     for (size_t which = 0; which < storePartCount; ++which) {
@@ -81,11 +89,11 @@
             return candidate.revisions.size() == storePartCount && candidate.revisions[which] > part.directory->revision();
         });
         if (source != sources.end())
-            copyFrom(which, *source);
+            copyFrom(which, source->peer, std::nullopt);
     }
 }
 
-void StoreMirror::copyFrom(size_t which, const CopySource& source)
+void StoreMirror::copyFrom(size_t which, const http1::Peer& source, std::optional<base::Instant> confirmed)
 {
     base::Instant now = m_loop.now();
     Part& part = m_parts[which];
@@ -93,10 +101,10 @@
     part.nextCopy = now + copyInterval;
     http1::FetchBounds bounds { now + copyIdleTimeout, now + copyTimeout, copyIdleTimeout };
     std::string target = base::concat(copyTargetPrefix, which, "/", part.directory->revision());
-    http1::fetch(m_loop, m_client, source.peer, "GET", target, {}, "", bounds, [this, which, peer = source.peer.name](const base::Outcome<http1::FetchedAnswer>& outcome) { onCopy(which, peer, outcome); });
+    http1::fetch(m_loop, m_client, source, "GET", target, {}, "", bounds, [this, which, peer = source.name, confirmed](const base::Outcome<http1::FetchedAnswer>& outcome) { onCopy(which, peer, confirmed, outcome); });
 }
 
-void StoreMirror::onCopy(size_t which, const std::string& peer, const base::Outcome<http1::FetchedAnswer>& outcome)
+void StoreMirror::onCopy(size_t which, const std::string& peer, std::optional<base::Instant> confirmed, const base::Outcome<http1::FetchedAnswer>& outcome)
 {
     Part& part = m_parts[which];
     part.copying = false;
@@ -106,7 +114,7 @@
         base::LogLine("directory_from_peer_failed").add("peer", peer).add("part", which).add("reason", answer ? "cannot decode the copy" : std::get<base::Error>(outcome).message);
         return;
     }
-    if (part.directory->applyPeerCopy(*copy))
+    if (part.directory->applyPeerCopy(*copy, confirmed) && !confirmed)
         base::LogLine("directory_from_peer").add("peer", peer).add("part", which).add("revision", part.directory->revision()).add("bytes", answer->body.size());
 }
 
--- a/packages/direct/src/StoreMirror.h
+++ b/packages/direct/src/StoreMirror.h
@@ -2,6 +2,9 @@
 // other, so that a large desired state does not delay the news of a departing upstream or a new gateway.
 //
 // While the store is silent, parts of which a peer has a newer revision are copied from that peer.
+//
+// Gateways that are close to each other share what the store answers about upstreams: one that has just been answered tells the
+// others up to which revision it knows them. Those that lack changes copy these from it, and all put off their own next request.
 
 #pragma once
 
@@ -59,7 +62,12 @@
 
     // Requests copies from peers if the store is silent; to be called several times a second. For each part the first
     // source with a newer revision is used.
-    void catchUp(const std::vector<CopySource>& sources);
+    // `storeAnswered`: when the store last answered any call of this gateway.
+    void catchUp(const std::vector<CopySource>& sources, std::optional<base::Instant> storeAnswered);
+    // The last answer of the store about upstreams.
+    std::optional<DirectoryConfirmation> upstreamConfirmation() const { return part(StorePart::Upstreams).confirmation(); }
+    // Takes over what the store has answered a peer about upstreams.
+    void onUpstreamsConfirmed(const http1::Peer&, const DirectoryConfirmation&);
     // Whether a request to this gateway asks for a copy, and the response body; nothing if the target is malformed.
     static bool isCopyRequest(std::string_view target);
     std::optional<std::string> copyResponse(std::string_view target) const;
@@ -71,8 +79,9 @@
         base::Instant nextCopy;
     };
 
-    void copyFrom(size_t which, const CopySource&);
-    void onCopy(size_t which, const std::string& peer, const base::Outcome<http1::FetchedAnswer>&);
+    // `confirmed`: when the peer got the store's answer, if it has said so.
+    void copyFrom(size_t which, const http1::Peer&, std::optional<base::Instant> confirmed);
+    void onCopy(size_t which, const std::string& peer, std::optional<base::Instant> confirmed, const base::Outcome<http1::FetchedAnswer>&);
 
     io::EventLoop& m_loop;
     base::KeyValueStore& m_store;
--- a/packages/direct/test/DirectoryTest.cpp
+++ b/packages/direct/test/DirectoryTest.cpp
@@ -27,12 +27,24 @@
     {
         watchedFrom = from;
         listener = std::move(watcher);
-        return std::make_unique<base::WatchHandle>();
+        return std::make_unique<Handle>(*this);
     }
+    class Handle final : public base::WatchHandle {
+    public:
+        explicit Handle(ManualStore& store)
+            : m_store(store)
+        {
+        }
+        void onLearned(Revision revision, base::Instant) override { m_store.learnedRevision = revision; }
+
+    private:
+        ManualStore& m_store;
+    };
 
     ListCallback listing;
     std::shared_ptr<base::WatchListener> listener;
     Revision watchedFrom;
+    Revision learnedRevision;
 };
 
 base::KeyValue entry(const std::string& key, int64_t modified, const std::string& value = "v") { return { key, value, Revision(modified), Revision(modified) }; }
@@ -223,6 +235,55 @@
     CHECK_TRUE(keys.present == std::set<std::string> { "b" });
 }
 
+// Guards against a call to the store by each gateway for what one of them has just been told.
+TEST(Directory, APeersConfirmationWithoutChangesPutsOffTheNextCall)
+{
+    answerList({ entry("a", 3) }, 7);
+    onLoop([this] {
+        CHECK_TRUE(directory->confirm({ Revision(20), Revision(7), loop.now() }));
+        LONGS_EQUAL(20, directory->revision().value());
+        LONGS_EQUAL(20, store.learnedRevision.value());
+        // Nothing is known of changes between 20 and 25.
+        CHECK_FALSE(directory->confirm({ Revision(30), Revision(25), loop.now() }));
+        LONGS_EQUAL(20, directory->revision().value());
+        // An older confirmation says nothing.
+        CHECK_TRUE(directory->confirm({ Revision(12), Revision(12), loop.now() }));
+        LONGS_EQUAL(20, directory->revision().value());
+    });
+}
+
+TEST(Directory, OnlyAnswersOfTheStoreAreConfirmedToPeers)
+{
+    // Guards against gateways that confirm each other's confirmations and never ask the store.
+    answerList({ entry("a", 3) }, 7);
+    base::Instant asOf = directory->confirmation()->asOf;
+    advance(std::chrono::seconds(1));
+    onLoop([this] { directory->confirm({ Revision(20), Revision(7), loop.now() }); });
+    CHECK_TRUE(directory->confirmation()->asOf == asOf);
+    LONGS_EQUAL(7, directory->confirmation()->revision.value());
+}
+
+// Guards against an engine that a gateway goes on using after it has left: a peer that has never seen the engine, as it came and
+// went between two of the peer's answers, has to tell of its removal.
+TEST(Directory, ADeltaNamesRemovedKeysThatTheReplicaHasNotSeen)
+{
+    answerList({ entry("a", 3) }, 7);
+    deliverEvents({ { entry("b", 8), false }, removalEvent("b", 9) }, 9);
+    CHECK_TRUE(directory->copySince(Revision(8)).removed == std::vector<std::string> { "b" });
+    CHECK_TRUE(directory->confirmation()->lastChange.value() >= 9);
+}
+
+// The same for a key that came and went between two lists.
+TEST(Directory, AfterANewListACopyIsASnapshot)
+{
+    answerList({ entry("a", 3) }, 7);
+    onLoop([this] { store.listener->onEnd({ base::ErrorKind::Rejected, "history" }); });
+    advance(std::chrono::seconds(1));
+    answerList({ entry("a", 3) }, 12);
+    LONGS_EQUAL(0, directory->copySince(Revision(9)).since.value());
+    CHECK_TRUE(directory->confirmation()->lastChange.value() >= 12);
+}
+
 TEST(Directory, CopiesRoundTripAndMalformedInputIsRejected)
 {
     auto copy = decodeCopy(encodeCopy({ Revision(3), Revision(9), { entry("a", 8, std::string("\x00\xff", 2)) }, { "b" } }));
--- a/packages/direct/test/StoreMirrorTest.cpp
+++ b/packages/direct/test/StoreMirrorTest.cpp
@@ -136,7 +136,7 @@
     }
     void catchUp()
     {
-        loop.runAndWait([this] { mirror->catchUp({ { { "peer", server->endpoint() }, peer->revisions() } }); });
+        loop.runAndWait([this] { mirror->catchUp({ { { "peer", server->endpoint() }, peer->revisions() } }, std::nullopt); });
     }
 };
 
@@ -199,6 +199,21 @@
     CHECK_TRUE(keys.updates.take().has_value());
 }
 
+// Guards against an upstream list that stays behind although a peer has said that it knows more, and against calls to the store
+// for what the peer can tell.
+TEST(StoreMirror, UpstreamsThatAPeerKnowsAreCopiedWhenItSaysSo)
+{
+    loop.runAndWait([this] { mirror = std::make_unique<StoreMirror>(loop, store, *client, StoreMirrorSettings { "text", "servers/", "fleet/", std::chrono::hours(1), std::chrono::hours(1) }, keys); });
+    loop.runAndWait([this] { mirror->start(); });
+    readAll(store, 5);
+    readAll(peerStore, 9);
+    while (keys.updates.take(base::Duration::zero()))
+        continue;
+    loop.runAndWait([this] { mirror->onUpstreamsConfirmed({ "peer", server->endpoint() }, *peer->upstreamConfirmation()); });
+    CHECK_TRUE(keys.updates.take().has_value());
+    loop.runAndWait([this] { LONGS_EQUAL(9, mirror->part(StorePart::Upstreams).revision().value()); });
+}
+
 TEST(StoreMirror, MalformedCopyRequestsGetNoCopy)
 {
     // Guards against a target in another version's format being mistaken for a valid part.
