--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -109,6 +109,12 @@
     virtual void stat(std::string key, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
     // Reads all keys with that prefix.
     virtual void list(std::string prefix, Instant deadline, std::function<void(Outcome<RangeReply>)>) = 0;
+    // The same; `onPart` gets entries as they arrive, before all of them are read.
+    virtual void listInParts(std::string prefix, Instant deadline, std::function<void(const std::vector<KeyValue>&)> onPart, std::function<void(Outcome<RangeReply>)> callback)
+    {
+        (void)onPart;
+        list(std::move(prefix), deadline, std::move(callback));
+    }
     // Counts the keys with that prefix and tells the newest of their revisions; the answer has the same size for any count.
     virtual void summarize(std::string prefix, Instant deadline, std::function<void(Outcome<RangeSummary>)>) = 0;
     virtual void commit(Transaction, Instant deadline, std::function<void(Outcome<TransactionReply>)>) = 0;
--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -74,7 +74,8 @@
     const std::map<std::string, base::KeyValue>& entries() const { return m_entries; }
     // When the store last answered this gateway; empty before its first answer.
     std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
-    // From the last answer of the store; nothing before the first one.
+    // From the store's last answer about changes; nothing before the first one. Peers would have to copy everything to follow a new
+    // list.
     std::optional<DirectoryConfirmation> confirmation() const { return m_confirmation; }
     // Takes over a peer's confirmation. Returns false if the replica lacks changes, which have to be copied from the peer.
     bool confirm(const DirectoryConfirmation&);
@@ -90,6 +91,7 @@
     class Watcher;
     void readAll();
     void startWatch();
+    void onFirstEntries(const std::vector<base::KeyValue>&);
     void onListResult(base::Outcome<base::RangeReply>);
     void replaceAll(const base::RangeReply&);
     void onEvents(std::vector<base::WatchEvent>, base::Revision);
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -60,12 +60,27 @@
 void Directory::readAll()
 {
     uint64_t generation = ++*m_generation;
-    m_store.list(m_settings.prefix, m_loop.now() + m_settings.readTimeout, [this, generation, current = m_generation](base::Outcome<base::RangeReply> outcome) {
+    auto onPart = [this, generation, current = m_generation](const std::vector<base::KeyValue>& entries) {
+        if (*current == generation && !m_synced)
+            onFirstEntries(entries);
+    };
+    m_store.listInParts(m_settings.prefix, m_loop.now() + m_settings.readTimeout, onPart, [this, generation, current = m_generation](base::Outcome<base::RangeReply> outcome) {
         if (*current == generation)
             onListResult(std::move(outcome));
     });
 }
 
+// A gateway that starts uses what it knows of a long list while the rest arrives.
+void Directory::onFirstEntries(const std::vector<base::KeyValue>& entries)
+{
+    for (const auto& entry : entries) {
+        auto known = m_entries.find(entry.key);
+        if (known == m_entries.end() || known->second.modified < entry.modified)
+            put(entry);
+    }
+    m_listener.onDirectoryUpdated();
+}
+
 void Directory::onListResult(base::Outcome<base::RangeReply> outcome)
 {
     if (const auto* error = std::get_if<base::Error>(&outcome)) {
@@ -75,7 +90,6 @@
     }
     recordAnswer();
     replaceAll(std::get<base::RangeReply>(outcome));
-    m_confirmation = { m_revision, m_lastChange, m_loop.now() };
     startWatch();
     m_listener.onDirectoryUpdated();
 }
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -168,7 +168,9 @@
 
 bool GatewayCore::ready() const
 {
-    return m_mirror.synced() && m_calls.desiredState() && !m_leavingSince;
+    // The list of upstreams may be long, and is used as it arrives.
+    bool known = m_mirror.part(StorePart::DesiredState).synced() && m_mirror.part(StorePart::Fleet).synced() && !m_calls.upstreams().all().empty();
+    return known && m_calls.desiredState() && !m_leavingSince;
 }
 
 void GatewayCore::tick()
@@ -632,7 +634,7 @@
     constexpr int timeBetweenPasses = 4;
     auto state = m_calls.desiredState();
     base::Instant now = m_loop.now();
-    if (!state)
+    if (!state || !m_mirror.part(StorePart::Upstreams).synced())
         return;
     if (now < m_nextPlan) {
         scheduleCoalesced(m_planTimer, &GatewayCore::planNow, m_nextPlan - now);
--- a/packages/direct/src/StoreMirror.cpp
+++ b/packages/direct/src/StoreMirror.cpp
@@ -19,6 +19,8 @@
 
 // Followed by the part's number, a slash and the revision that the requesting gateway has.
 constexpr std::string_view copyTargetPrefix = "/fleet/directory/";
+// The same where only the changes since that revision are wanted.
+constexpr std::string_view changesTargetPrefix = "/fleet/changes/";
 
 } // namespace
 
@@ -100,7 +102,7 @@
     part.copying = true;
     part.nextCopy = now + copyInterval;
     http1::FetchBounds bounds { now + copyIdleTimeout, now + copyTimeout, copyIdleTimeout };
-    std::string target = base::concat(copyTargetPrefix, which, "/", part.directory->revision());
+    std::string target = base::concat(confirmed ? changesTargetPrefix : copyTargetPrefix, which, "/", part.directory->revision());
     http1::fetch(m_loop, m_client, source, "GET", target, {}, "", bounds, [this, which, peer = source.name, confirmed](const base::Outcome<http1::FetchedAnswer>& outcome) { onCopy(which, peer, confirmed, outcome); });
 }
 
@@ -120,12 +122,13 @@
 
 bool StoreMirror::isCopyRequest(std::string_view target)
 {
-    return target.starts_with(copyTargetPrefix);
+    return target.starts_with(copyTargetPrefix) || target.starts_with(changesTargetPrefix);
 }
 
 std::optional<std::string> StoreMirror::copyResponse(std::string_view target) const
 {
-    target.remove_prefix(copyTargetPrefix.size());
+    bool onlyChanges = target.starts_with(changesTargetPrefix);
+    target.remove_prefix(onlyChanges ? changesTargetPrefix.size() : copyTargetPrefix.size());
     size_t slash = target.find('/');
     if (slash == std::string_view::npos)
         return std::nullopt;
@@ -133,7 +136,10 @@
     auto since = http1::parseNumber(target.substr(slash + 1));
     if (!which || !since || static_cast<size_t>(*which) >= storePartCount)
         return std::nullopt;
-    return encodeCopy(m_parts[static_cast<size_t>(*which)].directory->copySince(base::Revision(*since)));
+    DirectoryCopy copy = m_parts[static_cast<size_t>(*which)].directory->copySince(base::Revision(*since));
+    if (onlyChanges && !copy.since.value())
+        return std::nullopt;
+    return encodeCopy(copy);
 }
 
 } // namespace toucanstep::direct
--- a/packages/direct/test/DirectoryTest.cpp
+++ b/packages/direct/test/DirectoryTest.cpp
@@ -255,7 +255,9 @@
 TEST(Directory, OnlyAnswersOfTheStoreAreConfirmedToPeers)
 {
     // Guards against gateways that confirm each other's confirmations and never ask the store.
-    answerList({ entry("a", 3) }, 7);
+    answerList({ entry("a", 3) }, 6);
+    CHECK_FALSE(directory->confirmation().has_value());
+    deliverEvents({}, 7);
     base::Instant asOf = directory->confirmation()->asOf;
     advance(std::chrono::seconds(1));
     onLoop([this] { directory->confirm({ Revision(20), Revision(7), loop.now() }); });
@@ -281,6 +283,7 @@
     advance(std::chrono::seconds(1));
     answerList({ entry("a", 3) }, 12);
     LONGS_EQUAL(0, directory->copySince(Revision(9)).since.value());
+    deliverEvents({}, 14);
     CHECK_TRUE(directory->confirmation()->lastChange.value() >= 12);
 }
 
--- a/packages/direct/test/StoreMirrorTest.cpp
+++ b/packages/direct/test/StoreMirrorTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-// A store that answers list requests only when the test says so, and whose watches never deliver events.
+// A store that answers list requests and delivers events of watches only when the test says so.
 class SilentStore final : public base::KeyValueStore {
 public:
     using ListCallback = std::function<void(base::Outcome<base::RangeReply>)>;
@@ -24,10 +24,15 @@
     void commit(base::Transaction, base::Instant, std::function<void(base::Outcome<base::TransactionReply>)>) override { }
     void grantLease(base::Duration, base::Instant, std::function<void(base::Outcome<base::LeaseId>)>) override { }
     void keepLeaseAlive(base::LeaseId, base::Instant, std::function<void(base::Outcome<base::LeaseId>)>) override { }
-    std::unique_ptr<base::WatchHandle> watch(std::string, Revision, std::shared_ptr<base::WatchListener>) override { return std::make_unique<base::WatchHandle>(); }
+    std::unique_ptr<base::WatchHandle> watch(std::string prefix, Revision, std::shared_ptr<base::WatchListener> listener) override
+    {
+        listeners[prefix] = std::move(listener);
+        return std::make_unique<base::WatchHandle>();
+    }
     std::optional<base::Instant> lastProgress() const override { return progress; }
 
     std::map<std::string, ListCallback> listings;
+    std::map<std::string, std::shared_ptr<base::WatchListener>> listeners;
     std::optional<base::Instant> progress;
 };
 
@@ -206,12 +211,34 @@
     loop.runAndWait([this] { mirror = std::make_unique<StoreMirror>(loop, store, *client, StoreMirrorSettings { "text", "servers/", "fleet/", std::chrono::hours(1), std::chrono::hours(1) }, keys); });
     loop.runAndWait([this] { mirror->start(); });
     readAll(store, 5);
-    readAll(peerStore, 9);
+    readAll(peerStore, 5);
     while (keys.updates.take(base::Duration::zero()))
         continue;
-    loop.runAndWait([this] { mirror->onUpstreamsConfirmed({ "peer", server->endpoint() }, *peer->upstreamConfirmation()); });
+    auto share = [this] { mirror->onUpstreamsConfirmed({ "peer", server->endpoint() }, *peer->upstreamConfirmation()); };
+    loop.runAndWait([&] {
+        peerStore.listeners.at("servers/")->onEvents({ { { "servers/x", "v", Revision(8), Revision(8) }, false } }, Revision(9));
+        share();
+    });
     CHECK_TRUE(keys.updates.take().has_value());
-    loop.runAndWait([this] { LONGS_EQUAL(9, mirror->part(StorePart::Upstreams).revision().value()); });
+    loop.runAndWait([&] {
+        LONGS_EQUAL(9, mirror->part(StorePart::Upstreams).revision().value());
+        CHECK_TRUE(keys.present.contains("servers/x"));
+        // Without further changes nothing is copied.
+        peerStore.listeners.at("servers/")->onEvents({}, Revision(20));
+        share();
+        LONGS_EQUAL(20, mirror->part(StorePart::Upstreams).revision().value());
+        LONGS_EQUAL(1, handler->targets.size());
+    });
+}
+
+// Guards against a fleet that copies whole lists from each other while it starts: after a new list a peer cannot tell what has
+// changed, and the store is asked instead.
+TEST(StoreMirror, APeerThatDoesNotKnowAllChangesIsNotCopied)
+{
+    readAll(peerStore, 9);
+    CHECK_FALSE(peer->copyResponse("/fleet/changes/1/5").has_value());
+    CHECK_TRUE(peer->copyResponse("/fleet/directory/1/5").has_value());
+    CHECK_TRUE(peer->copyResponse("/fleet/changes/1/9").has_value());
 }
 
 TEST(StoreMirror, MalformedCopyRequestsGetNoCopy)
