--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -372,6 +372,9 @@
     if (accepted && m_responseMetadata.streaming) {
         if (!m_firstByte)
             startStreaming();
+        else
+            m_longestPause = std::max(m_longestPause, m_dispatcher.now() - m_lastPiece);
+        m_lastPiece = m_dispatcher.now();
         m_callerExchange->write(m_route->resumable ? m_events.feed(piece) : std::string(piece));
         return;
     }
@@ -629,7 +632,7 @@
         line.add("route", m_route->id).add("target_ms", base::toMilliseconds(m_route->latencyTarget));
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_firstBlockReason)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
-    line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("total_ms", base::toMilliseconds(time - m_arrived));
+    line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("pause_ms", base::toMilliseconds(m_longestPause)).add("total_ms", base::toMilliseconds(time - m_arrived));
     m_dispatcher.metrics().count("toucanstep_calls_total", base::concat("outcome=\"", outcome, "\""));
     m_dispatcher.metrics().observe("toucanstep_call_seconds", "", base::toSeconds(time - m_arrived));
     m_dispatcher.onCallEnded(*this);
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -119,6 +119,9 @@
     // The caller disconnects at this time unless the answer has started.
     base::Instant m_answerStartDeadline;
     std::optional<base::Instant> m_firstByte;
+    // Of a stream: when the last piece was forwarded, and the longest pause between two pieces.
+    base::Instant m_lastPiece;
+    base::Duration m_longestPause {};
     // Why the call waited before it was first sent, and when it was sent; for the log.
     BlockReason m_firstBlockReason = BlockReason::None;
     BlockReason m_blockReason = BlockReason::None;
