--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -31,6 +31,9 @@
     void onDirectoryUpdated() override;
 
 private:
+    // Related events within this time trigger one run of a task.
+    static constexpr base::Duration coalescingDelay = std::chrono::milliseconds(3);
+
     // Serves the readiness and operator ports: readiness, metrics, status and store copies for peers.
     class OperatorHandler;
     void tick();
