Copies after a long silence of the store are deltas again

Whether all changes since a revision are known is now asked apart; only shared answers need it, as copies in a silence are checked by a list once the store is back.

--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -82,6 +82,9 @@
     bool synced() const { return m_synced; }
     // Returns a delta since that revision, or a full snapshot if the removal log does not reach back that far.
     DirectoryCopy copySince(base::Revision) const;
+    // Whether a delta since that revision names every key that was removed, also one that this replica has not seen. A list does not
+    // show what was removed before it.
+    bool knowsAllChangesSince(base::Revision since) const { return since >= m_removalLogStart && since >= m_lastListed; }
     // Applies a peer's copy if it is newer than the replica and, for a delta, starts no later than the replica's revision.
     // Returns whether it was applied. A copy that was made because the store is silent is checked against the store later;
     // one that the peer has confirmed at `confirmed` is not.
@@ -113,6 +116,8 @@
     // Removed keys, oldest first, and the revision after which the log is complete.
     std::deque<std::pair<base::Revision, std::string>> m_removalLog;
     base::Revision m_removalLogStart;
+    // The revision of the last list.
+    base::Revision m_lastListed;
     // Keys that are gone from the store but kept for the grace period, and when that period ends.
     std::map<std::string, base::Instant> m_pendingRemovals;
     base::Revision m_revision;
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -178,7 +178,9 @@
         remove(key, reply.revision);
     // The list does not show keys that were removed since the last one, which a peer may still have.
     m_lastChange = reply.revision;
-    m_removalLogStart = reply.revision;
+    m_lastListed = reply.revision;
+    if (!m_synced)
+        m_removalLogStart = reply.revision;
     m_revision = reply.revision;
     m_synced = true;
 }
--- a/packages/direct/src/StoreMirror.cpp
+++ b/packages/direct/src/StoreMirror.cpp
@@ -136,10 +136,10 @@
     auto since = http1::parseNumber(target.substr(slash + 1));
     if (!which || !since || static_cast<size_t>(*which) >= storePartCount)
         return std::nullopt;
-    DirectoryCopy copy = m_parts[static_cast<size_t>(*which)].directory->copySince(base::Revision(*since));
-    if (onlyChanges && !copy.since.value())
+    const Directory& directory = *m_parts[static_cast<size_t>(*which)].directory;
+    if (onlyChanges && !directory.knowsAllChangesSince(base::Revision(*since)))
         return std::nullopt;
-    return encodeCopy(copy);
+    return encodeCopy(directory.copySince(base::Revision(*since)));
 }
 
 } // namespace toucanstep::direct
