Demand and plan reports of small fleets are complete each time, as before

The interval of complete demand reports is now 10 ms for each gateway and 200 ms at least, of complete plans 25 ms, 300 ms at least and 1.2 s at most, and gateways with little processor time wait for 0.2 s at most.

--- a/packages/direct/src/GatewayPlanner.cpp
+++ b/packages/direct/src/GatewayPlanner.cpp
@@ -45,7 +45,7 @@
     std::map<ModelTarget, TargetDemand> demand;
     for (const auto& entry : m_calls.demand().summary(now))
         PeerDemand::add(entry, demand);
-    m_peerDemand.expire(completeDemandInterval() * 3, now);
+    m_peerDemand.expire(std::max(reportLifetime(), completeDemandInterval() * 3), now);
     m_peerDemand.addTo(demand);
     m_expectedLoads.clear();
     for (const auto& service : state->services) {
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -12,14 +12,14 @@
 
 constexpr auto demandInterval = std::chrono::milliseconds(200);
 constexpr auto planReportInterval = std::chrono::milliseconds(300);
-constexpr auto completePlanInterval = std::chrono::milliseconds(1200);
-// Per gateway of the fleet: bounds the rate at which the planner receives reports.
+// Per gateway of the fleet: bound the rates at which the planner receives and sends complete reports.
 constexpr auto demandIntervalPerGateway = std::chrono::milliseconds(10);
-constexpr auto minCompleteDemandInterval = std::chrono::milliseconds(500);
+constexpr auto planIntervalPerGateway = std::chrono::milliseconds(25);
+constexpr auto maxCompletePlanInterval = std::chrono::milliseconds(1200);
 // Older reports of a peer are ignored. In a large fleet they last for some intervals.
 constexpr auto minReportLifetime = std::chrono::milliseconds(1500);
 constexpr int reportLifetimeIntervals = 6;
-// Exceeds twice completePlanInterval, at which the planner repeats its notices.
+// Exceeds twice maxCompletePlanInterval, at which the planner repeats its notices.
 constexpr auto noticeLifetime = std::chrono::milliseconds(3000);
 
 } // namespace
@@ -80,7 +80,7 @@
 
 base::Duration GatewayCore::completeDemandInterval() const
 {
-    return std::max<base::Duration>(minCompleteDemandInterval, demandIntervalPerGateway * m_transport->peers().size());
+    return std::max<base::Duration>(demandInterval, demandIntervalPerGateway * m_transport->peers().size());
 }
 
 void GatewayCore::setPlannerPeer(const base::InstanceId& planner)
@@ -105,7 +105,7 @@
     auto changes = m_noticeChanges.takeChanges(notices);
     report.complete = now >= m_nextCompletePlan;
     if (report.complete) {
-        m_nextCompletePlan = now + completePlanInterval;
+        m_nextCompletePlan = now + std::clamp<base::Duration>(planIntervalPerGateway * m_transport->peers().size(), planReportInterval, maxCompletePlanInterval);
     } else {
         report.notices.clear();
         for (const auto& [key, value] : changes) {
--- a/packages/direct/src/LeaderElection.cpp
+++ b/packages/direct/src/LeaderElection.cpp
@@ -26,7 +26,7 @@
     leadership.handoverDelay = settings.plannerHandoverDelay;
     // Planning and its reports to all gateways need more than the smallest machines have.
     constexpr double amplePart = 0.4;
-    constexpr auto maxDelay = std::chrono::milliseconds(400);
+    constexpr auto maxDelay = std::chrono::milliseconds(200);
     leadership.ownDelay = std::chrono::duration_cast<base::Duration>(maxDelay * (1 - std::min(settings.processorShare / amplePart, 1.0)));
     return leadership;
 }
