AccountLimits: its argument and two tests for reports that hold only changes

A property over restarts, isolated gateways and lost reports, and one that the whole rate is still spent.

--- a/packages/direct/include/toucanstep/direct/AccountLimits.h
+++ b/packages/direct/include/toucanstep/direct/AccountLimits.h
@@ -1,12 +1,14 @@
 // Enforces each client account's rate and burst across all gateways, without a call to the store on the request path.
 //
 // Every gateway keeps a token bucket for each account. It charges its own calls at once, and its peers' calls as their
-// reports arrive. A report carries the total that a peer has charged since its start, so a lost report does no harm. Each
-// gateway has an equal share of the rate. A bucket is refilled with its own gateway's share as time passes, and with a
-// peer's share when the peer is heard: for the time since its last report, together with what it charged in that time. So
-// the shares of a partitioned fleet add up to the whole rate from the start of the partition, even before it is detected. A
-// gateway that hears only part of the fleet caps its buckets at that part of the burst. A bucket starts empty, so a fleet
-// that is killed and restarted grants nobody a second burst; a gateway that starts beside others adopts their balances.
+// reports arrive. A report carries the total that a peer has charged since its start, so a lost report does no harm; between
+// two complete reports it names only the accounts that were charged, twice, and what is lost of that is deducted with the next
+// complete one. A peer is heard only from a complete report on. Each gateway has an equal share of the rate. A bucket is
+// refilled with its own gateway's share as time passes, and with a peer's share when the peer is heard: for the time since its
+// last report, together with what it charged in that time. So the shares of a partitioned fleet add up to the whole rate from
+// the start of the partition, even before it is detected. A gateway that hears only part of the fleet caps its buckets at that
+// part of the burst. A bucket starts empty, so a fleet that is killed and restarted grants nobody a second burst; a gateway
+// that starts beside others adopts their balances.
 //
 // Two gateways that do not hear each other may both hear a third, and must not both spend its share. So a gateway spends a
 // peer's share only if it hears every gateway that the peer hears, and the peer hears it: all gateways that spend a share
--- a/packages/direct/test/AccountLimitsTest.cpp
+++ b/packages/direct/test/AccountLimitsTest.cpp
@@ -1,4 +1,5 @@
 #include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/direct/LoadReportChanges.h"
 #include "toucanstep/testing/Property.h"
 
 #include <CppUTest/TestHarness.h>
@@ -57,6 +58,10 @@
     {
         m_limits[number] = AccountLimits(AccountLimitsSettings {});
         ++m_incarnations[number];
+        if (number < m_changes.size()) {
+            m_changes[number] = LoadReportChanges();
+            m_peerLoads[number] = PeerLoads();
+        }
         startGateway(number, unknown);
     }
     int64_t admittedCost() const
@@ -70,6 +75,26 @@
         m_admitted.emplace_back(m_now, cost);
         return true;
     }
+    // The same with reports by difference, each of which `isLost` may drop.
+    template <typename IsLost>
+    void stepWithChanges(IsLost isLost)
+    {
+        m_now += std::chrono::milliseconds(100);
+        m_changes.resize(m_limits.size());
+        m_peerLoads.resize(m_limits.size());
+        for (size_t from = 0; from < m_limits.size(); ++from) {
+            LoadReport report;
+            report.sender = { gateway(from), Incarnation(m_incarnations[from]), 1 };
+            report.limits = m_limits[from].report(Incarnation(m_incarnations[from]), m_now);
+            report = m_changes[from].next(std::move(report), false);
+            for (size_t to = 0; to < m_limits.size(); ++to) {
+                bool heard = from != to && !m_isolated[from] && !m_isolated[to] && !isLost();
+                m_peerLoads[to].expire(std::chrono::milliseconds(1500), m_now);
+                if (heard && m_peerLoads[to].apply(report, m_now))
+                    m_limits[to].onReport(gateway(from), report.limits, m_now);
+            }
+        }
+    }
     // Advances the time by 100 ms and delivers every gateway's report.
     void step()
     {
@@ -116,6 +141,8 @@
     DesiredState m_desiredState;
     base::Instant m_now { std::chrono::hours(1) };
     std::vector<AccountLimits> m_limits;
+    std::vector<LoadReportChanges> m_changes;
+    std::vector<PeerLoads> m_peerLoads;
     std::vector<bool> m_isolated;
     std::set<std::pair<size_t, size_t>> m_cutLinks;
     std::vector<int64_t> m_incarnations;
@@ -368,3 +395,47 @@
         RC_ASSERT(fleet.maxAdmittedWithin(window) <= allowed);
     });
 }
+
+// The same with reports that hold only changes, some of which are lost.
+TEST(AccountLimits, NoPatternOfLostChangesAdmitsMoreThanTheLimit)
+{
+    CHECK_PROPERTY([] {
+        Fleet fleet(4, rate, burst);
+        for (int count = 0; count < 150; ++count) {
+            int event = *rc::gen::inRange(0, 40);
+            size_t number = *rc::gen::inRange<size_t>(0, 4);
+            if (event == 0) {
+                for (size_t other = 0; other < 4; ++other)
+                    fleet.setIsolated(other, other == number);
+            } else if (event == 1) {
+                for (size_t other = 0; other < 4; ++other)
+                    fleet.setIsolated(other, false);
+            } else if (event == 2) {
+                fleet.restart(number);
+            }
+            for (size_t index = 0; index < 4; ++index) {
+                for (int call = 0; call < 10; ++call)
+                    fleet.call(index, 40);
+            }
+            fleet.stepWithChanges([] { return *rc::gen::inRange(0, 20) == 0; });
+        }
+        RC_ASSERT(fleet.maxAdmittedWithin(window) <= allowed);
+    });
+}
+
+// Guards against an account that is refused although it is within its rate, because reports that hold only changes were taken
+// for the peers' whole state.
+TEST(AccountLimits, WithReportsOfChangesTheWholeRateIsSpent)
+{
+    Fleet fleet(4, rate, burst);
+    auto never = [] { return false; };
+    for (int step = 0; step < 30; ++step)
+        fleet.stepWithChanges(never);
+    int64_t before = fleet.admittedCost();
+    for (int step = 0; step < 60; ++step) {
+        for (int call = 0; call < 40; ++call)
+            fleet.call(0, 5);
+        fleet.stepWithChanges(never);
+    }
+    CHECK_TRUE(fleet.admittedCost() - before >= 6 * rate * 95 / 100);
+}
