--- a/packages/direct/include/toucanstep/direct/ChangeTracker.h
+++ b/packages/direct/include/toucanstep/direct/ChangeTracker.h
@@ -1,6 +1,6 @@
 // Finds what has changed in a set of values since earlier reports to peers, so that a report carries only that.
 //
-// Reports may be lost, so each change is part of several reports in a row. A receiver that has missed all of them is put right by
+// Reports may be lost, so each change is part of several reports in a row. A receiver that has missed all of them is corrected by
 // the next complete report.
 
 #pragma once
--- a/packages/direct/include/toucanstep/direct/DemandReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/DemandReportChanges.h
@@ -22,7 +22,7 @@
 class PeerDemand {
 public:
     void apply(const DemandReport&, base::Instant now);
-    // Removes gateways whose last complete report is older than `lifetime`.
+    // Removes gateways whose last report is older than `lifetime`.
     void expire(base::Duration lifetime, base::Instant now);
     // Adds the demand of all gateways to `sums`.
     void addTo(std::map<ModelTarget, TargetDemand>& sums) const;
--- a/packages/direct/include/toucanstep/direct/LoadReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/LoadReportChanges.h
@@ -2,8 +2,8 @@
 //
 // With N gateways that each report to all others, a gateway receives N reports in each interval. So the interval grows with the
 // fleet, such that the number of reports received per second is bounded, and a report carries only what has changed. Every few
-// reports one is complete: it corrects what a receiver has missed and tells a new receiver everything. Receiving a report costs
-// what has changed in it, whatever the number of peers.
+// reports one is complete: it corrects what a receiver has missed and tells a new receiver everything. Taking over the loads of a
+// report costs what has changed in them; queued() goes over all peers.
 
 #pragma once
 
