direct: log and count each retry with its service, reason and balance

So balances that are too large, sends that the budget does not see, and retries that are sent long after they were granted could not be told apart.

call_retry (id, service, reason, granted, balance) and call_sent_again (sends, retries, granted_ms_ago) tell them. No logic changes.

--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "CallDispatcher.h"
 
 #include "ProxiedCall.h"
+#include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
@@ -287,10 +288,13 @@
     budget(service).onRequest();
 }
 
-bool CallDispatcher::consumeRetryBudget(const base::ServiceId& service, int64_t retriesSoFar)
+bool CallDispatcher::consumeRetryBudget(const ProxiedCall& call, int64_t retriesSoFar, std::string_view reason)
 {
-    bool taken = budget(service).tryRetry(true, retriesSoFar);
-    m_metrics.count("toucanstep_retries_total", taken ? "granted=\"yes\"" : "granted=\"no\"");
+    routing::RetryBudget& retries = budget(call.service());
+    bool taken = retries.tryRetry(true, retriesSoFar);
+    std::string_view granted = taken ? "yes" : "no";
+    m_metrics.count("toucanstep_retries_total", base::concat("service=\"", call.service(), "\",reason=\"", reason, "\",granted=\"", granted, "\""));
+    base::LogLine("call_retry").add("id", call.id()).add("service", call.service()).add("reason", reason).add("granted", granted).add("balance", retries.balance());
     return taken;
 }
 
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -103,7 +103,7 @@
     bool refusesOnArrival(const ProxiedCall&, int64_t running);
     // The part of the running calls that end between two load reports.
     double turnover(const ModelQueue&) const;
-    bool consumeRetryBudget(const base::ServiceId&, int64_t retriesSoFar);
+    bool consumeRetryBudget(const ProxiedCall&, int64_t retriesSoFar, std::string_view reason);
     void addToRetryBudget(const base::ServiceId&);
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -332,6 +332,8 @@
         m_firstSent = m_lastSent;
     ++m_sends;
     ++m_possibleRuns;
+    if (m_sends > 1)
+        base::LogLine("call_sent_again").add("id", m_call.id).add("service", m_service).add("upstream", upstream).add("sends", m_sends).add("retries", m_retries).add("granted_ms_ago", m_retryGranted ? base::toMilliseconds(m_lastSent - *m_retryGranted) : -1);
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
     m_dispatcher.coldStarts().onCall(upstream, m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
@@ -461,8 +463,9 @@
     m_dispatcher.metrics().count("toucanstep_rejected_by_upstream_total");
     base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends);
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
-    if (m_sends < maxSends && timeLeft() > minRunTime && m_dispatcher.consumeRetryBudget(m_service, m_retries)) {
+    if (m_sends < maxSends && timeLeft() > minRunTime && m_dispatcher.consumeRetryBudget(*this, m_retries, "rejected")) {
         ++m_retries;
+        m_retryGranted = m_dispatcher.now();
         dispatchOrWait();
         return;
     }
@@ -474,20 +477,21 @@
     refuse(statusUnavailable, "rejected", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "the upstreams have turned the call away", defaultRetryAfter);
 }
 
-bool ProxiedCall::tryRetry()
+bool ProxiedCall::tryRetry(std::string_view reason)
 {
     if (!m_route->mayRepeat() || m_possibleRuns >= m_route->attempts || m_sends >= maxSends || timeLeft() < minRunTime)
         return false;
-    if (!m_dispatcher.consumeRetryBudget(m_service, m_retries))
+    if (!m_dispatcher.consumeRetryBudget(*this, m_retries, reason))
         return false;
     ++m_retries;
+    m_retryGranted = m_dispatcher.now();
     return true;
 }
 
 void ProxiedCall::onServerError()
 {
     m_dispatcher.upstreams().onFailure(m_upstream, m_dispatcher.now());
-    if (m_phase != Phase::Delivering && tryRetry()) {
+    if (m_phase != Phase::Delivering && tryRetry("failed")) {
         dispatchOrWait();
         return;
     }
@@ -521,7 +525,7 @@
         m_dispatcher.reportSuspectedCrash(m_upstream, m_fingerprint);
     m_events.dropPartial();
     bool resumable = m_route->resumable && m_responseMetadata.streaming && !m_events.lastId().empty();
-    if ((!m_firstByte || resumable) && tryRetry()) {
+    if ((!m_firstByte || resumable) && tryRetry("broken")) {
         base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("behind", m_events.lastId());
         dispatchOrWait();
         return;
@@ -535,7 +539,7 @@
         return;
     m_events.dropPartial();
     bool resumable = m_route->resumable && !m_events.lastId().empty();
-    if ((m_firstByte && !resumable) || !tryRetry())
+    if ((m_firstByte && !resumable) || !tryRetry("silent"))
         return;
     base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("reason", "silent");
     dispatchOrWait();
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -38,6 +38,7 @@
     // The answer has to be sent for before this time to start within the latency target; never for a call without one.
     base::Instant lateFrom() const;
 
+    const base::RequestId& id() const { return m_call.id; }
     const base::ServiceId& service() const { return m_service; }
     const ModelTarget& target() const { return m_call.target; }
     ModelQueue queue() const { return { m_service, m_call.target.model }; }
@@ -85,7 +86,8 @@
     void onServerError();
     void deliverBufferedAnswer();
     void startStreaming();
-    bool tryRetry();
+    // `reason` is for the log.
+    bool tryRetry(std::string_view reason);
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
@@ -140,6 +142,8 @@
     // Upstreams on which the call has run or may have run.
     int64_t m_possibleRuns = 0;
     int64_t m_retries = 0;
+    // When the last retry was granted.
+    std::optional<base::Instant> m_retryGranted;
 
     http1::ResponseHead m_responseHead;
     ResponseMetadata m_responseMetadata;
--- a/packages/routing/src/RetryBudget.cpp
+++ b/packages/routing/src/RetryBudget.cpp
@@ -29,4 +29,6 @@
     return true;
 }
 
+int64_t RetryBudget::balance() const { return m_balance / unitsPerRetry; }
+
 } // namespace toucanstep::routing
