--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -39,7 +39,8 @@
     , m_limits(AccountLimitsSettings {})
     , m_quarantine(quarantineSettings())
     , m_slotShare(m_settings.instance.value())
-    , m_coldStarts(ColdStartLimitSettings {}, m_settings.instance)
+    , m_fleetShare(FleetShareSettings {}, m_settings.instance)
+    , m_coldStarts(ColdStartLimitSettings {}, m_fleetShare)
 {
 }
 
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -10,6 +10,7 @@
 #include "toucanstep/direct/CrashDetector.h"
 #include "toucanstep/direct/DemandTracker.h"
 #include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/direct/FleetShare.h"
 #include "toucanstep/direct/QueueDiscipline.h"
 #include "toucanstep/direct/SlotShare.h"
 #include "toucanstep/direct/TokenQueue.h"
@@ -85,6 +86,7 @@
     // The interval at which gateways report their loads to each other.
     void setReportInterval(base::Duration);
     CallTimes& callTimes() { return m_callTimes; }
+    FleetShare& fleetShare() { return m_fleetShare; }
     ColdStartLimit& coldStarts() { return m_coldStarts; }
     // The calls that wait for a slot, by queue.
     QueuedCallCounts queuedCalls() const;
@@ -147,6 +149,7 @@
     base::Duration m_reportInterval = minLoadReportInterval;
     SlotShare m_slotShare;
     CallTimes m_callTimes;
+    FleetShare m_fleetShare;
     ColdStartLimit m_coldStarts;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -165,7 +165,7 @@
 {
     base::Instant now = m_loop.now();
     m_election.tick();
-    m_calls.coldStarts().setMembership(m_election.registered(), m_election.leaseEnd(), now);
+    m_calls.fleetShare().setMembership(m_election.registered(), m_election.leaseEnd(), now);
     m_peerLoads.expire(reportLifetime(), now);
     applyPeerLoads();
     sendLoadReport();
@@ -291,7 +291,7 @@
         m_calls.setLastStoreContact(*answered);
     if (auto answered = m_mirror.part(StorePart::Fleet).lastAnswer(); answered && answered != m_lastListAnswer) {
         m_lastListAnswer = answered;
-        m_calls.coldStarts().onListAnswer(*answered);
+        m_calls.fleetShare().onListAnswer(*answered);
     }
     shareUpstreamList();
     if (auto planner = m_election.onDirectoryUpdated())
@@ -360,7 +360,7 @@
         peers.emplace(id, *endpoint);
         ids.insert(id);
     }
-    m_calls.coldStarts().setListed(ids, m_loop.now());
+    m_calls.fleetShare().setListed(ids, m_loop.now());
     // A peer that has only lost contact with the store still sends reports although its key has expired with its lease.
     for (const auto& [id, peer] : m_peerLoads.peers()) {
         auto known = m_transport->peers().find(id);
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -120,7 +120,8 @@
 // and sent it all that waited.
 TEST(UpstreamSelection, AColdEngineGetsNoCallFromAGatewayWithoutAPartOfItsRate)
 {
-    ColdStartLimit unsettled({}, base::InstanceId("edge-1"));
+    FleetShare share({}, base::InstanceId("edge-1"));
+    ColdStartLimit unsettled({}, share);
     UpstreamDescription cold = engine("one", "m");
     cold.coldFor = std::chrono::seconds(3);
     table.put(cold, now);
@@ -141,7 +142,8 @@
 // become cold meanwhile, which the list shows only later.
 TEST(UpstreamSelection, AnEvacuatedDomainGetsNoCallsAndIsColdAfterwards)
 {
-    ColdStartLimit unsettled({}, base::InstanceId("edge-1"));
+    FleetShare share({}, base::InstanceId("edge-1"));
+    ColdStartLimit unsettled({}, share);
     table.put(engine("one", "m"), now);
     UpstreamQuery query = asks("m");
     query.coldStarts = &unsettled;
