--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -42,9 +42,10 @@
     base::Duration changePropagationLimit = std::chrono::seconds(2);
     // From SIGTERM to SIGKILL.
     base::Duration terminationGrace = std::chrono::seconds(8);
-    // Fleet-wide retry budget per time window: this fraction of the calls plus a fixed number.
+    // Fleet-wide retry budget: in each window this fraction of the calls plus a fixed number.
     double retryRatio = 0.2;
     int64_t retrySlack = 50;
+    base::Duration retryWindow = std::chrono::seconds(10);
 };
 
 // How the store is watched if each answer to a watch is a billed request.
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -41,6 +41,7 @@
     , m_slotShare(m_settings.instance.value())
     , m_fleetShare(FleetShareSettings {}, m_settings.instance)
     , m_coldStarts(ColdStartLimitSettings {}, m_fleetShare)
+    , m_retryBudget(m_settings.retries, m_fleetShare)
 {
 }
 
@@ -275,28 +276,13 @@
         processQueue();
 }
 
-routing::RetryBudget& CallDispatcher::budget(const base::ServiceId& service)
+bool CallDispatcher::tryReserveRetry(const ProxiedCall& call, std::string_view reason)
 {
-    routing::RetryBudgetSettings settings;
-    settings.percent = m_settings.retryPercent;
-    settings.reserve = m_settings.retryReserve;
-    settings.perRequest = 3;
-    return m_budgets.try_emplace(service, settings).first->second;
-}
-
-void CallDispatcher::addToRetryBudget(const base::ServiceId& service)
-{
-    budget(service).onRequest();
-}
-
-bool CallDispatcher::consumeRetryBudget(const ProxiedCall& call, int64_t retriesSoFar, std::string_view reason)
-{
-    routing::RetryBudget& retries = budget(call.service());
-    bool taken = retries.tryRetry(true, retriesSoFar);
-    std::string_view granted = taken ? "yes" : "no";
+    bool reserved = m_retryBudget.tryReserve(call.service(), now());
+    std::string_view granted = reserved ? "yes" : "no";
     m_metrics.count("toucanstep_retries_total", base::concat("service=\"", call.service(), "\",reason=\"", reason, "\",granted=\"", granted, "\""));
-    base::LogLine("call_retry").add("id", call.id()).add("service", call.service()).add("reason", reason).add("granted", granted).add("balance", retries.balance());
-    return taken;
+    base::LogLine("call_retry").add("id", call.id()).add("service", call.service()).add("reason", reason).add("granted", granted).add("balance", m_retryBudget.available(call.service(), now()));
+    return reserved;
 }
 
 void CallDispatcher::onUpstreamHeard(const base::UpstreamId& upstream)
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -10,6 +10,7 @@
 #include "toucanstep/direct/CrashDetector.h"
 #include "toucanstep/direct/DemandTracker.h"
 #include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/direct/FleetRetryBudget.h"
 #include "toucanstep/direct/FleetShare.h"
 #include "toucanstep/direct/QueueDiscipline.h"
 #include "toucanstep/direct/SlotShare.h"
@@ -20,7 +21,6 @@
 #include "toucanstep/http1/Client.h"
 #include "toucanstep/http1/Server.h"
 #include "toucanstep/routing/Quarantine.h"
-#include "toucanstep/routing/RetryBudget.h"
 
 #include <functional>
 #include <map>
@@ -36,9 +36,7 @@
 struct CallDispatcherSettings {
     base::InstanceId instance;
     base::FailureDomain domain;
-    // This gateway's part of the fleet's retry budget: retries per hundred calls, and a fixed allowance on top.
-    int64_t retryPercent = 16;
-    int64_t retryReserve = 8;
+    FleetRetryBudgetSettings retries;
 };
 
 class CallDispatcher final : public http1::RequestHandler {
@@ -105,8 +103,9 @@
     bool refusesOnArrival(const ProxiedCall&, int64_t running);
     // The part of the running calls that end between two load reports.
     double turnover(const ModelQueue&) const;
-    bool consumeRetryBudget(const ProxiedCall&, int64_t retriesSoFar, std::string_view reason);
-    void addToRetryBudget(const base::ServiceId&);
+    FleetRetryBudget& retryBudget() { return m_retryBudget; }
+    // Reserves a retry of the call in the budget; `reason` is for the log.
+    bool tryReserveRetry(const ProxiedCall&, std::string_view reason);
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
     void onUpstreamHeard(const base::UpstreamId&);
@@ -123,7 +122,6 @@
     void processQueue();
     // In dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder() const;
-    routing::RetryBudget& budget(const base::ServiceId&);
 
     io::EventLoop& m_loop;
     http1::Client& m_client;
@@ -140,7 +138,6 @@
     io::EventLoop::TimerId m_tokenTimer = 0;
     DemandTracker m_demand;
     routing::Quarantine m_quarantine;
-    std::map<base::ServiceId, routing::RetryBudget> m_budgets;
     std::map<ModelTarget, base::Instant> m_expectedLoads;
     std::optional<base::Instant> m_lastPlannerReport;
     std::function<void()> m_onTargetMissing;
@@ -151,6 +148,7 @@
     CallTimes m_callTimes;
     FleetShare m_fleetShare;
     ColdStartLimit m_coldStarts;
+    FleetRetryBudget m_retryBudget;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -43,15 +43,10 @@
 
 CallDispatcherSettings callSettings(const DirectGatewaySettings& settings)
 {
-    // Each gateway spends its part of the fleet's retry budget without coordination. Using four fifths of the ratio leaves
-    // room for requests that count as retries although this gateway did not intend them as such.
-    constexpr double budgetFraction = 0.8;
-    constexpr int64_t minGateways = 4;
     CallDispatcherSettings calls;
     calls.instance = settings.instance;
     calls.domain = settings.domain;
-    calls.retryPercent = static_cast<int64_t>(settings.retryRatio * budgetFraction * 100);
-    calls.retryReserve = std::max<int64_t>(1, settings.retrySlack / 2 / minGateways);
+    calls.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
     return calls;
 }
 
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -92,7 +92,7 @@
 {
     m_phase = Phase::Checking;
     m_dispatcher.demand().onArrival(m_call.target, m_dispatcher.now());
-    m_dispatcher.addToRetryBudget(m_service);
+    m_dispatcher.retryBudget().onCall(m_service, m_dispatcher.now());
     dispatchOrWait();
 }
 
@@ -463,7 +463,7 @@
     m_dispatcher.metrics().count("toucanstep_rejected_by_upstream_total");
     base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends);
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
-    if (m_sends < maxSends && timeLeft() > minRunTime && m_dispatcher.consumeRetryBudget(*this, m_retries, "rejected")) {
+    if (m_sends < maxSends && timeLeft() > minRunTime && m_dispatcher.tryReserveRetry(*this, "rejected")) {
         ++m_retries;
         m_retryGranted = m_dispatcher.now();
         dispatchOrWait();
@@ -481,7 +481,7 @@
 {
     if (!m_route->mayRepeat() || m_possibleRuns >= m_route->attempts || m_sends >= maxSends || timeLeft() < minRunTime)
         return false;
-    if (!m_dispatcher.consumeRetryBudget(*this, m_retries, reason))
+    if (!m_dispatcher.tryReserveRetry(*this, reason))
         return false;
     ++m_retries;
     m_retryGranted = m_dispatcher.now();
