--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -76,6 +76,7 @@
     m_state = std::move(state);
     m_stateAppliedAt = now();
     m_limits.setAccounts(*m_state, now());
+    m_retryBudget.setServices(m_state->services);
     wakeWaiting();
 }
 
@@ -261,6 +262,7 @@
     base::Instant time = now();
     m_upstreams.expireNotices(time);
     m_quarantine.expire(time);
+    m_retryBudget.tick(time);
     strikeConfirmedCrashes();
     if (!m_tokenQueue.empty())
         processTokenQueue();
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -217,7 +217,8 @@
         return choice.blockReason;
     if (!m_dispatcher.takeSlot(*this, choice))
         return BlockReason::Full;
-    send(choice.upstream);
+    if (payRetry())
+        send(choice.upstream);
     return BlockReason::None;
 }
 
@@ -463,9 +464,7 @@
     m_dispatcher.metrics().count("toucanstep_rejected_by_upstream_total");
     base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends);
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
-    if (m_sends < maxSends && timeLeft() > minRunTime && m_dispatcher.tryReserveRetry(*this, "rejected")) {
-        ++m_retries;
-        m_retryGranted = m_dispatcher.now();
+    if (m_sends < maxSends && timeLeft() > minRunTime && tryReserveRetry("rejected")) {
         dispatchOrWait();
         return;
     }
@@ -481,13 +480,36 @@
 {
     if (!m_route->mayRepeat() || m_possibleRuns >= m_route->attempts || m_sends >= maxSends || timeLeft() < minRunTime)
         return false;
+    return tryReserveRetry(reason);
+}
+
+bool ProxiedCall::tryReserveRetry(std::string_view reason)
+{
     if (!m_dispatcher.tryReserveRetry(*this, reason))
         return false;
     ++m_retries;
     m_retryGranted = m_dispatcher.now();
+    m_retryReserved = true;
     return true;
 }
 
+bool ProxiedCall::payRetry()
+{
+    m_paidRetry.reset();
+    if (!m_retryReserved)
+        return true;
+    m_retryReserved = false;
+    m_paidRetry = m_dispatcher.retryBudget().pay(m_service, m_dispatcher.now());
+    if (m_paidRetry)
+        return true;
+    constexpr std::string_view reason = "the calls that earned its retry are too long ago";
+    if (m_firstByte || m_possibleRuns)
+        fail(reason);
+    else
+        refuse(statusUnavailable, "rejected", Execution::NotRun, reason, defaultRetryAfter);
+    return false;
+}
+
 void ProxiedCall::onServerError()
 {
     m_dispatcher.upstreams().onFailure(m_upstream, m_dispatcher.now());
@@ -512,6 +534,11 @@
     auto self = shared_from_this();
     if (breakage == http1::Breakage::NotSent) {
         --m_possibleRuns;
+        if (m_paidRetry) {
+            m_dispatcher.retryBudget().takeBack(m_service, *m_paidRetry);
+            m_paidRetry.reset();
+            m_retryReserved = true;
+        }
         m_dispatcher.upstreams().onUnreachable(m_upstream, m_dispatcher.now());
         base::LogLine("upstream_unreachable").add("id", m_call.id).add("upstream", m_upstream);
         if (m_sends < maxSends && timeLeft() > minRunTime)
@@ -626,6 +653,8 @@
     m_phase = Phase::Done;
     if (m_tokenQueueNumber)
         m_dispatcher.leaveTokenQueue(*m_tokenQueueNumber);
+    if (m_retryReserved)
+        m_dispatcher.retryBudget().cancel(m_service);
     m_dispatcher.loop().cancel(m_timer);
     base::Instant time = m_dispatcher.now();
     base::LogLine line("call_ended");
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -88,6 +88,9 @@
     void startStreaming();
     // `reason` is for the log.
     bool tryRetry(std::string_view reason);
+    bool tryReserveRetry(std::string_view reason);
+    // Pays the retry that is about to be sent. Returns false if the call has ended because it may no longer be sent.
+    bool payRetry();
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
@@ -144,6 +147,10 @@
     int64_t m_retries = 0;
     // When the last retry was granted.
     std::optional<base::Instant> m_retryGranted;
+    // It waits to be sent.
+    bool m_retryReserved = false;
+    // How the last send was paid, if it was a retry.
+    std::optional<PaidRetry> m_paidRetry;
 
     http1::ResponseHead m_responseHead;
     ResponseMetadata m_responseMetadata;
--- a/packages/direct/test/FleetRetryBudgetTest.cpp
+++ b/packages/direct/test/FleetRetryBudgetTest.cpp
@@ -20,6 +20,7 @@
     explicit Retrier(const FleetShare& share)
         : budget(budgetSettings, share)
     {
+        budget.setServices({ { .id = service } });
     }
     FleetRetryBudget budget;
     // When reserved retries are sent.
@@ -45,6 +46,7 @@
     void advance(int steps, const Load& load)
     {
         FleetModel::advance(steps, [&](Retrier& gateway, base::Instant now) {
+            gateway.budget.tick(now);
             bool due = (now.time_since_epoch() / step) % load.interval == 0;
             for (int call = 0; due && call < load.calls; ++call) {
                 gateway.budget.onCall(service, now);
@@ -54,7 +56,7 @@
             }
             while (!gateway.reserved.empty() && gateway.reserved.front() <= now) {
                 gateway.reserved.pop_front();
-                if (gateway.budget.trySpend(service, now))
+                if (gateway.budget.pay(service, now))
                     m_retries.push_back(now);
             }
         });
--- a/packages/routing/include/toucanstep/routing/RetryBudget.h
+++ b/packages/routing/include/toucanstep/routing/RetryBudget.h
@@ -25,8 +25,6 @@
     void onRequest();
     // `retriesSoFar` counts the retries of this request. A request that is not idempotent is never retried.
     bool tryRetry(bool idempotent, int64_t retriesSoFar);
-    // In whole retries, rounded down.
-    int64_t balance() const;
 
 private:
     RetryBudgetSettings m_settings;
--- a/packages/routing/src/RetryBudget.cpp
+++ b/packages/routing/src/RetryBudget.cpp
@@ -29,6 +29,4 @@
     return true;
 }
 
-int64_t RetryBudget::balance() const { return m_balance / unitsPerRetry; }
-
 } // namespace toucanstep::routing
