--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -293,6 +293,20 @@
     m_crashDetector.onHeard(upstream, now());
 }
 
+void CallDispatcher::onCallLimit(const base::UpstreamId& upstream, const ResponseMetadata& answer)
+{
+    const UpstreamEntry* entry = m_upstreams.find(upstream);
+    if (!entry || entry->callLimit == answer.callLimit)
+        return;
+    if (answer.callLimitUnreadable) {
+        m_metrics.count("toucanstep_unreadable_entries_total", "what=\"call_limit\"");
+        return;
+    }
+    auto toLabel = [](std::optional<double> limit) { return limit ? base::concat(*limit) : std::string("none"); };
+    base::LogLine("upstream_limit").add("upstream", upstream).add("calls_per_s", toLabel(answer.callLimit)).add("was", toLabel(entry->callLimit));
+    m_upstreams.onCallLimit(upstream, answer.callLimit);
+}
+
 void CallDispatcher::reportSuspectedCrash(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
 {
     const UpstreamEntry* entry = m_upstreams.find(upstream);
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -109,6 +109,8 @@
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
     void onUpstreamHeard(const base::UpstreamId&);
+    // What an answer of the upstream says of its limit.
+    void onCallLimit(const base::UpstreamId&, const ResponseMetadata&);
     // The connection broke during the call, so its request may have crashed the upstream.
     void reportSuspectedCrash(const base::UpstreamId&, const routing::RequestFingerprint&);
     std::vector<routing::StrikeMessage> recentStrikes();
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -360,6 +360,9 @@
         m_dispatcher.callTimes().onAnswerStarted(queue(), m_dispatcher.now() - m_lastSent);
     }
     m_responseMetadata = m_dispatcher.format().readVerdict(head);
+    bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
+    if (!foreign && (m_responseMetadata.hasSignature || m_responseMetadata.notRun))
+        m_dispatcher.onCallLimit(m_upstream, m_responseMetadata);
     m_responseHead = std::move(head);
     m_receivedHead = true;
     m_bufferedBody.clear();
