Calls to an upstream that names a limit stay within it over all gateways (LIMIT)

Cause: no code knew the header; nothing but slots, loads and failures decided where a call goes. Class: what an upstream says of itself that no decision uses.

Change: - UpstreamCallLimits: a gateway sends no more in 4.5 s than its part of the limit by FleetShare, spaced; no message is needed. The last part is kept while the store is away. After the end of a limit the rate doubles each second for five. - Load reports carry what a gateway has heard itself in the last 10 s, with its age, as an optional last field; the newest is in force. A restart of the upstream drops it. - Selection prefers other upstreams. Calls that wait for a limit go in their order; one that would go too late, or at a gateway without a part, is refused with the time at which it could go (call_limit). - The planner loads a model that is asked for more often than its part of the limit elsewhere, and spares such an engine from loads.

--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -6,6 +6,7 @@
 #include "toucanstep/direct/AccountLimits.h"
 #include "toucanstep/direct/Call.h"
 #include "toucanstep/direct/Upstream.h"
+#include "toucanstep/direct/UpstreamCallLimits.h"
 #include "toucanstep/routing/Quarantine.h"
 
 #include <algorithm>
@@ -78,6 +79,8 @@
     QueuedCallCounts queued;
     // The sender's failure domain; only in a complete report. Earlier builds do not send it.
     base::FailureDomain domain;
+    // What the sender has heard itself of the limits of upstreams. Earlier builds do not send it.
+    std::vector<HeardCallLimit> callLimits;
     // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
     bool complete = true;
 };
--- a/packages/direct/include/toucanstep/direct/FleetShare.h
+++ b/packages/direct/include/toucanstep/direct/FleetShare.h
@@ -24,6 +24,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 
 namespace toucanstep::direct {
@@ -49,8 +50,17 @@
     bool isSettled(base::Instant now) const;
     // This gateway's part of `amount` units of the resource; 0 unless settled.
     int64_t part(std::string_view resource, int64_t amount, base::Instant now) const;
+    // The same, also while no longer settled; 0 if it never was. While the store answers nobody, these parts add up as before;
+    // otherwise the parts of gateways that are cut off come on top of those of the others.
+    int64_t lastPart(std::string_view resource, int64_t amount) const;
 
 private:
+    struct Place {
+        int64_t rank = 0;
+        int64_t count = 1;
+    };
+    const Place& placeFor(std::string_view resource) const;
+
     FleetShareSettings m_settings;
     base::InstanceId m_self;
     bool m_registered = false;
@@ -59,8 +69,11 @@
     // The conditions of the proof hold since settlingTime before this time.
     base::Instant m_settledFrom = base::Instant::max();
     std::set<base::InstanceId> m_listed;
+    bool m_wasSettled = false;
     // Gateways that have left the list, and until when they are counted.
     std::map<base::InstanceId, base::Instant> m_departed;
+    // Valid until the counted gateways change.
+    mutable std::map<std::string, Place, std::less<>> m_places;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/include/toucanstep/direct/UpstreamTable.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamTable.h
@@ -30,9 +30,6 @@
     // Cold until this time, see ColdStartTraits.
     base::Instant coldUntil;
 
-    // The calls per second that it takes from all gateways together, as its last answer named it.
-    std::optional<double> callLimit;
-
     int64_t inFlight() const { return own.inFlight + peers.inFlight; }
     int64_t awaiting() const { return own.awaiting + peers.awaiting; }
 };
@@ -65,8 +62,6 @@
     // A call has left the upstream; `begun` if onAnswerBegun() was called for it.
     void onEnded(const base::UpstreamId&, bool begun);
     void onBytesReceived(const base::UpstreamId&, base::Instant now);
-    // An answer of the upstream names a limit, or none.
-    void onCallLimit(const base::UpstreamId&, std::optional<double>);
     void onFailure(const base::UpstreamId&, base::Instant now);
     void onUnreachable(const base::UpstreamId&, base::Instant now);
     static double recentFailures(const UpstreamEntry&, base::Instant now);
--- a/packages/direct/include/toucanstep/direct/WaitDecision.h
+++ b/packages/direct/include/toucanstep/direct/WaitDecision.h
@@ -23,7 +23,7 @@
     std::optional<base::Instant> expectedLoad;
     // The planner has reported recently; without it nothing is loaded.
     bool plannerActive = true;
-    // When a cold upstream takes the call; only for that block reason.
+    // When a cold upstream, or one that names a limit, takes the call after those that go first; only for these block reasons.
     std::optional<base::Instant> acceptedFrom;
 };
 
@@ -34,6 +34,7 @@
     RefuseNoUpstream,
     RefuseOutsideRegions,
     RefuseCold,
+    RefuseCallLimit,
     RefuseOverloaded,
 };
 
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -42,6 +42,7 @@
     , m_fleetShare(FleetShareSettings {}, m_settings.instance)
     , m_coldStarts(ColdStartLimitSettings {}, m_fleetShare)
     , m_retryBudget(m_settings.retries, m_fleetShare)
+    , m_callLimits(m_fleetShare)
 {
 }
 
@@ -177,6 +178,15 @@
     return calls;
 }
 
+int64_t CallDispatcher::waitingBefore(const ProxiedCall& call) const
+{
+    return std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto& entry) {
+        const ProxiedCall& other = *entry.second;
+        bool earlier = !call.waitNumber() || other.waitNumber() < call.waitNumber();
+        return other.queue() == call.queue() && other.blockReason() == BlockReason::CallLimit && (other.priority() < call.priority() || (other.priority() == call.priority() && earlier));
+    });
+}
+
 QueuedCallCounts CallDispatcher::queuedCalls() const
 {
     QueuedCallCounts queued;
@@ -244,7 +254,8 @@
         if (blockReason == BlockReason::None)
             continue;
         call->setBlockReason(blockReason);
-        if (call->neverSent()) {
+        // Each of the calls that wait for a limit has its own time to go.
+        if (call->neverSent() && blockReason != BlockReason::CallLimit) {
             blockedQueues.emplace(std::pair(key, true), blockReason);
             if (!late)
                 blockedQueues.emplace(std::pair(key, false), blockReason);
@@ -295,16 +306,34 @@
 
 void CallDispatcher::onCallLimit(const base::UpstreamId& upstream, const ResponseMetadata& answer)
 {
-    const UpstreamEntry* entry = m_upstreams.find(upstream);
-    if (!entry || entry->callLimit == answer.callLimit)
-        return;
     if (answer.callLimitUnreadable) {
         m_metrics.count("toucanstep_unreadable_entries_total", "what=\"call_limit\"");
         return;
     }
-    auto toLabel = [](std::optional<double> limit) { return limit ? base::concat(*limit) : std::string("none"); };
-    base::LogLine("upstream_limit").add("upstream", upstream).add("calls_per_s", toLabel(answer.callLimit)).add("was", toLabel(entry->callLimit));
-    m_upstreams.onCallLimit(upstream, answer.callLimit);
+    const UpstreamEntry* entry = m_upstreams.find(upstream);
+    if (!entry)
+        return;
+    if (m_callLimits.onAnswer(upstream, entry->description.start, answer.callLimit, now()))
+        logCallLimit(upstream, answer.callLimit, "answer");
+}
+
+void CallDispatcher::onPeerHeardCallLimit(const HeardCallLimit& heard)
+{
+    if (m_upstreams.find(heard.upstream) && m_callLimits.onPeerHeard(heard, now()))
+        logCallLimit(heard.upstream, heard.limit, "peer");
+}
+
+std::optional<double> CallDispatcher::callLimitOf(const base::UpstreamId& upstream) const
+{
+    auto entry = m_upstreams.all().find(upstream);
+    return entry == m_upstreams.all().end() ? std::nullopt : m_callLimits.limit(upstream, entry->second.description.start, now());
+}
+
+void CallDispatcher::logCallLimit(const base::UpstreamId& upstream, std::optional<double> limit, std::string_view source)
+{
+    m_metrics.count("toucanstep_call_limits_total", limit ? "change=\"begun\"" : "change=\"ended\"");
+    base::LogLine("upstream_limit").add("upstream", upstream).add("calls_per_s", limit ? base::concat(*limit) : std::string("none")).add("source", source);
+    wakeWaiting();
 }
 
 void CallDispatcher::reportSuspectedCrash(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -15,6 +15,7 @@
 #include "toucanstep/direct/QueueDiscipline.h"
 #include "toucanstep/direct/SlotShare.h"
 #include "toucanstep/direct/TokenQueue.h"
+#include "toucanstep/direct/UpstreamCallLimits.h"
 #include "toucanstep/direct/UpstreamSelection.h"
 #include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WireFormat.h"
@@ -103,6 +104,12 @@
     bool refusesOnArrival(const ProxiedCall&, int64_t running);
     // The part of the running calls that end between two load reports.
     double turnover(const ModelQueue&) const;
+    UpstreamCallLimits& callLimits() { return m_callLimits; }
+    // In force at the upstream, in calls per second over all gateways; nothing without a limit.
+    std::optional<double> callLimitOf(const base::UpstreamId&) const;
+    void onPeerHeardCallLimit(const HeardCallLimit&);
+    // The waiting calls that go before that call, of those that the same upstreams could run.
+    int64_t waitingBefore(const ProxiedCall&) const;
     FleetRetryBudget& retryBudget() { return m_retryBudget; }
     // Reserves a retry of the call in the budget; `reason` is for the log.
     bool tryReserveRetry(const ProxiedCall&, std::string_view reason);
@@ -122,6 +129,7 @@
     void strikeConfirmedCrashes();
     void processTokenQueue();
     void processQueue();
+    void logCallLimit(const base::UpstreamId&, std::optional<double> limit, std::string_view source);
     // In dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder() const;
 
@@ -151,6 +159,7 @@
     FleetShare m_fleetShare;
     ColdStartLimit m_coldStarts;
     FleetRetryBudget m_retryBudget;
+    UpstreamCallLimits m_callLimits;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -2,6 +2,7 @@
 
 #include "toucanstep/base/MessagePack.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace toucanstep::direct {
@@ -23,6 +24,10 @@
     UpstreamList = 7,
 };
 
+constexpr double perKilosecond = 1000;
+// Keeps sums over all gateways within range.
+constexpr int64_t largestCount = 1'000'000'000;
+
 int64_t inMilliseconds(base::Duration duration) { return base::toMilliseconds(duration); }
 
 Json encodeHeader(ReportKind kind, const ReportSender& sender)
@@ -30,6 +35,12 @@
     return Json::array({ static_cast<int>(kind), sender.instance.value(), sender.incarnation.value(), sender.sequence });
 }
 
+// In calls per thousand seconds; no limit is a negative number.
+int64_t encodeLimit(const std::optional<double>& limit)
+{
+    return limit ? static_cast<int64_t>(std::min(*limit * perKilosecond, static_cast<double>(largestCount))) : -1;
+}
+
 Json encode(const LoadReport& report)
 {
     Json directories = Json::array();
@@ -55,7 +66,10 @@
         for (const auto& [priority, calls] : priorities)
             queued.push_back({ queue.service.value(), queue.model.value(), priority, calls.inTime, calls.late });
     }
-    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut });
+    Json callLimits = Json::array();
+    for (const auto& heard : report.callLimits)
+        callLimits.push_back({ heard.upstream.value(), heard.start.value(), encodeLimit(heard.limit), inMilliseconds(heard.age) });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits });
 }
 
 Json encodeState(const PlannerState& state)
@@ -114,16 +128,20 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
-// A count of calls. The upper bound keeps sums over all gateways within range.
 int64_t asCount(const Json& value)
 {
-    constexpr int64_t largest = 1'000'000'000;
     int64_t count = asInteger(value);
-    if (count < 0 || count > largest)
+    if (count < 0 || count > largestCount)
         throw std::invalid_argument("count out of range");
     return count;
 }
 
+std::optional<double> asLimit(const Json& value)
+{
+    int64_t limit = asInteger(value);
+    return limit < 0 ? std::nullopt : std::optional(static_cast<double>(asCount(value)) / perKilosecond);
+}
+
 template <typename Strong>
 Strong asNumber(const Json& value) { return Strong(asInteger(value)); }
 template <typename Strong>
@@ -162,6 +180,11 @@
     constexpr size_t leftOutIndex = 12;
     if (value.size() > leftOutIndex)
         report.limits.silentPeersLeftOut = value.at(leftOutIndex).get<bool>();
+    constexpr size_t callLimitsIndex = 13;
+    if (value.size() > callLimitsIndex) {
+        for (const Json& entry : value.at(callLimitsIndex))
+            report.callLimits.push_back({ asText<base::UpstreamId>(entry.at(0)), asNumber<StartId>(entry.at(1)), asLimit(entry.at(2)), asDuration(entry.at(3)) });
+    }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
--- a/packages/direct/src/FleetShare.cpp
+++ b/packages/direct/src/FleetShare.cpp
@@ -33,6 +33,7 @@
     m_leaseEnd = leaseEnd;
     if (began || lapsed || listTooOld || !registered || now >= leaseEnd)
         m_settledFrom = now + m_settings.settlingTime;
+    m_wasSettled |= isSettled(now);
 }
 
 void FleetShare::onListAnswer(base::Instant now)
@@ -49,6 +50,7 @@
             m_departed[id] = now + m_settings.settlingTime;
     }
     m_listed = listed;
+    m_places.clear();
     std::erase_if(m_departed, [&](const auto& entry) { return entry.second <= now || m_listed.contains(entry.first); });
 }
 
@@ -57,26 +59,37 @@
     return m_registered && now < m_leaseEnd && m_lastListAnswer && now - *m_lastListAnswer <= m_settings.maxListAge && now >= m_settledFrom;
 }
 
-int64_t FleetShare::part(std::string_view resource, int64_t amount, base::Instant now) const
+const FleetShare::Place& FleetShare::placeFor(std::string_view resource) const
 {
-    if (!isSettled(now))
-        return 0;
+    auto known = m_places.find(resource);
+    if (known != m_places.end())
+        return known->second;
+    Place place;
     auto own = rankOf(resource, m_self);
-    int64_t count = 1;
-    int64_t rank = 0;
     auto add = [&](const base::InstanceId& id) {
         if (id == m_self)
             return;
-        ++count;
-        rank += rankOf(resource, id) < own ? 1 : 0;
+        ++place.count;
+        place.rank += rankOf(resource, id) < own ? 1 : 0;
     };
     for (const auto& id : m_listed)
         add(id);
-    for (const auto& [id, until] : m_departed) {
-        if (until > now)
-            add(id);
-    }
-    return rank < amount ? (amount - rank + count - 1) / count : 0;
+    for (const auto& [id, until] : m_departed)
+        add(id);
+    return m_places.emplace(resource, place).first->second;
+}
+
+int64_t FleetShare::part(std::string_view resource, int64_t amount, base::Instant now) const
+{
+    return isSettled(now) ? lastPart(resource, amount) : 0;
+}
+
+int64_t FleetShare::lastPart(std::string_view resource, int64_t amount) const
+{
+    if (!m_wasSettled)
+        return 0;
+    const Place& place = placeFor(resource);
+    return place.rank < amount ? (amount - place.rank + place.count - 1) / place.count : 0;
 }
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -250,6 +250,7 @@
         base::UpstreamId id(key.substr(m_format->upstreamPrefix().size()));
         base::LogLine("upstream_gone").add("upstream", id);
         m_calls.upstreams().remove(id);
+        m_calls.callLimits().remove(id);
         m_engineController.onUpstreamGone(id);
         m_client.forget(id.value());
     } else if (key.starts_with(m_format->evacuationPrefix())) {
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -61,6 +61,7 @@
     report.limits = m_calls.limits().report(m_incarnation, m_loop.now());
     report.strikes = m_calls.recentStrikes();
     report.queued = m_calls.queuedCalls();
+    report.callLimits = m_calls.callLimits().heardLately(now);
     m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
 }
 
@@ -186,6 +187,8 @@
         return;
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
     m_calls.quarantine().merge(report.strikes, now);
+    for (const auto& heard : report.callLimits)
+        m_calls.onPeerHeardCallLimit(heard);
     applyPeerLoads();
 }
 
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -72,6 +72,8 @@
             addEngine(engine);
         for (const auto& entry : input.demand)
             addDemand(entry);
+        for (const Engine& engine : m_engines)
+            leaveOutLimited(engine);
         for (auto& [id, model] : m_models)
             setDesiredReplicas(id, model);
     }
@@ -160,6 +162,23 @@
         m_engines.push_back(std::move(engine));
     }
 
+    // A model that is asked for more often than its part of the engine's limit needs a replica elsewhere.
+    void leaveOutLimited(const Engine& engine)
+    {
+        const PlannedEngine& state = *engine.state;
+        if (!state.callLimit || state.draining)
+            return;
+        auto isAskedFor = [&](const auto& entry) { return hasDemand(entry.first); };
+        auto models = std::max<ptrdiff_t>(1, std::count_if(state.loaded.begin(), state.loaded.end(), isAskedFor));
+        double part = *state.callLimit / static_cast<double>(models);
+        for (const auto& [id, adapters] : state.loaded) {
+            Model& model = m_models[id];
+            bool takesAll = model.demand.callsPerSecond <= part && !model.demand.waiting;
+            if (!takesAll && !engine.isUnloading(id))
+                model.ready -= 1;
+        }
+    }
+
     static bool loadsFromStore(const PlannedEngine& engine)
     {
         bool fromStore = engine.running && engine.running->kind == OrderKind::Load && engine.running->source == LoadSource::WeightStore;
@@ -409,11 +428,17 @@
         return candidate;
     }
 
+    // An engine that takes few calls gets no further model while others can.
+    bool isSparedFromLoads(const PlannedEngine& engine) const
+    {
+        return engine.callLimit && std::any_of(m_engines.begin(), m_engines.end(), [](const Engine& other) { return !other.state->callLimit && !other.state->draining; });
+    }
+
     std::optional<Candidate> candidateAt(Engine& engine, const ReplicaRequest& request) const
     {
         const base::ModelId& model = request.model->id;
         bool needsEviction = engine.free < request.model->memory.value();
-        if (engine.state->draining || engine.reserved || (needsEviction && !request.isUrgent()))
+        if (engine.state->draining || isSparedFromLoads(*engine.state) || engine.reserved || (needsEviction && !request.isUrgent()))
             return std::nullopt;
         if (engine.holds(model) || engine.isLoading(model) || engine.assigned.contains(model))
             return std::nullopt;
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -206,6 +206,7 @@
     query.routeRegions = &m_route->allowedRegions;
     query.accountRegions = m_accountRegions;
     query.coldStarts = &m_dispatcher.coldStarts();
+    query.callLimits = &m_dispatcher.callLimits();
     if (const ServiceTraits* service = m_state->findService(m_service); service && service->coldStart)
         query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
@@ -213,6 +214,13 @@
     UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), query, m_dispatcher.now());
     m_runningThere = choice.inFlight;
     m_acceptedFrom = choice.acceptedFrom;
+    if (choice.blockReason == BlockReason::CallLimit && m_acceptedFrom && choice.limitedRate > 0)
+        *m_acceptedFrom += std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(static_cast<double>(m_dispatcher.waitingBefore(*this)) / choice.limitedRate));
+    // The few calls that such an upstream takes go to those that have waited, in their order.
+    if (choice.limited && !m_waitNumber && m_dispatcher.waitingBefore(*this) > 0) {
+        m_acceptedFrom = m_dispatcher.now();
+        return BlockReason::CallLimit;
+    }
     if (choice.blockReason != BlockReason::None)
         return choice.blockReason;
     if (!m_dispatcher.takeSlot(*this, choice))
@@ -278,6 +286,10 @@
     case WaitDecision::RefuseCold:
         refuse(statusUnavailable, "cold", execution, "the upstreams that could run the call have just started", base::remaining(time, *m_acceptedFrom));
         break;
+    case WaitDecision::RefuseCallLimit:
+        m_dispatcher.demand().onRefused(m_call.target, m_answerStartDeadline);
+        refuse(statusUnavailable, "call_limit", execution, "the upstreams that could run the call limit their calls", m_acceptedFrom ? base::remaining(time, *m_acceptedFrom) : defaultRetryAfter);
+        break;
     case WaitDecision::RefuseOverloaded:
         refuse(statusUnavailable, "overloaded", execution, "no upstream can take the call in time", defaultRetryAfter);
         break;
@@ -337,6 +349,7 @@
         base::LogLine("call_sent_again").add("id", m_call.id).add("service", m_service).add("upstream", upstream).add("sends", m_sends).add("retries", m_retries).add("granted_ms_ago", m_retryGranted ? base::toMilliseconds(m_lastSent - *m_retryGranted) : -1);
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
     m_dispatcher.coldStarts().onCall(upstream, m_dispatcher.now());
+    m_dispatcher.callLimits().onCall(upstream, m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
 }
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -24,6 +24,8 @@
 constexpr double promptPrefixWeight = 1.5;
 // Cost of being cold: a call that another upstream can run leaves the few calls that a cold one tolerates to others.
 constexpr double coldWeight = 2;
+// Cost of naming a limit: the same for the few calls that such an upstream takes.
+constexpr double limitedWeight = 2;
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
 
@@ -52,6 +54,11 @@
     return next ? std::min(*next, entry.coldUntil) : entry.coldUntil;
 }
 
+bool hasCallLimit(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+{
+    return query.callLimits && query.callLimits->limit(entry.description.id, entry.description.start, now);
+}
+
 // Calls that have ended count until they are reported, so that an upstream is given a little more than it has slots for.
 int64_t slotLimit(const UpstreamEntry& entry, double turnover)
 {
@@ -82,6 +89,8 @@
         cost += otherDomainWeight;
     if (entry.coldUntil > now)
         cost += coldWeight;
+    if (hasCallLimit(entry, query, now))
+        cost += limitedWeight;
     return cost + spreadCost(query.spreadKey, entry.description.id);
 }
 
@@ -102,6 +111,8 @@
         return "full";
     case BlockReason::Cold:
         return "cold";
+    case BlockReason::CallLimit:
+        return "call_limit";
     case BlockReason::OutsideRegions:
         break;
     }
@@ -139,11 +150,27 @@
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
     std::optional<base::Instant> acceptedFrom;
+    std::optional<base::Instant> withinLimitFrom;
+    double limitedRate = 0;
+    bool anyLimited = false;
+    bool anyFull = false;
     for (const UpstreamEntry* entry : holders) {
         inFlight += entry->inFlight();
         int64_t free = slotLimit(*entry, query.turnover) - entry->inFlight();
-        if (free <= 0)
+        if (hasCallLimit(*entry, query, now)) {
+            auto next = query.callLimits->nextCall(entry->description.id, entry->description.start, now);
+            if (!next || *next > now) {
+                anyLimited = true;
+                limitedRate += query.callLimits->ownRate(entry->description.id, entry->description.start, now);
+                if (next)
+                    withinLimitFrom = std::min(withinLimitFrom.value_or(*next), *next);
+                continue;
+            }
+        }
+        if (free <= 0) {
+            anyFull = true;
             continue;
+        }
         if (base::Instant from = acceptsFrom(*entry, query, now); from > now) {
             acceptedFrom = std::min(acceptedFrom.value_or(from), from);
             continue;
@@ -156,11 +183,13 @@
         }
     }
     if (best)
-        return { BlockReason::None, best->description.id, freeSlots, inFlight };
+        return { BlockReason::None, best->description.id, freeSlots, inFlight, std::nullopt, 0, hasCallLimit(*best, query, now) };
     if (!anyUpstream)
         return { anyOutsideRegions ? BlockReason::OutsideRegions : BlockReason::NoUpstream, {} };
     if (acceptedFrom)
         return { BlockReason::Cold, {}, 0, inFlight, acceptedFrom };
+    if (anyLimited && !anyFull)
+        return { BlockReason::CallLimit, {}, 0, inFlight, withinLimitFrom, limitedRate };
     if (!holders.empty())
         return { BlockReason::Full, {}, 0, inFlight };
     return { modelLoaded ? BlockReason::AdapterNotLoaded : BlockReason::NotLoaded, {} };
--- a/packages/direct/src/UpstreamTable.cpp
+++ b/packages/direct/src/UpstreamTable.cpp
@@ -173,12 +173,6 @@
         entry->awaitingSince = now;
 }
 
-void UpstreamTable::onCallLimit(const base::UpstreamId& id, std::optional<double> limit)
-{
-    if (UpstreamEntry* entry = find(id))
-        entry->callLimit = limit;
-}
-
 void UpstreamTable::onFailure(const base::UpstreamId& id, base::Instant now)
 {
     UpstreamEntry* entry = find(id);
--- a/packages/direct/src/WaitDecision.cpp
+++ b/packages/direct/src/WaitDecision.cpp
@@ -6,6 +6,8 @@
 
 // How long a call waits for a target that is not loaded while the planner is absent and has given no estimate for it.
 constexpr auto maxWaitWithoutPlan = std::chrono::milliseconds(1500);
+// How long a call waits for the planner's estimate if this gateway may not send it to the upstreams that hold its model.
+constexpr auto maxWaitForEstimate = std::chrono::milliseconds(400);
 // How long a call waits while no upstream of its service is usable: the time it takes to detect a crashed upstream.
 constexpr auto maxWaitWithoutUpstream = std::chrono::milliseconds(400);
 
@@ -18,6 +20,15 @@
     return WaitDecision::Wait;
 }
 
+WaitDecision decideWaitForLimit(const BlockedCall& call, base::Instant now)
+{
+    // Another replica of the model is on its way.
+    if (call.expectedLoad && *call.expectedLoad + minRunTime <= call.answerStartDeadline)
+        return WaitDecision::Wait;
+    bool refuse = call.acceptedFrom ? *call.acceptedFrom + minRunTime > call.answerStartDeadline : now - call.arrived > maxWaitForEstimate;
+    return refuse ? WaitDecision::RefuseCallLimit : WaitDecision::Wait;
+}
+
 } // namespace
 
 WaitDecision decideWait(const BlockedCall& call, base::Instant now)
@@ -35,6 +46,8 @@
         decision = WaitDecision::RefuseOutsideRegions;
     else if (call.blockReason == BlockReason::Cold && call.acceptedFrom && *call.acceptedFrom + minRunTime > call.answerStartDeadline)
         decision = WaitDecision::RefuseCold;
+    else if (call.blockReason == BlockReason::CallLimit)
+        decision = decideWaitForLimit(call, now);
     if (decision != WaitDecision::Wait)
         return decision;
     return now + minRunTime > call.answerStartDeadline ? WaitDecision::RefuseOverloaded : WaitDecision::Wait;
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -138,6 +138,29 @@
     STRCMP_EQUAL("one", chosen(query).c_str());
 }
 
+// Guards against an upstream in need that goes on getting calls although another one holds the model.
+TEST(UpstreamSelection, AnUpstreamThatNamesALimitGetsNoCallFromAGatewayWithoutAPartOfIt)
+{
+    FleetShare share({}, base::InstanceId("edge-1"));
+    UpstreamCallLimits limits(share);
+    UpstreamDescription limited = engine("one", "m");
+    table.put(limited, now);
+    UpstreamQuery query = asks("m");
+    query.callLimits = &limits;
+    STRCMP_EQUAL("one", chosen(query).c_str());
+    limits.onAnswer(limited.id, limited.start, 2.0, now);
+    UpstreamSelection choice = selectUpstream(table, query, now);
+    CHECK_TRUE(choice.blockReason == BlockReason::CallLimit);
+    CHECK_FALSE(choice.acceptedFrom.has_value());
+    table.put(engine("two", "m"), now);
+    STRCMP_EQUAL("two", chosen(query).c_str());
+    // A free slot of the other one is waited for.
+    UpstreamEntry* other = table.find(base::UpstreamId("two"));
+    for (int64_t call = 0; call < other->description.slots; ++call)
+        table.onDispatched(other->description.id, now);
+    CHECK_TRUE(selectUpstream(table, query, now).blockReason == BlockReason::Full);
+}
+
 // Guards against calls to a domain that the operator has emptied, and against a rush to its engines afterwards: they may have
 // become cold meanwhile, which the list shows only later.
 TEST(UpstreamSelection, AnEvacuatedDomainGetsNoCallsAndIsColdAfterwards)
@@ -377,6 +400,13 @@
     STRCMP_EQUAL("x", loadBack.strikes.at(0).crash.value().c_str());
     STRCMP_EQUAL("h", loadBack.limits.silentPeers.at(0).value().c_str());
 
+    load.callLimits = { { base::UpstreamId("e"), StartId(8), 2.8, std::chrono::seconds(3) }, { base::UpstreamId("f"), StartId(9), std::nullopt, std::chrono::seconds(1) } };
+    loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
+    DOUBLES_EQUAL(2.8, loadBack.callLimits.at(0).limit.value_or(-1), 1e-9);
+    LONGS_EQUAL(3000, base::toMilliseconds(loadBack.callLimits.at(0).age));
+    CHECK_FALSE(loadBack.callLimits.at(1).limit.has_value());
+    LONGS_EQUAL(9, loadBack.callLimits.at(1).start.value());
+
     load.queued = { { { base::ServiceId("s"), base::ModelId("m") }, { { 1, { 4, 5 } } } } };
     loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     LONGS_EQUAL(4, loadBack.queued.begin()->second.at(1).inTime);
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -309,6 +309,34 @@
     expectOrders({ "load m at two" });
 }
 
+// Guards against calls that are refused for as long as the only engine with their model limits its calls.
+TEST(PlacementPlan, LoadsModelsThatALimitedEngineCannotServeElsewhere)
+{
+    addModel("m");
+    addModel("rare");
+    addEngine("limited", { "m", "rare" }).callLimit = 1.0;
+    addEngine("two", {});
+    // A tenth of a call a second each.
+    wait(model("m"), 0, 1);
+    wait(model("rare"), 0, 1);
+    expectOrders({});
+    wait(model("m"), 3, 0);
+    expectOrders({ "load m at two" });
+}
+
+// Guards against an engine in need that is given further models.
+TEST(PlacementPlan, ALimitedEngineGetsNoModelWhileAnotherCanTakeIt)
+{
+    addModel("m");
+    addEngine("limited", {}).callLimit = 1.0;
+    addEngine("two", {});
+    wait(model("m"));
+    expectOrders({ "load m at two" });
+    input.engines.pop_back();
+    PlacementPlanner alone { PlacementSettings {} };
+    CHECK_FALSE(alone.plan(input).orders.empty());
+}
+
 TEST(PlacementPlan, DoesNotWaitForAnEngineWithAnUnknownOrder)
 {
     // Guards against waiting for an engine whose order is unknown after a change of planners: its free memory made it the
--- a/packages/direct/test/WaitDecisionTest.cpp
+++ b/packages/direct/test/WaitDecisionTest.cpp
@@ -37,6 +37,29 @@
     expect(WaitDecision::RefuseCold, start);
 }
 
+// Guards against holding a call for an upstream in need that will take it only after its caller has left.
+TEST(WaitDecision, ACallThatALimitedUpstreamTakesTooLateIsRefusedAtOnce)
+{
+    call.blockReason = BlockReason::CallLimit;
+    call.acceptedFrom = start + second;
+    expect(WaitDecision::Wait, start);
+    call.acceptedFrom = start + 2 * second;
+    expect(WaitDecision::RefuseCallLimit, start);
+    // Another replica will be there in time.
+    call.expectedLoad = start + second;
+    expect(WaitDecision::Wait, start);
+}
+
+// Guards against holding a call until its deadline at a gateway that has no part of the limit: another gateway may have one.
+TEST(WaitDecision, ACallWithoutAPartOfALimitWaitsOnlyForThePlannersEstimate)
+{
+    call.blockReason = BlockReason::CallLimit;
+    expect(WaitDecision::Wait, start + std::chrono::milliseconds(100));
+    expect(WaitDecision::RefuseCallLimit, start + std::chrono::milliseconds(500));
+    call.expectedLoad = start + second;
+    expect(WaitDecision::Wait, start + std::chrono::milliseconds(500));
+}
+
 TEST(WaitDecision, ACallThatMayRunInNoRegionIsRefusedAtOnce)
 {
     call.blockReason = BlockReason::OutsideRegions;
