FleetRetryBudget: the reserve is there as soon as the gateway has its part

The settling time has passed without a retry from the reserve when a gateway gets its part, so the reserve is refilled for it; the bound is as before. AGatewayWithFewCallsRetriesThemFromItsShare now asks after 15 s for what it asked after 60 s, and failed before.

--- a/packages/direct/include/toucanstep/direct/FleetRetryBudget.h
+++ b/packages/direct/include/toucanstep/direct/FleetRetryBudget.h
@@ -11,7 +11,8 @@
 //    started has neither calls nor retries, so the bound needs no knowledge of other gateways and no memory across starts.
 //  - From its reserve, a token bucket that holds this gateway's part of half the slack and is refilled with that part once per
 //    window. At any time the parts of all gateways add up to half the slack (see FleetShare), and so do their reserves; the rest
-//    is refilled within a window. The reserve is empty at the start and while the gateway has no part.
+//    is refilled within a window. While the gateway has no part, at its start and for the settling time at least, the reserve is
+//    empty. It is refilled for that time when the gateway gets its part.
 
 #pragma once
 
@@ -89,6 +90,7 @@
         RecentCount calls;
         RecentCount earnedRetries;
         double reserve = 0;
+        bool hasPart = false;
         int64_t reserved = 0;
     };
     Service& serviceOf(const base::ServiceId&);
--- a/packages/direct/include/toucanstep/direct/FleetShare.h
+++ b/packages/direct/include/toucanstep/direct/FleetShare.h
@@ -46,6 +46,8 @@
     // The gateways of the list as it is now.
     void setListed(const std::set<base::InstanceId>&, base::Instant now);
 
+    // It takes at least this long until a gateway has a part, and has one again after it had none.
+    base::Duration settlingTime() const { return m_settings.settlingTime; }
     // Whether this gateway has a part at all.
     bool isSettled(base::Instant now) const;
     // This gateway's part of `amount` units of the resource; 0 unless settled.
--- a/packages/direct/src/FleetRetryBudget.cpp
+++ b/packages/direct/src/FleetRetryBudget.cpp
@@ -91,7 +91,9 @@
     m_lastTick = now;
     for (auto& [id, service] : m_services) {
         auto part = static_cast<double>(m_share.part(base::concat("retries/", id), m_settings.slack / reserveDivisor, now));
-        service.reserve = std::min(part, service.reserve + windows * part);
+        double refill = part > 0 && !service.hasPart ? base::toSeconds(m_share.settlingTime()) / base::toSeconds(m_settings.window) : windows;
+        service.hasPart = part > 0;
+        service.reserve = std::min(part, service.reserve + refill * part);
     }
 }
 
--- a/packages/direct/test/FleetRetryBudgetTest.cpp
+++ b/packages/direct/test/FleetRetryBudgetTest.cpp
@@ -145,7 +145,7 @@
 TEST(FleetRetryBudget, AGatewayWithFewCallsRetriesThemFromItsShare)
 {
     Fleet fleet(28);
-    fleet.advance(steps(std::chrono::seconds(60)), { .calls = 0 });
+    fleet.advance(steps(std::chrono::seconds(15)), { .calls = 0 });
     base::Instant from = fleet.now();
     fleet.advance(1, { .calls = 1, .interval = 1, .retries = 1 });
     LONGS_EQUAL(28, fleet.retriesSince(from));
