--- a/packages/direct/include/toucanstep/direct/Call.h
+++ b/packages/direct/include/toucanstep/direct/Call.h
@@ -67,9 +67,9 @@
     // The response carries the upstream's signature.
     bool hasSignature = false;
     bool streaming = false;
-    // The calls per second that the upstream takes from all gateways together; nothing if it names no limit.
+    // The calls per second that the upstream takes from all gateways together; nothing if it advertises none.
     std::optional<double> callLimit;
-    // It names a limit that is no number.
+    // It advertises a limit that is no number.
     bool callLimitUnreadable = false;
 };
 
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -53,7 +53,7 @@
     bool blocked = false;
     // Will be gone soon; its models are not counted as replicas.
     bool draining = false;
-    // The calls per second that it takes for all its models together, if it names a limit.
+    // The calls per second that it takes for all its models together, if it advertises a limit.
     std::optional<double> callLimit;
     size_t adaptersLoading = 0;
     // Adapters with an unload order that calls may still use.
--- a/packages/direct/include/toucanstep/direct/UpstreamCallLimits.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamCallLimits.h
@@ -1,6 +1,6 @@
-// Keeps the calls to upstreams that name a limit within it, over all gateways.
+// Keeps the calls to upstreams that advertise a limit within it, over all gateways.
 //
-// An upstream in need names in its answers how many calls per second it takes from all gateways together. It gets calls more
+// An overloaded upstream advertises in its answers how many calls per second it takes from all gateways together. It gets calls more
 // slowly from the first such answer on. A gateway that has heard an answer tells its peers, with the age of what it heard, and
 // the newest is in force; so gateways that send nothing there learn of changes too. An answer without a limit ends it. The
 // allowed rate then doubles every second until the limit is dropped, so that calls that wait do not arrive all at once.
@@ -27,7 +27,7 @@
 struct HeardCallLimit {
     base::UpstreamId upstream;
     StartId start;
-    // In calls per second over all gateways; nothing if an answer named none.
+    // In calls per second over all gateways; nothing if an answer advertised none.
     std::optional<double> limit;
     // Since the answer arrived.
     base::Duration age {};
@@ -38,7 +38,7 @@
     // The share must outlive this.
     explicit UpstreamCallLimits(const FleetShare&);
 
-    // An answer of the upstream named a limit, or none. Returns whether a limit has begun or ended.
+    // An answer of the upstream advertised a limit, or none. Returns whether a limit has begun or ended.
     bool onAnswer(const base::UpstreamId&, StartId, std::optional<double> limit, base::Instant now);
     // A peer has heard this. Returns whether a limit has begun or ended.
     bool onPeerHeard(const HeardCallLimit&, base::Instant now);
@@ -55,7 +55,7 @@
     double ownRate(const base::UpstreamId&, StartId, base::Instant now) const;
 
 private:
-    struct Named {
+    struct Advertised {
         StartId start;
         std::optional<double> limit;
         base::Instant asOf;
@@ -71,11 +71,11 @@
         base::Duration window {};
     };
 
-    bool setNamed(const base::UpstreamId&, Named);
+    bool setAdvertised(const base::UpstreamId&, Advertised);
     Part partOf(const base::UpstreamId&, double limit) const;
 
     const FleetShare& m_share;
-    std::map<base::UpstreamId, Named> m_named;
+    std::map<base::UpstreamId, Advertised> m_advertised;
     // Times of the last calls, oldest first.
     std::map<base::UpstreamId, std::deque<base::Instant>> m_calls;
 };
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamSelection.h
@@ -27,7 +27,7 @@
     // upstream is used as a warm one.
     std::optional<int64_t> coldCallsPerSecond;
     const ColdStartLimit* coldStarts = nullptr;
-    // The limits that upstreams name; null if none are known.
+    // The limits that upstreams advertise; null if none are known.
     const UpstreamCallLimits* callLimits = nullptr;
     // Regions in which the call may run, of its route and of its account. Null or empty for all.
     const std::set<base::RegionId>* routeRegions = nullptr;
@@ -47,7 +47,7 @@
     Full,
     // The upstreams that could run it are cold and get no further call from this gateway for now.
     Cold,
-    // The upstreams that could run it name a limit and get no further call from this gateway for now.
+    // The upstreams that could run it advertise a limit and get no further call from this gateway for now.
     CallLimit,
     // Every upstream of the service is outside the regions in which the call may run.
     OutsideRegions,
@@ -61,12 +61,12 @@
     // Of all upstreams that hold the target: their free slots, and the calls that they run.
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
-    // Set if the call is blocked because upstreams are cold or name a limit: when one of them takes it at the latest. Nothing if
+    // Set if the call is blocked because upstreams are cold or advertise a limit: when one of them takes it at the latest. Nothing if
     // this gateway has no part of their limits.
     std::optional<base::Instant> acceptedFrom;
-    // The rate at which upstreams that name a limit take calls of this gateway; set if they are why the call is blocked.
+    // The rate at which upstreams that advertise a limit take calls of this gateway; set if they are why the call is blocked.
     double limitedRate = 0;
-    // The chosen upstream names a limit.
+    // The chosen upstream advertises a limit.
     bool limited = false;
 };
 
--- a/packages/direct/include/toucanstep/direct/WaitDecision.h
+++ b/packages/direct/include/toucanstep/direct/WaitDecision.h
@@ -23,7 +23,7 @@
     std::optional<base::Instant> expectedLoad;
     // The planner has reported recently; without it nothing is loaded.
     bool plannerActive = true;
-    // When a cold upstream, or one that names a limit, takes the call after those that go first; only for these block reasons.
+    // When a cold upstream, or one that advertises a limit, takes the call after those that go first; only for these block reasons.
     std::optional<base::Instant> acceptedFrom;
 };
 
--- a/packages/direct/src/UpstreamCallLimits.cpp
+++ b/packages/direct/src/UpstreamCallLimits.cpp
@@ -22,33 +22,33 @@
 {
 }
 
-bool UpstreamCallLimits::setNamed(const base::UpstreamId& upstream, Named named)
+bool UpstreamCallLimits::setAdvertised(const base::UpstreamId& upstream, Advertised advertised)
 {
-    auto [place, isNew] = m_named.try_emplace(upstream, named);
+    auto [place, isNew] = m_advertised.try_emplace(upstream, advertised);
     if (isNew)
-        return named.limit.has_value();
-    const Named before = place->second;
-    bool wasLimited = before.start == named.start && before.limit;
-    if (before.start == named.start && !named.limit) {
-        named.ended = before.limit ? *before.limit : before.ended;
-        named.endedAt = before.limit ? named.asOf : before.endedAt;
+        return advertised.limit.has_value();
+    const Advertised before = place->second;
+    bool wasLimited = before.start == advertised.start && before.limit;
+    if (before.start == advertised.start && !advertised.limit) {
+        advertised.ended = before.limit ? *before.limit : before.ended;
+        advertised.endedAt = before.limit ? advertised.asOf : before.endedAt;
     }
-    place->second = named;
-    return wasLimited != named.limit.has_value();
+    place->second = advertised;
+    return wasLimited != advertised.limit.has_value();
 }
 
 bool UpstreamCallLimits::onAnswer(const base::UpstreamId& upstream, StartId start, std::optional<double> limit, base::Instant now)
 {
     // Most upstreams never name one.
-    return (limit || m_named.contains(upstream)) && setNamed(upstream, { start, limit, now, true });
+    return (limit || m_advertised.contains(upstream)) && setAdvertised(upstream, { start, limit, now, true });
 }
 
 bool UpstreamCallLimits::onPeerHeard(const HeardCallLimit& heard, base::Instant now)
 {
     base::Instant asOf = now - heard.age;
-    auto known = m_named.find(heard.upstream);
-    bool isNews = known == m_named.end() ? heard.limit.has_value() : asOf > known->second.asOf;
-    return isNews && setNamed(heard.upstream, { heard.start, heard.limit, asOf, false });
+    auto known = m_advertised.find(heard.upstream);
+    bool isNews = known == m_advertised.end() ? heard.limit.has_value() : asOf > known->second.asOf;
+    return isNews && setAdvertised(heard.upstream, { heard.start, heard.limit, asOf, false });
 }
 
 void UpstreamCallLimits::onCall(const base::UpstreamId& upstream, base::Instant now)
@@ -62,31 +62,31 @@
 
 void UpstreamCallLimits::remove(const base::UpstreamId& upstream)
 {
-    m_named.erase(upstream);
+    m_advertised.erase(upstream);
     m_calls.erase(upstream);
 }
 
 std::vector<HeardCallLimit> UpstreamCallLimits::heardLately(base::Instant now) const
 {
     std::vector<HeardCallLimit> heard;
-    for (const auto& [upstream, named] : m_named) {
-        if (named.own && now - named.asOf < tellingTime)
-            heard.push_back({ upstream, named.start, named.limit, now - named.asOf });
+    for (const auto& [upstream, advertised] : m_advertised) {
+        if (advertised.own && now - advertised.asOf < tellingTime)
+            heard.push_back({ upstream, advertised.start, advertised.limit, now - advertised.asOf });
     }
     return heard;
 }
 
 std::optional<double> UpstreamCallLimits::limit(const base::UpstreamId& upstream, StartId start, base::Instant now) const
 {
-    auto found = m_named.find(upstream);
-    if (found == m_named.end() || found->second.start != start)
+    auto found = m_advertised.find(upstream);
+    if (found == m_advertised.end() || found->second.start != start)
         return std::nullopt;
-    const Named& named = found->second;
-    if (named.limit)
-        return named.limit;
-    if (named.ended <= 0 || now - named.endedAt >= rampTime)
+    const Advertised& advertised = found->second;
+    if (advertised.limit)
+        return advertised.limit;
+    if (advertised.ended <= 0 || now - advertised.endedAt >= rampTime)
         return std::nullopt;
-    return named.ended * std::exp2(base::toSeconds(now - named.endedAt));
+    return advertised.ended * std::exp2(base::toSeconds(now - advertised.endedAt));
 }
 
 UpstreamCallLimits::Part UpstreamCallLimits::partOf(const base::UpstreamId& upstream, double limit) const
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -24,7 +24,7 @@
 constexpr double promptPrefixWeight = 1.5;
 // Cost of being cold: a call that another upstream can run leaves the few calls that a cold one tolerates to others.
 constexpr double coldWeight = 2;
-// Cost of naming a limit: the same for the few calls that such an upstream takes.
+// Cost of advertising a limit: the same for the few calls that such an upstream takes.
 constexpr double limitedWeight = 2;
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -138,8 +138,8 @@
     STRCMP_EQUAL("one", chosen(query).c_str());
 }
 
-// Guards against an upstream in need that goes on getting calls although another one holds the model.
-TEST(UpstreamSelection, AnUpstreamThatNamesALimitGetsNoCallFromAGatewayWithoutAPartOfIt)
+// Guards against an overloaded upstream that goes on getting calls although another one holds the model.
+TEST(UpstreamSelection, AnUpstreamThatAdvertisesALimitGetsNoCallFromAGatewayWithoutAPartOfIt)
 {
     FleetShare share({}, base::InstanceId("edge-1"));
     UpstreamCallLimits limits(share);
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -324,7 +324,7 @@
     expectOrders({ "load m at two" });
 }
 
-// Guards against an engine in need that is given further models.
+// Guards against an overloaded engine that is given further models.
 TEST(PlacementPlan, ALimitedEngineGetsNoModelWhileAnotherCanTakeIt)
 {
     addModel("m");
--- a/packages/direct/test/UpstreamCallLimitsTest.cpp
+++ b/packages/direct/test/UpstreamCallLimitsTest.cpp
@@ -40,7 +40,7 @@
     {
     }
 
-    // The engine names `limit` in its answers; nothing if it names none.
+    // The engine advertises `limit` in its answers; nothing if it advertises none.
     void advance(int steps, std::optional<double> limit, int callsPerStep = 3)
     {
         FleetModel::advance(steps, [&](Sender& gateway, base::Instant now) {
@@ -122,7 +122,7 @@
     LONGS_EQUAL(4 * 20 * 3, fleet.callsSince(from));
 }
 
-// Guards against an engine in need that is left alone while nobody can reach the store.
+// Guards against an overloaded engine that is left alone while nobody can reach the store.
 TEST(UpstreamCallLimits, GatewaysThatLoseTheStoreKeepTheirParts)
 {
     Fleet fleet(4);
@@ -157,7 +157,7 @@
     LONGS_EQUAL(0, limits.heardLately(now + std::chrono::seconds(11)).size());
 }
 
-// Guards against a limit that outlives the process that named it.
+// Guards against a limit that outlives the process that advertised it.
 TEST(UpstreamCallLimits, ARestartedUpstreamHasNoLimit)
 {
     base::Instant now { std::chrono::hours(1) };
--- a/packages/direct/test/WaitDecisionTest.cpp
+++ b/packages/direct/test/WaitDecisionTest.cpp
@@ -37,7 +37,7 @@
     expect(WaitDecision::RefuseCold, start);
 }
 
-// Guards against holding a call for an upstream in need that will take it only after its caller has left.
+// Guards against holding a call for an overloaded upstream that will take it only after its caller has left.
 TEST(WaitDecision, ACallThatALimitedUpstreamTakesTooLateIsRefusedAtOnce)
 {
     call.blockReason = BlockReason::CallLimit;
