UpstreamCallLimitsTest: gateways are excused for as long as the rule does

The property counted a gateway only while it had a part by the list, so one that had been cut off was left out for 13 s, the rule leaves it out for contact_ms. It now counts again 3 s after a start, cut or suspension, and a test lets 1, 6 and 11 of 12 gateways be cut off for 20 s and come back.

--- a/packages/direct/src/UpstreamCallLimits.cpp
+++ b/packages/direct/src/UpstreamCallLimits.cpp
@@ -39,7 +39,7 @@
 
 bool UpstreamCallLimits::onAnswer(const base::UpstreamId& upstream, StartId start, std::optional<double> limit, base::Instant now)
 {
-    // Most upstreams never name one.
+    // Most upstreams never advertise one.
     return (limit || m_advertised.contains(upstream)) && setAdvertised(upstream, { start, limit, now, true });
 }
 
--- a/packages/direct/test/FleetModel.h
+++ b/packages/direct/test/FleetModel.h
@@ -40,10 +40,21 @@
         gateway.share = std::make_unique<FleetShare>(FleetShareSettings {}, gateway.id);
         gateway.state = m_makeState(*gateway.share, number);
         gateway.running = true;
+        gateway.disturbedAt = m_now;
     }
     void stop(size_t number) { m_gateways[number].running = false; }
-    void setCutOff(size_t number, bool cutOff) { m_gateways[number].cutOff = cutOff; }
-    void setSuspended(size_t number, bool suspended) { m_gateways[number].suspended = suspended; }
+    void setCutOff(size_t number, bool cutOff)
+    {
+        m_gateways[number].cutOff = cutOff;
+        m_gateways[number].disturbedAt = m_now;
+    }
+    void setSuspended(size_t number, bool suspended)
+    {
+        m_gateways[number].suspended = suspended;
+        m_gateways[number].disturbedAt = m_now;
+    }
+    // Whether the gateway that acts has been neither started, cut off nor suspended for that long. To be called by a step.
+    bool isUndisturbed(base::Duration time) const { return !m_acting->cutOff && m_now - m_acting->disturbedAt >= time; }
     size_t size() const { return m_gateways.size(); }
     base::Instant now() const { return m_now; }
 
@@ -59,6 +70,7 @@
                 if (!gateway.cutOff)
                     talkToStore(gateway);
                 gateway.share->setMembership(gateway.registered, gateway.leaseEnd, m_now);
+                m_acting = &gateway;
                 act(*gateway.state, m_now);
             }
         }
@@ -112,6 +124,7 @@
         bool registered = false;
         base::Instant leaseEnd;
         base::Instant nextPoll;
+        base::Instant disturbedAt;
     };
 
     void talkToStore(Gateway& gateway)
@@ -134,6 +147,7 @@
     MakeState m_makeState;
     base::Instant m_now { std::chrono::hours(1) };
     std::vector<Gateway> m_gateways;
+    const Gateway* m_acting = nullptr;
     // In the store.
     std::map<base::InstanceId, base::Instant> m_leaseEnds;
 };
--- a/packages/direct/test/UpstreamCallLimitsTest.cpp
+++ b/packages/direct/test/UpstreamCallLimitsTest.cpp
@@ -16,6 +16,8 @@
 // The platform's rule: calls within this time, of gateways that have heard the limit for a while.
 constexpr auto ruleWindow = std::chrono::seconds(4);
 constexpr auto heardFor = std::chrono::milliseconds(500);
+// A gateway that was restarted, cut off or suspended does not count for this long.
+constexpr auto excusedFor = std::chrono::seconds(3);
 constexpr auto answerTime = std::chrono::milliseconds(200);
 
 double allowedCalls(double limit) { return limit * 4 * 1.5 + 5; }
@@ -23,11 +25,9 @@
 // A gateway that sends to the engine all that it may, and hears its answers a little later.
 struct Sender {
     explicit Sender(const FleetShare& fleetShare)
-        : share(fleetShare)
-        , limits(fleetShare)
+        : limits(fleetShare)
     {
     }
-    const FleetShare& share;
     UpstreamCallLimits limits;
     std::deque<base::Instant> answers;
     std::optional<base::Instant> firstAnswer;
@@ -50,8 +50,7 @@
                 if (!gateway.firstAnswer)
                     gateway.firstAnswer = now;
             }
-            // The rule excuses gateways that were cut off, suspended or restarted; these are not settled.
-            bool counts = gateway.firstAnswer && now - *gateway.firstAnswer >= heardFor && gateway.share.isSettled(now);
+            bool counts = gateway.firstAnswer && now - *gateway.firstAnswer >= heardFor && isUndisturbed(excusedFor);
             for (int call = 0; call < callsPerStep; ++call) {
                 auto next = gateway.limits.nextCall(engine, firstStart, now);
                 if (!next || *next > now)
@@ -136,6 +135,26 @@
     CHECK_TRUE(fleet.callsSince(from) <= 48);
 }
 
+// Guards against two parts of a fleet that both use the whole limit: gateways that were cut off keep their parts while the others
+// divide the limit among themselves.
+TEST(UpstreamCallLimits, GatewaysThatReachTheStoreAgainKeepToTheLimit)
+{
+    for (double limit : { 0.3, 1.0, 2.8, 7.5, 20.0 }) {
+        for (size_t cut : { 1, 6, 11 }) {
+            Fleet fleet(12);
+            fleet.advance(settled, std::nullopt, 0);
+            fleet.advance(steps(std::chrono::seconds(5)), limit);
+            base::Instant from = fleet.now();
+            for (bool cutOff : { true, false }) {
+                for (size_t number = 0; number < cut; ++number)
+                    fleet.setCutOff(number, cutOff);
+                fleet.advance(steps(std::chrono::seconds(20)), limit);
+            }
+            CHECK_TRUE(static_cast<double>(fleet.mostWithinWindow(from)) <= allowedCalls(limit));
+        }
+    }
+}
+
 // Guards against a gateway that sends nothing to the upstream and would never learn that its limit has changed or ended.
 TEST(UpstreamCallLimits, WhatPeersHaveHeardLastIsInForce)
 {
