http1: answers without framing, and none in chunks for HTTP/1.0 callers

A server can now answer with a body that ends with its connection: for upstreams' answers of which nobody has said that they are complete, and for stand-ins that behave so. If such an answer is given up, its connection is reset, as an orderly close would make it look whole. A caller of HTTP/1.0 got the chunk sizes as a part of the body; it now gets its body this way too.

Tests: three of Server; the one of HTTP/1.0 failed before.

--- a/packages/http1/include/toucanstep/http1/Message.h
+++ b/packages/http1/include/toucanstep/http1/Message.h
@@ -33,6 +33,8 @@
     // Path and query, as sent.
     std::string target;
     HeaderList headers;
+    // The caller understands chunks: HTTP/1.1.
+    bool acceptsChunks = true;
     // What the message itself says: HTTP/1.1 without `Connection: close`, or HTTP/1.0 with `keep-alive`.
     bool keepAlive = true;
 };
--- a/packages/http1/include/toucanstep/http1/Server.h
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -34,8 +34,12 @@
     std::string reason;
     // Without those that concern the connection and the framing.
     HeaderList headers;
-    // The body's length; nothing for a body that is sent in chunks until end().
+    // The body's length; nothing for a body that is sent in chunks until end(), or until the connection closes to a caller
+    // that does not understand chunks.
     std::optional<size_t> length;
+    // The body has neither a length nor chunks and ends with the connection, which claims nothing about it. The length is
+    // ignored.
+    bool untilClose = false;
 };
 
 // One request and its answer. Kept alive by whoever answers it.
@@ -51,7 +55,7 @@
     virtual void begin(AnswerHead) = 0;
     virtual void write(std::string_view piece) = 0;
     virtual void end() = 0;
-    // Ends the connection: the caller sees that the answer is not whole.
+    // Ends the connection so that the caller sees that the answer is not whole.
     virtual void abort() = 0;
     // Bytes of the answer that the caller has not taken yet.
     virtual size_t unsentBytes() const = 0;
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -111,6 +111,7 @@
         request.method = http_method_str(static_cast<http_method>(parser.method));
         request.target = std::move(head.text);
         request.headers = std::move(head.headers);
+        request.acceptsChunks = parser.http_major > 1 || (parser.http_major == 1 && parser.http_minor >= 1);
         request.keepAlive = http_should_keep_alive(&parser) != 0;
         listener->onRequestHead(std::move(request));
         return 0;
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -57,7 +57,7 @@
     std::string m_body;
     std::function<void()> m_onGone;
     bool m_gone = false;
-    bool m_chunked = false;
+    BodyFraming m_framing = BodyFraming::None;
     // The answer to HEAD has no body, whatever its headers say.
     bool m_bodiless = false;
     bool m_ended = false;
@@ -81,7 +81,15 @@
     void send(std::string_view bytes) { m_connection->write(bytes); }
     bool closesAfterAnswer() const;
     void answered();
+    // After the answer that is being given.
+    void closeAfterAnswer() { m_closing = true; }
     void close();
+    // Ends a body that only the end of its connection ends: an orderly close would make it look whole.
+    void reset()
+    {
+        m_connection->resetOnClose();
+        close();
+    }
     size_t unsentBytes() const { return m_connection->unsentBytes(); }
     bool idle() const { return !m_exchange && !m_parser.midMessage(); }
     // Closes it if it waits for a request, or has taken too long over one.
@@ -103,6 +111,7 @@
     base::Instant m_since;
     int m_unreadable = 0;
     bool m_consuming = false;
+    bool m_closing = false;
     // The last answer was given; nothing more is read.
     bool m_finished = false;
 };
@@ -209,16 +218,21 @@
     auto connection = m_connection.lock();
     if (!connection || m_gone)
         return;
-    m_chunked = !head.length;
+    if (head.untilClose || (!head.length && !m_head.acceptsChunks))
+        m_framing = BodyFraming::ToEnd;
+    else
+        m_framing = head.length ? BodyFraming::Length : BodyFraming::Chunked;
+    if (m_framing == BodyFraming::ToEnd)
+        connection->closeAfterAnswer();
     m_bodiless = m_head.method == "HEAD";
     std::string out = base::concat("HTTP/1.1 ", head.status, " ");
     out += head.reason.empty() ? std::string(reasonPhrase(head.status)) : head.reason;
     out += "\r\n";
     for (const Header& header : head.headers.all())
         appendHeader(out, header.name, header.value);
-    if (m_chunked)
+    if (m_framing == BodyFraming::Chunked)
         appendHeader(out, "Transfer-Encoding", "chunked");
-    else
+    else if (m_framing == BodyFraming::Length)
         appendHeader(out, "Content-Length", std::to_string(*head.length));
     if (connection->closesAfterAnswer())
         appendHeader(out, "Connection", "close");
@@ -231,7 +245,7 @@
     auto connection = m_connection.lock();
     if (!connection || m_gone || m_bodiless || piece.empty())
         return;
-    if (!m_chunked) {
+    if (m_framing != BodyFraming::Chunked) {
         connection->send(piece);
         return;
     }
@@ -246,7 +260,7 @@
     if (!connection || m_gone || std::exchange(m_ended, true))
         return;
     m_onGone = nullptr;
-    if (m_chunked && !m_bodiless)
+    if (m_framing == BodyFraming::Chunked && !m_bodiless)
         connection->send(lastChunk);
     connection->answered();
 }
@@ -255,7 +269,12 @@
 {
     m_onGone = nullptr;
     m_gone = true;
-    if (auto connection = m_connection.lock())
+    auto connection = m_connection.lock();
+    if (!connection)
+        return;
+    if (m_framing == BodyFraming::ToEnd)
+        connection->reset();
+    else
         connection->close();
 }
 
@@ -273,7 +292,7 @@
 
 bool CallerConnection::closesAfterAnswer() const
 {
-    return m_server.closing() || (m_exchange && !m_exchange->head().keepAlive);
+    return m_closing || m_server.closing() || (m_exchange && !m_exchange->head().keepAlive);
 }
 
 void CallerConnection::close()
@@ -405,7 +424,8 @@
 
 void ServerExchange::answer(AnswerHead head, std::string_view body)
 {
-    head.length = body.size();
+    if (!head.untilClose)
+        head.length = body.size();
     begin(std::move(head));
     write(body);
     end();
--- a/packages/http1/test/ServerTest.cpp
+++ b/packages/http1/test/ServerTest.cpp
@@ -44,6 +44,7 @@
         char buffer[4096];
         while (all.find(text) == std::string::npos) {
             ssize_t size = recv(m_socket, buffer, sizeof(buffer), 0);
+            m_reset = size < 0 && errno == ECONNRESET;
             if (size <= 0)
                 break;
             all.append(buffer, static_cast<size_t>(size));
@@ -51,9 +52,12 @@
         return all;
     }
     std::string readToEnd() { return readUntil("\x01never\x01"); }
+    // The last read found that the connection had been reset.
+    bool reset() const { return m_reset; }
 
 private:
     int m_socket;
+    bool m_reset = false;
 };
 
 bool contains(const std::string& text, std::string_view part) { return text.find(part) != std::string::npos; }
@@ -179,6 +183,57 @@
     CHECK_FALSE(contains(all, lastChunk));
 }
 
+TEST(Server, AnAnswerWithoutFramingClaimsNothingAboutItsEnd)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto exchange = next();
+    loop.runAndWait([&] {
+        AnswerHead head;
+        head.untilClose = true;
+        exchange->answer(head, "body");
+    });
+    std::string all = caller.readToEnd();
+    CHECK_TRUE(contains(all, "Connection: close\r\n"));
+    CHECK_TRUE(all.ends_with("\r\n\r\nbody"));
+    CHECK_FALSE(contains(all, "Content-Length") || contains(all, "chunked"));
+    CHECK_FALSE(caller.reset());
+}
+
+// Guards against an answer that only its connection ends and that looks whole since the connection is closed in order.
+TEST(Server, AnAnswerWithoutFramingIsResetIfItIsGivenUp)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    auto exchange = next();
+    loop.runAndWait([&] {
+        AnswerHead head;
+        head.untilClose = true;
+        exchange->begin(head);
+        exchange->write("part");
+    });
+    CHECK_TRUE(contains(caller.readUntil("part"), "part"));
+    loop.runAndWait([&] { exchange->abort(); });
+    caller.readToEnd();
+    CHECK_TRUE(caller.reset());
+}
+
+// Guards against chunk sizes that an HTTP/1.0 caller would take for a part of the body.
+TEST(Server, ACallerOfHttp10GetsNoChunks)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+    auto exchange = next();
+    loop.runAndWait([&] {
+        exchange->begin({});
+        exchange->write("body");
+        exchange->end();
+    });
+    std::string all = caller.readToEnd();
+    CHECK_TRUE(contains(all, "Connection: close\r\n"));
+    CHECK_TRUE(all.ends_with("\r\n\r\nbody"));
+}
+
 TEST(Server, TheAnswerToHeadHasNoBody)
 {
     RawCaller caller(port());
--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -52,6 +52,8 @@
     void setReading(bool);
     // Ends it at once; what is unsent is dropped. The listener hears nothing more.
     void close();
+    // From now on close() resets the connection, which tells the peer that bytes are missing.
+    void resetOnClose();
     // Ends it once all is handed to the system.
     void closeWhenDrained();
 
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -78,6 +78,13 @@
     m_unsent.clear();
 }
 
+void Connection::resetOnClose()
+{
+    linger option { 1, 0 };
+    if (m_socket)
+        setsockopt(m_socket.descriptor(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+}
+
 void Connection::closeWhenDrained()
 {
     m_listener = nullptr;
