direct: log how an upstream's answer told its end

No line said how an answer was framed, what came of it, or whether a stream ended inside an event, so an end of connection that is taken for the end of an answer, an upstream that frames a broken answer as complete, and a tail that the gateway loses could not be told apart.

call_ended has framing, answer_bytes and within_event. EventSplitter follows the events of all streams, each byte once; what is forwarded is as before.

--- a/packages/direct/src/EventSplitter.cpp
+++ b/packages/direct/src/EventSplitter.cpp
@@ -1,33 +1,38 @@
 #include "EventSplitter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucanstep::direct {
 
-namespace {
-
-// The end of the last complete event, or 0. A blank line ends an event; line ends may be LF or CRLF.
-size_t endOfWholeEvents(std::string_view text)
+std::string EventSplitter::feed(std::string_view piece)
 {
+    // Behind the last complete event of the piece. A blank line ends an event; line ends may be LF or CRLF.
     size_t end = 0;
-    for (std::string_view blankLine : { std::string_view("\n\n"), std::string_view("\n\r\n") }) {
-        size_t at = text.rfind(blankLine);
-        if (at != std::string_view::npos)
-            end = std::max(end, at + blankLine.size());
+    for (size_t at = 0; at < piece.size(); ++at) {
+        char character = piece[at];
+        if (character == '\n') {
+            if (m_atLineStart)
+                end = at + 1;
+            m_atLineStart = true;
+        } else if (character != '\r') {
+            m_atLineStart = false;
+        }
     }
-    return end;
+    std::string whole;
+    if (end) {
+        whole = std::exchange(m_partial, std::string());
+        whole.append(piece.substr(0, end));
+        recordEventIds(whole);
+    }
+    m_partial.append(piece.substr(end));
+    return whole;
 }
 
-} // namespace
-
-std::string EventSplitter::feed(std::string_view piece)
+void EventSplitter::dropPartial()
 {
-    m_partial.append(piece);
-    size_t end = endOfWholeEvents(m_partial);
-    std::string whole = m_partial.substr(0, end);
-    m_partial.erase(0, end);
-    recordEventIds(whole);
-    return whole;
+    m_partial.clear();
+    m_atLineStart = true;
 }
 
 void EventSplitter::recordEventIds(std::string_view events)
--- a/packages/direct/src/EventSplitter.h
+++ b/packages/direct/src/EventSplitter.h
@@ -12,7 +12,7 @@
     // Appends a piece of the stream and returns what can be forwarded: everything up to the end of the last complete event.
     std::string feed(std::string_view piece);
     // Drops an incomplete event; the stream resumes elsewhere after lastId().
-    void dropPartial() { m_partial.clear(); }
+    void dropPartial();
     bool hasPartial() const { return !m_partial.empty(); }
     // Empty before the first event with an id.
     const std::string& lastId() const { return m_lastId; }
@@ -21,6 +21,8 @@
     void recordEventIds(std::string_view events);
 
     std::string m_partial;
+    // Nothing of the current line but its end has come.
+    bool m_atLineStart = true;
     std::string m_lastId;
 };
 
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -380,12 +380,14 @@
     m_receivedHead = true;
     m_bufferedBody.clear();
     m_passThrough = false;
+    m_answerBytes = 0;
 }
 
 void ProxiedCall::onBody(std::string_view piece)
 {
     m_dispatcher.onUpstreamHeard(m_upstream);
     auto self = shared_from_this();
+    m_answerBytes += piece.size();
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
     bool accepted = m_responseHead.status < firstRedirectStatus && m_responseMetadata.hasSignature && !foreign;
     if (accepted && m_responseMetadata.streaming) {
@@ -394,7 +396,8 @@
         else
             m_longestPause = std::max(m_longestPause, m_dispatcher.now() - m_lastPiece);
         m_lastPiece = m_dispatcher.now();
-        m_callerExchange->write(m_route->resumable ? m_events.feed(piece) : std::string(piece));
+        std::string whole = m_events.feed(piece);
+        m_callerExchange->write(m_route->resumable ? whole : std::string(piece));
         return;
     }
     m_bufferedBody.append(piece);
@@ -439,6 +442,7 @@
 void ProxiedCall::onWhole()
 {
     auto self = shared_from_this();
+    m_endedWithinEvent = m_events.hasPartial();
     if (!m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id) {
         fail("the answer belongs to another request");
         return;
@@ -460,7 +464,7 @@
         fail("the upstream that was to go on with the stream refused");
         return;
     }
-    if (streamed && m_events.hasPartial()) {
+    if (streamed && m_route->resumable && m_events.hasPartial()) {
         fail("the stream ended within an event");
         return;
     }
@@ -548,6 +552,7 @@
 void ProxiedCall::onBroken(http1::Breakage breakage)
 {
     auto self = shared_from_this();
+    m_endedWithinEvent = m_events.hasPartial();
     if (breakage == http1::Breakage::NotSent) {
         --m_possibleRuns;
         if (m_paidRetry) {
@@ -682,6 +687,8 @@
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_firstBlockReason)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("pause_ms", base::toMilliseconds(m_longestPause)).add("total_ms", base::toMilliseconds(time - m_arrived));
+    if (m_receivedHead)
+        line.add("framing", http1::toText(m_responseHead.framing)).add("answer_bytes", m_answerBytes).add("within_event", m_endedWithinEvent ? "yes" : "no");
     m_dispatcher.metrics().count("toucanstep_calls_total", base::concat("outcome=\"", outcome, "\""));
     m_dispatcher.metrics().observe("toucanstep_call_seconds", "", base::toSeconds(time - m_arrived));
     m_dispatcher.onCallEnded(*this);
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -155,6 +155,10 @@
     http1::ResponseHead m_responseHead;
     ResponseMetadata m_responseMetadata;
     bool m_receivedHead = false;
+    // Of the body of the upstream's last answer.
+    size_t m_answerBytes = 0;
+    // That answer was a stream and ended within an event; for the log.
+    bool m_endedWithinEvent = false;
     std::string m_bufferedBody;
     bool m_passThrough = false;
     EventSplitter m_events;
--- a/packages/http1/include/toucanstep/http1/Message.h
+++ b/packages/http1/include/toucanstep/http1/Message.h
@@ -47,6 +47,8 @@
     ToEnd,
 };
 
+std::string_view toText(BodyFraming);
+
 struct ResponseHead {
     int status = 0;
     std::string reason;
--- a/packages/http1/src/Message.cpp
+++ b/packages/http1/src/Message.cpp
@@ -27,6 +27,21 @@
         && std::equal(left.begin(), left.end(), right.begin(), [](char a, char b) { return lowered(a) == lowered(b); });
 }
 
+std::string_view toText(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunked:
+        return "chunked";
+    case BodyFraming::ToEnd:
+        break;
+    }
+    return "to_end";
+}
+
 std::string_view trimmed(std::string_view text)
 {
     constexpr std::string_view blanks = " \t";
