A stream ends with its last event, not with its connection (ORDER)

What callers saw: a stream that its engine had broken off in the middle of an event came with the last chunk, as if it were complete, and the caller did not ask again.

Cause: an engine that answers without length and chunks ends its answer with its connection, and the connection of one that crashes is closed in order too. http1::Client reports both as whole, and only streams of resumable routes were held against their events. Class: the end of a connection taken for the end of a message.

Change: events are followed on all routes, and only whole ones are forwarded. A stream whose connection ends inside an event, or before any event where nothing else frames it, takes the path of a reset connection: it goes on elsewhere if it may, its caller's answer is aborted or 502 otherwise, and the upstream is marked. The answer to the caller begins with the first whole event, so a stream that is cut before can run again.

--- a/packages/direct/src/EventSplitter.cpp
+++ b/packages/direct/src/EventSplitter.cpp
@@ -23,6 +23,7 @@
     if (end) {
         whole = std::exchange(m_partial, std::string());
         whole.append(piece.substr(0, end));
+        m_partialReleased = false;
         recordEventIds(whole);
     }
     m_partial.append(piece.substr(end));
@@ -35,6 +36,13 @@
     m_atLineStart = true;
 }
 
+std::string EventSplitter::releasePartial()
+{
+    m_partialReleased = true;
+    m_lastId.clear();
+    return std::exchange(m_partial, std::string());
+}
+
 void EventSplitter::recordEventIds(std::string_view events)
 {
     constexpr std::string_view field = "id:";
--- a/packages/direct/src/EventSplitter.h
+++ b/packages/direct/src/EventSplitter.h
@@ -13,7 +13,11 @@
     std::string feed(std::string_view piece);
     // Drops an incomplete event; the stream resumes elsewhere after lastId().
     void dropPartial();
-    bool hasPartial() const { return !m_partial.empty(); }
+    bool hasPartial() const { return m_partialReleased || !m_partial.empty(); }
+    size_t partialBytes() const { return m_partial.size(); }
+    // Hands out the beginning of an event that is too large to be held. The stream cannot resume from within that event, so
+    // lastId() is empty until the next one is complete.
+    std::string releasePartial();
     // Empty before the first event with an id.
     const std::string& lastId() const { return m_lastId; }
 
@@ -21,6 +25,7 @@
     void recordEventIds(std::string_view events);
 
     std::string m_partial;
+    bool m_partialReleased = false;
     // Nothing of the current line but its end has come.
     bool m_atLineStart = true;
     std::string m_lastId;
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -391,13 +391,7 @@
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
     bool accepted = m_responseHead.status < firstRedirectStatus && m_responseMetadata.hasSignature && !foreign;
     if (accepted && m_responseMetadata.streaming) {
-        if (!m_firstByte)
-            startStreaming();
-        else
-            m_longestPause = std::max(m_longestPause, m_dispatcher.now() - m_lastPiece);
-        m_lastPiece = m_dispatcher.now();
-        std::string whole = m_events.feed(piece);
-        m_callerExchange->write(m_route->resumable ? whole : std::string(piece));
+        forwardEvents(piece);
         return;
     }
     m_bufferedBody.append(piece);
@@ -411,6 +405,21 @@
     }
 }
 
+void ProxiedCall::forwardEvents(std::string_view piece)
+{
+    std::string events = m_events.feed(piece);
+    if (m_events.partialBytes() > maxBufferedAnswerBytes)
+        events += m_events.releasePartial();
+    if (events.empty())
+        return;
+    if (!m_firstByte)
+        startStreaming();
+    else
+        m_longestPause = std::max(m_longestPause, m_dispatcher.now() - m_lastPiece);
+    m_lastPiece = m_dispatcher.now();
+    m_callerExchange->write(events);
+}
+
 namespace {
 
 http1::HeaderList endToEndHeaders(const http1::ResponseHead& head)
@@ -464,8 +473,8 @@
         fail("the upstream that was to go on with the stream refused");
         return;
     }
-    if (streamed && m_route->resumable && m_events.hasPartial()) {
-        fail("the stream ended within an event");
+    if (m_responseHead.status < firstRedirectStatus && m_responseMetadata.streaming && streamEndedEarly()) {
+        onBroken(http1::Breakage::Broken);
         return;
     }
     int status = m_responseHead.status;
@@ -478,6 +487,13 @@
     finish("answered", status);
 }
 
+bool ProxiedCall::streamEndedEarly() const
+{
+    // An upstream that crashes closes its connection like one that has finished. Without framing only the events tell them apart.
+    bool empty = m_responseHead.framing == http1::BodyFraming::ToEnd && !m_answerBytes;
+    return empty || m_events.hasPartial();
+}
+
 void ProxiedCall::onRejected()
 {
     --m_possibleRuns;
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -85,6 +85,10 @@
     void onRejected();
     void onServerError();
     void deliverBufferedAnswer();
+    // Forwards the events that the piece completes.
+    void forwardEvents(std::string_view piece);
+    // The answer is a stream whose connection has ended in order, but not its last event.
+    bool streamEndedEarly() const;
     void startStreaming();
     // `reason` is for the log.
     bool tryRetry(std::string_view reason);
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -483,6 +483,20 @@
     CHECK_FALSE(events.hasPartial());
 }
 
+TEST(EventSplitter, AStreamCannotResumeFromWithinAnEventThatIsTooLargeToHold)
+{
+    EventSplitter events;
+    events.feed("id: 1\ndata: a\n\nid: 2\ndata: ");
+    STRCMP_EQUAL("id: 2\ndata: ", events.releasePartial().c_str());
+    CHECK_TRUE(events.hasPartial());
+    STRCMP_EQUAL("", events.lastId().c_str());
+    events.dropPartial();
+    CHECK_TRUE(events.hasPartial());
+    STRCMP_EQUAL("b\n\nid: 3\ndata: c\n\n", events.feed("b\n\nid: 3\ndata: c\n\n").c_str());
+    CHECK_FALSE(events.hasPartial());
+    STRCMP_EQUAL("3", events.lastId().c_str());
+}
+
 TEST(EventSplitter, EventsDoNotDependOnChunkBoundaries)
 {
     CHECK_PROPERTY([] {
