--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -445,7 +445,10 @@
 void ProxiedCall::deliverBufferedAnswer()
 {
     m_firstByte = m_dispatcher.now();
-    m_callerExchange->answer({ m_responseHead.status, m_responseHead.reason, endToEndHeaders(m_responseHead), std::nullopt }, m_bufferedBody);
+    http1::AnswerHead head { m_responseHead.status, m_responseHead.reason, endToEndHeaders(m_responseHead), std::nullopt };
+    // A length would state that the body is complete, which the upstream has not.
+    head.untilClose = m_responseHead.framing == http1::BodyFraming::ToEnd;
+    m_callerExchange->answer(std::move(head), m_bufferedBody);
 }
 
 void ProxiedCall::onWhole()
