A silent upstream's incomplete event is dropped only if the stream moves (ORDER)

What callers saw: a resumable stream without the beginning of an event, joined to the next one. Its engine had fallen silent for over a second within an event; the gateway dropped what it held of it before it asked the retry budget, the retry was not granted, and the engine went on. One event in the answer then had a part only.

Cause: state is given up before the decision that makes it useless. The incomplete event is now dropped once the call does move. onBroken drops it too, where the connection is gone in any case.

--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -604,10 +604,10 @@
 {
     if (!inFlight() || !m_route->mayRepeat())
         return;
-    m_events.dropPartial();
     bool resumable = m_route->resumable && !m_events.lastId().empty();
     if ((m_firstByte && !resumable) || !tryRetry("silent"))
         return;
+    m_events.dropPartial();
     base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("reason", "silent");
     dispatchOrWait();
 }
