--- a/packages/direct/include/toucanstep/direct/Call.h
+++ b/packages/direct/include/toucanstep/direct/Call.h
@@ -71,6 +71,12 @@
     std::optional<double> callLimit;
     // It advertises a limit that is no number.
     bool callLimitUnreadable = false;
+    // The upstream leaves: it takes no new calls.
+    bool leaving = false;
+    // The upstream has turned the call away and asks this gateway for no further one for so long.
+    std::optional<base::Duration> retryAfter;
+    // It asks for a time that is no number.
+    bool retryAfterUnreadable = false;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -501,7 +501,7 @@
 {
     --m_possibleRuns;
     m_dispatcher.metrics().count("toucanstep_rejected_by_upstream_total");
-    base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends);
+    base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends).add("retry_after_ms", m_responseMetadata.retryAfter ? base::toMilliseconds(*m_responseMetadata.retryAfter) : -1);
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
     if (m_sends < maxSends && timeLeft() > minRunTime && tryReserveRetry("rejected")) {
         dispatchOrWait();
@@ -706,6 +706,8 @@
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_firstBlockReason)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("pause_ms", base::toMilliseconds(m_longestPause)).add("total_ms", base::toMilliseconds(time - m_arrived));
+    if (m_responseMetadata.leaving)
+        line.add("upstream_leaving", "yes");
     if (m_receivedHead)
         line.add("framing", http1::toText(m_responseHead.framing)).add("answer_bytes", m_answerBytes).add("within_event", m_endedWithinEvent ? "yes" : "no");
     m_dispatcher.metrics().count("toucanstep_calls_total", base::concat("outcome=\"", outcome, "\""));
