--- /dev/null
+++ b/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
@@ -0,0 +1,46 @@
+// When upstreams take requests of this gateway, by what they have said of it in their answers.
+//
+// An upstream that rejects a request may ask this gateway for a pause. It is kept to the end, whatever the list of upstreams says
+// meanwhile: the upstream counts what arrives by its own clock. Afterwards the gateway begins with one request and doubles the
+// number that may await their answers with each answer that is no rejection, since all gateways may have waited for the same moment.
+//
+// An upstream that says that it leaves gets no further request until it has started again.
+
+#pragma once
+
+#include "toucanstep/base/StrongTypes.h"
+#include "toucanstep/base/Time.h"
+#include "toucanstep/direct/Upstream.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace toucanstep::direct {
+
+class UpstreamAvailability {
+public:
+    // The upstream has asked for no request until then. Returns whether a pause has begun.
+    bool onPauseAsked(const base::UpstreamId&, base::Instant until, base::Instant now);
+    // The upstream has begun an answer that is no rejection. Returns whether it takes more requests than before.
+    bool onAccepted(const base::UpstreamId&, base::Instant now);
+
+    // The end of the pause; nothing if there is none.
+    std::optional<base::Instant> pausedUntil(const base::UpstreamId&, base::Instant now) const;
+    // How many requests of this gateway may await their answers after a pause; nothing if the number is not limited.
+    std::optional<int64_t> maxAwaiting(const base::UpstreamId&, base::Instant now) const;
+
+    // Drops what is over.
+    void expire(base::Instant now);
+
+private:
+    struct Pause {
+        base::Instant until;
+        int64_t maxAwaiting = 1;
+    };
+
+    std::map<base::UpstreamId, Pause> m_pauses;
+};
+
+} // namespace toucanstep::direct
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamSelection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "toucanstep/direct/ColdStartLimit.h"
+#include "toucanstep/direct/UpstreamAvailability.h"
 #include "toucanstep/direct/UpstreamCallLimits.h"
 #include "toucanstep/direct/UpstreamTable.h"
 
@@ -29,6 +30,8 @@
     const ColdStartLimit* coldStarts = nullptr;
     // The limits that upstreams advertise; null if none are known.
     const UpstreamCallLimits* callLimits = nullptr;
+    // The pauses that upstreams have asked for; null if none are known.
+    const UpstreamAvailability* availability = nullptr;
     // Regions in which the call may run, of its route and of its account. Null or empty for all.
     const std::set<base::RegionId>* routeRegions = nullptr;
     const std::set<base::RegionId>* accountRegions = nullptr;
@@ -49,6 +52,8 @@
     Cold,
     // The upstreams that could run it advertise a limit and get no further call from this gateway for now.
     CallLimit,
+    // The upstreams that could run it have asked this gateway for a pause, or take few calls after one.
+    Paused,
     // Every upstream of the service is outside the regions in which the call may run.
     OutsideRegions,
 };
@@ -61,13 +66,13 @@
     // Of all upstreams that hold the target: their free slots, and the calls that they run.
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
-    // Set if the call is blocked because upstreams are cold or advertise a limit: when one of them takes it at the latest. Nothing if
-    // this gateway has no part of their limits.
+    // Set if the call is blocked because upstreams are cold, advertise a limit or have asked for a pause: when one of them takes it at
+    // the latest. Nothing if this gateway has no part of their limits.
     std::optional<base::Instant> acceptedFrom;
     // The rate at which upstreams that advertise a limit take calls of this gateway; set if they are why the call is blocked.
     double limitedRate = 0;
-    // The chosen upstream advertises a limit.
-    bool limited = false;
+    // Why the chosen upstream takes few calls: CallLimit, Paused or None.
+    BlockReason limitedBy = BlockReason::None;
 };
 
 UpstreamSelection selectUpstream(const UpstreamTable&, const UpstreamQuery&, base::Instant now);
--- a/packages/direct/include/toucanstep/direct/WaitDecision.h
+++ b/packages/direct/include/toucanstep/direct/WaitDecision.h
@@ -23,7 +23,8 @@
     std::optional<base::Instant> expectedLoad;
     // The planner has reported recently; without it nothing is loaded.
     bool plannerActive = true;
-    // When a cold upstream, or one that advertises a limit, takes the call after those that go first; only for these block reasons.
+    // When a cold upstream, or one that advertises a limit or has asked for a pause, takes the call after those that go first; only for
+    // these block reasons.
     std::optional<base::Instant> acceptedFrom;
 };
 
@@ -35,6 +36,7 @@
     RefuseOutsideRegions,
     RefuseCold,
     RefuseCallLimit,
+    RefusePaused,
     RefuseOverloaded,
 };
 
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -183,7 +183,7 @@
     return std::count_if(m_waiting.begin(), m_waiting.end(), [&](const auto& entry) {
         const ProxiedCall& other = *entry.second;
         bool earlier = !call.waitNumber() || other.waitNumber() < call.waitNumber();
-        return other.queue() == call.queue() && other.blockReason() == BlockReason::CallLimit && (other.priority() < call.priority() || (other.priority() == call.priority() && earlier));
+        return other.queue() == call.queue() && (other.blockReason() == BlockReason::CallLimit || other.blockReason() == BlockReason::Paused) && (other.priority() < call.priority() || (other.priority() == call.priority() && earlier));
     });
 }
 
@@ -254,8 +254,9 @@
         if (blockReason == BlockReason::None)
             continue;
         call->setBlockReason(blockReason);
-        // Each of the calls that wait for a limit has its own time to go.
-        if (call->neverSent() && blockReason != BlockReason::CallLimit) {
+        // Each of the calls that wait for a limit or the end of a pause has its own time to go.
+        bool hasOwnTime = blockReason == BlockReason::CallLimit || blockReason == BlockReason::Paused;
+        if (call->neverSent() && !hasOwnTime) {
             blockedQueues.emplace(std::pair(key, true), blockReason);
             if (!late)
                 blockedQueues.emplace(std::pair(key, false), blockReason);
@@ -274,6 +275,7 @@
     m_upstreams.expireNotices(time);
     m_quarantine.expire(time);
     m_retryBudget.tick(time);
+    m_availability.expire(time);
     strikeConfirmedCrashes();
     if (!m_tokenQueue.empty())
         processTokenQueue();
@@ -304,6 +306,25 @@
     m_crashDetector.onHeard(upstream, now());
 }
 
+void CallDispatcher::onUpstreamState(const base::UpstreamId& upstream, const ResponseMetadata& answer, bool accepted)
+{
+    if (answer.hasSignature || answer.notRun)
+        onCallLimit(upstream, answer);
+    onAvailabilityStated(upstream, answer);
+    if (accepted && m_availability.onAccepted(upstream, now()))
+        wakeWaiting();
+}
+
+void CallDispatcher::onAvailabilityStated(const base::UpstreamId& upstream, const ResponseMetadata& answer)
+{
+    if (answer.retryAfterUnreadable)
+        m_metrics.count("toucanstep_unreadable_entries_total", "what=\"retry_after\"");
+    if (!answer.retryAfter || !m_availability.onPauseAsked(upstream, now() + *answer.retryAfter, now()))
+        return;
+    m_metrics.count("toucanstep_upstream_pauses_total");
+    base::LogLine("upstream_paused").add("upstream", upstream).add("for_ms", base::toMilliseconds(*answer.retryAfter));
+}
+
 void CallDispatcher::onCallLimit(const base::UpstreamId& upstream, const ResponseMetadata& answer)
 {
     if (answer.callLimitUnreadable) {
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -15,6 +15,7 @@
 #include "toucanstep/direct/QueueDiscipline.h"
 #include "toucanstep/direct/SlotShare.h"
 #include "toucanstep/direct/TokenQueue.h"
+#include "toucanstep/direct/UpstreamAvailability.h"
 #include "toucanstep/direct/UpstreamCallLimits.h"
 #include "toucanstep/direct/UpstreamSelection.h"
 #include "toucanstep/direct/UpstreamTable.h"
@@ -105,6 +106,7 @@
     // The part of the running calls that end between two load reports.
     double turnover(const ModelQueue&) const;
     UpstreamCallLimits& callLimits() { return m_callLimits; }
+    const UpstreamAvailability& availability() const { return m_availability; }
     // In force at the upstream, in calls per second over all gateways; nothing without a limit.
     std::optional<double> callLimitOf(const base::UpstreamId&) const;
     void onPeerHeardCallLimit(const HeardCallLimit&);
@@ -116,8 +118,10 @@
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
     void onUpstreamHeard(const base::UpstreamId&);
-    // What an answer of the upstream says of its limit.
-    void onCallLimit(const base::UpstreamId&, const ResponseMetadata&);
+    // What the answer to a call says of the upstream itself. `accepted` if the answer is no rejection.
+    void onUpstreamState(const base::UpstreamId&, const ResponseMetadata&, bool accepted);
+    // What any answer, also to an order, says of when the upstream takes requests.
+    void onAvailabilityStated(const base::UpstreamId&, const ResponseMetadata&);
     // The connection broke during the call, so its request may have crashed the upstream.
     void reportSuspectedCrash(const base::UpstreamId&, const routing::RequestFingerprint&);
     std::vector<routing::StrikeMessage> recentStrikes();
@@ -129,6 +133,7 @@
     void strikeConfirmedCrashes();
     void processTokenQueue();
     void processQueue();
+    void onCallLimit(const base::UpstreamId&, const ResponseMetadata&);
     void logCallLimit(const base::UpstreamId&, std::optional<double> limit, std::string_view source);
     // In dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder() const;
@@ -160,6 +165,7 @@
     ColdStartLimit m_coldStarts;
     FleetRetryBudget m_retryBudget;
     UpstreamCallLimits m_callLimits;
+    UpstreamAvailability m_availability;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -14,13 +14,13 @@
 
 } // namespace
 
-EngineController::EngineController(io::EventLoop& loop, http1::Client& client, const WireFormat& format, std::string holder, std::function<void()> onFenced, std::function<void()> onChange)
+EngineController::EngineController(io::EventLoop& loop, http1::Client& client, const WireFormat& format, const UpstreamAvailability& availability, std::string holder, Handlers handlers)
     : m_loop(loop)
     , m_client(client)
     , m_format(format)
+    , m_availability(availability)
     , m_holder(std::move(holder))
-    , m_onFenced(std::move(onFenced))
-    , m_onChange(std::move(onChange))
+    , m_handlers(std::move(handlers))
 {
 }
 
@@ -97,6 +97,8 @@
             }
         }
         planned.push_back(engine->planningState(entry, now));
+        planned.back().pausedUntil = m_availability.pausedUntil(id, now);
+        planned.back().blocked |= planned.back().pausedUntil.has_value();
         planned.back().draining |= table.isEvacuated(entry);
     }
     auto storeLoads = static_cast<size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) { return item.second->loadsFromStore(); }));
@@ -108,7 +110,7 @@
 void EngineController::tick(base::Instant now)
 {
     for (auto& [id, engine] : m_engines) {
-        if (engine->reportDue(now))
+        if (engine->reportDue(now) && !m_availability.pausedUntil(id, now))
             fetchReport(engine);
     }
 }
@@ -125,7 +127,7 @@
             return;
         }
         if (target->onReport(*report, m_loop.now(), m_storeLimit))
-            m_onChange();
+            m_handlers.onChange();
     });
 }
 
@@ -133,9 +135,13 @@
 {
     const UpstreamDescription& described = engine->description();
     http1::fetch(m_loop, m_client, { described.id.value(), described.endpoint }, request.method, request.target, request.headers, request.body, m_loop.now() + controlTimeout,
-        [handler = std::move(handler), weak = std::weak_ptr(engine)](const base::Outcome<http1::FetchedAnswer>& outcome) {
-            if (EnginePointer target = weak.lock())
-                handler(target, outcome);
+        [this, handler = std::move(handler), weak = std::weak_ptr(engine)](const base::Outcome<http1::FetchedAnswer>& outcome) {
+            EnginePointer target = weak.lock();
+            if (!target)
+                return;
+            if (const auto* answer = std::get_if<http1::FetchedAnswer>(&outcome))
+                m_handlers.onAnswer(target->description().id, m_format.readVerdict({ answer->status, "", answer->headers }));
+            handler(target, outcome);
         });
 }
 
@@ -149,7 +155,7 @@
     order.fence = m_fence;
     base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("source", toText(planned.source)).add("expected_ms", base::toMilliseconds(planned.expected)).add("expected_orders", order.expectedOrders).add("fence", m_fence);
     if (planned.kind == OrderKind::Unload)
-        m_onChange();
+        m_handlers.onChange();
     sendRequest(found->second, m_format.orderRequest(order), [this, planned](const EnginePointer& target, const base::Outcome<http1::FetchedAnswer>& answered) {
         OrderOutcome outcome = OrderOutcome::Unknown;
         if (const auto* answer = std::get_if<http1::FetchedAnswer>(&answered))
@@ -166,7 +172,7 @@
     base::LogLine("order_answered").add("upstream", order.upstream).add("model", order.target.model).add("adapter", order.target.adapter).add("outcome", static_cast<int64_t>(outcome));
     engine->onAnswered(order, outcome, now);
     if (outcome == OrderOutcome::Fenced) {
-        m_onFenced();
+        m_handlers.onFenced();
         return;
     }
     if (outcome != OrderOutcome::Accepted || order.kind != OrderKind::Load || order.target.adapter.empty())
@@ -174,7 +180,7 @@
     m_loop.at(now + adapterLoadTime, [this, order, weak = std::weak_ptr(engine)] {
         if (EnginePointer target = weak.lock()) {
             target->announce(order.target, true, m_loop.now());
-            m_onChange();
+            m_handlers.onChange();
         }
     });
 }
--- a/packages/direct/src/EngineController.h
+++ b/packages/direct/src/EngineController.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "EngineRecord.h"
+#include "toucanstep/direct/UpstreamAvailability.h"
 #include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
@@ -18,8 +19,14 @@
 
 class EngineController {
 public:
-    // `onFenced` is called when an engine has seen a newer planner's order, `onChange` when the notices have changed.
-    EngineController(io::EventLoop&, http1::Client&, const WireFormat&, std::string holder, std::function<void()> onFenced, std::function<void()> onChange);
+    // `onFenced` is called when an engine has seen a newer planner's order, `onChange` when the notices have changed, `onAnswer` with
+    // what each answer says of the engine. The availability must outlive this.
+    struct Handlers {
+        std::function<void()> onFenced;
+        std::function<void()> onChange;
+        std::function<void(const base::UpstreamId&, const ResponseMetadata&)> onAnswer;
+    };
+    EngineController(io::EventLoop&, http1::Client&, const WireFormat&, const UpstreamAvailability&, std::string holder, Handlers);
     ~EngineController();
 
     // Starts a new term as the planner: drops the state of all engines.
@@ -33,7 +40,7 @@
     // The planner's input for the engines of a service. Adds records for new engines, whose reports are then due.
     std::vector<PlannedEngine> engines(const UpstreamTable&, const base::ServiceId&, base::Instant now);
     void execute(const PlannedOrder&, base::Instant now);
-    // Fetches the reports that are due.
+    // Fetches the reports that are due, but those of engines that have asked for a pause.
     void tick(base::Instant now);
     // Changes that the list may not show yet.
     std::vector<LoadedNotice> notices() const;
@@ -50,9 +57,9 @@
     io::EventLoop& m_loop;
     http1::Client& m_client;
     const WireFormat& m_format;
+    const UpstreamAvailability& m_availability;
     std::string m_holder;
-    std::function<void()> m_onFenced;
-    std::function<void()> m_onChange;
+    Handlers m_handlers;
     base::Epoch m_fence;
     std::map<base::UpstreamId, EnginePointer> m_engines;
     // Of the planner before, by upstream, until the upstream's record exists.
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -118,9 +118,13 @@
     , m_store(makeStore(loop, m_storeClient, watchPollSettings(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
     , m_engineController(
-          loop, m_client, *m_format, m_settings.instance.value(), [this] { m_election.resign("an engine has seen a newer fencing token"); }, [this] {
-              scheduleCoalesced(m_planReportTimer, &GatewayCore::sendPlanNow, std::max<base::Duration>(coalescingDelay, planSpacingPerGateway * m_transport->peers().size()));
-              scheduleCoalesced(m_planTimer, &GatewayCore::planNow, coalescingDelay); })
+          loop, m_client, *m_format, m_calls.availability(), m_settings.instance.value(),
+          { [this] { m_election.resign("an engine has seen a newer fencing token"); },
+              [this] {
+                  scheduleCoalesced(m_planReportTimer, &GatewayCore::sendPlanNow, std::max<base::Duration>(coalescingDelay, planSpacingPerGateway * m_transport->peers().size()));
+                  scheduleCoalesced(m_planTimer, &GatewayCore::planNow, coalescingDelay);
+              },
+              [this](const base::UpstreamId& upstream, const ResponseMetadata& answer) { m_calls.onAvailabilityStated(upstream, answer); } })
     , m_planner(PlacementSettings {})
     , m_mirror(loop, *m_store, m_client, mirrorSettings(m_settings, *m_format), *this)
     , m_election(loop, *m_store, m_mirror.part(StorePart::Fleet), m_settings, [this] { onElected(); })
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/direct/src/PlacementPlan.cpp
@@ -73,7 +73,7 @@
         for (const auto& entry : input.demand)
             addDemand(entry);
         for (const Engine& engine : m_engines)
-            leaveOutLimited(engine);
+            leaveOutUnavailable(engine);
         for (auto& [id, model] : m_models)
             setDesiredReplicas(id, model);
     }
@@ -162,23 +162,32 @@
         m_engines.push_back(std::move(engine));
     }
 
-    // A model that is asked for more often than its part of the engine's limit needs a replica elsewhere.
-    void leaveOutLimited(const Engine& engine)
+    // A model that is asked for more often than its part of the engine's limit needs a replica elsewhere, and so does one whose
+    // callers wait for the end of the engine's pause, if another replica is ready before.
+    void leaveOutUnavailable(const Engine& engine)
     {
         const PlannedEngine& state = *engine.state;
-        if (!state.callLimit || state.draining)
+        if ((!state.callLimit && !state.pausedUntil) || state.draining)
             return;
         auto isAskedFor = [&](const auto& entry) { return hasDemand(entry.first); };
         auto models = std::max<ptrdiff_t>(1, std::count_if(state.loaded.begin(), state.loaded.end(), isAskedFor));
-        double part = *state.callLimit / static_cast<double>(models);
         for (const auto& [id, adapters] : state.loaded) {
             Model& model = m_models[id];
-            bool takesAll = model.demand.callsPerSecond <= part && !model.demand.waiting;
+            bool withinLimit = !state.callLimit || model.demand.callsPerSecond <= *state.callLimit / static_cast<double>(models);
+            bool replicaIsSooner = !state.pausedUntil || shortestLoadTime(model) < base::remaining(m_input.now, *state.pausedUntil);
+            bool takesAll = withinLimit && (!model.demand.waiting || !replicaIsSooner);
             if (!takesAll && !engine.isUnloading(id))
                 model.ready -= 1;
         }
     }
 
+    static base::Duration shortestLoadTime(const Model& model)
+    {
+        if (!model.traits)
+            return base::Duration::max();
+        return model.hasLocalWeights ? model.traits->loadFromDisk : model.traits->loadFromStore;
+    }
+
     static bool loadsFromStore(const PlannedEngine& engine)
     {
         bool fromStore = engine.running && engine.running->kind == OrderKind::Load && engine.running->source == LoadSource::WeightStore;
@@ -428,10 +437,11 @@
         return candidate;
     }
 
-    // An engine that takes few calls gets no further model while others can.
+    // An engine that takes few calls or none gets no further model while others can.
     bool isSparedFromLoads(const PlannedEngine& engine) const
     {
-        return engine.callLimit && std::any_of(m_engines.begin(), m_engines.end(), [](const Engine& other) { return !other.state->callLimit && !other.state->draining; });
+        auto takesFew = [](const PlannedEngine& state) { return state.callLimit || state.pausedUntil; };
+        return takesFew(engine) && std::any_of(m_engines.begin(), m_engines.end(), [&](const Engine& other) { return !takesFew(*other.state) && !other.state->draining; });
     }
 
     std::optional<Candidate> candidateAt(Engine& engine, const ReplicaRequest& request) const
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -194,7 +194,7 @@
     return true;
 }
 
-BlockReason ProxiedCall::tryDispatch()
+UpstreamQuery ProxiedCall::upstreamQuery() const
 {
     UpstreamQuery query;
     query.service = m_service;
@@ -207,19 +207,35 @@
     query.accountRegions = m_accountRegions;
     query.coldStarts = &m_dispatcher.coldStarts();
     query.callLimits = &m_dispatcher.callLimits();
+    query.availability = &m_dispatcher.availability();
     if (const ServiceTraits* service = m_state->findService(m_service); service && service->coldStart)
         query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
         query.promptPrefix = m_call.prompt.front().hash;
-    UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), query, m_dispatcher.now());
+    return query;
+}
+
+base::Duration ProxiedCall::retryAfterRejection() const
+{
+    UpstreamQuery query = upstreamQuery();
+    query.triedUpstreams = nullptr;
+    base::Instant now = m_dispatcher.now();
+    UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), query, now);
+    base::Duration pause = choice.blockReason == BlockReason::Paused && choice.acceptedFrom ? base::remaining(now, *choice.acceptedFrom) : base::Duration::zero();
+    return std::max<base::Duration>(pause, defaultRetryAfter);
+}
+
+BlockReason ProxiedCall::tryDispatch()
+{
+    UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), upstreamQuery(), m_dispatcher.now());
     m_runningThere = choice.inFlight;
     m_acceptedFrom = choice.acceptedFrom;
     if (choice.blockReason == BlockReason::CallLimit && m_acceptedFrom && choice.limitedRate > 0)
         *m_acceptedFrom += std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(static_cast<double>(m_dispatcher.waitingBefore(*this)) / choice.limitedRate));
     // The few calls that such an upstream takes go to those that have waited, in their order.
-    if (choice.limited && !m_waitNumber && m_dispatcher.waitingBefore(*this) > 0) {
+    if (choice.limitedBy != BlockReason::None && !m_waitNumber && m_dispatcher.waitingBefore(*this) > 0) {
         m_acceptedFrom = m_dispatcher.now();
-        return BlockReason::CallLimit;
+        return choice.limitedBy;
     }
     if (choice.blockReason != BlockReason::None)
         return choice.blockReason;
@@ -290,6 +306,10 @@
         m_dispatcher.demand().onRefused(m_call.target, m_answerStartDeadline);
         refuse(statusUnavailable, "call_limit", execution, "the upstreams that could run the call limit their calls", m_acceptedFrom ? base::remaining(time, *m_acceptedFrom) : defaultRetryAfter);
         break;
+    case WaitDecision::RefusePaused:
+        m_dispatcher.demand().onRefused(m_call.target, m_answerStartDeadline);
+        refuse(statusUnavailable, "paused", execution, "the upstreams that could run the call have asked for a pause", m_acceptedFrom ? base::remaining(time, *m_acceptedFrom) : defaultRetryAfter);
+        break;
     case WaitDecision::RefuseOverloaded:
         refuse(statusUnavailable, "overloaded", execution, "no upstream can take the call in time", defaultRetryAfter);
         break;
@@ -374,8 +394,8 @@
     }
     m_responseMetadata = m_dispatcher.format().readVerdict(head);
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
-    if (!foreign && (m_responseMetadata.hasSignature || m_responseMetadata.notRun))
-        m_dispatcher.onCallLimit(m_upstream, m_responseMetadata);
+    if (!foreign)
+        m_dispatcher.onUpstreamState(m_upstream, m_responseMetadata, !m_responseMetadata.notRun && head.status < firstServerErrorStatus);
     m_responseHead = std::move(head);
     m_receivedHead = true;
     m_bufferedBody.clear();
@@ -502,6 +522,9 @@
     --m_possibleRuns;
     m_dispatcher.metrics().count("toucanstep_rejected_by_upstream_total");
     base::LogLine("call_rejected").add("id", m_call.id).add("upstream", m_upstream).add("status", m_responseHead.status).add("sends", m_sends).add("retry_after_ms", m_responseMetadata.retryAfter ? base::toMilliseconds(*m_responseMetadata.retryAfter) : -1);
+    // It may take the call once its pause has ended.
+    if (m_responseMetadata.retryAfter)
+        m_triedUpstreams.erase(m_upstream);
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
     if (m_sends < maxSends && timeLeft() > minRunTime && tryReserveRetry("rejected")) {
         dispatchOrWait();
@@ -512,7 +535,7 @@
         return;
     }
     releaseUpstream();
-    refuse(statusUnavailable, "rejected", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "the upstreams have turned the call away", defaultRetryAfter);
+    refuse(statusUnavailable, "rejected", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "the upstreams have turned the call away", retryAfterRejection());
 }
 
 bool ProxiedCall::tryRetry(std::string_view reason)
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -77,6 +77,9 @@
     bool acquireTokens(const Account&);
     void onAdmitted();
     bool selectService(const Route&);
+    UpstreamQuery upstreamQuery() const;
+    // After how long a rejected call may come back: the end of the pauses of the upstreams that could run it.
+    base::Duration retryAfterRejection() const;
     void send(const base::UpstreamId&);
     std::string requestHead(const base::UpstreamId&) const;
     void releaseUpstream();
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -24,7 +24,7 @@
 constexpr double promptPrefixWeight = 1.5;
 // Cost of being cold: a call that another upstream can run leaves the few calls that a cold one tolerates to others.
 constexpr double coldWeight = 2;
-// Cost of advertising a limit: the same for the few calls that such an upstream takes.
+// Cost of advertising a limit, or of having ended a pause: the same for the few calls that such an upstream takes.
 constexpr double limitedWeight = 2;
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
@@ -45,6 +45,39 @@
     return allows(query.routeRegions) && allows(query.accountRegions);
 }
 
+// Whether and when an upstream takes a call of this gateway, by what it has said of itself in its answers.
+struct Admission {
+    // Nothing if this gateway has no part of what the upstream takes.
+    std::optional<base::Instant> from;
+    // What limits the calls that it takes: CallLimit, Paused or None.
+    BlockReason limitedBy = BlockReason::None;
+    // The calls per second of this gateway that it takes; only for a limit.
+    double rate = 0;
+    // How many further calls it takes now.
+    int64_t room = std::numeric_limits<int64_t>::max();
+};
+
+Admission admissionOf(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+{
+    const auto& id = entry.description.id;
+    StartId start = entry.description.start;
+    Admission admission { now };
+    if (query.availability) {
+        if (auto until = query.availability->pausedUntil(id, now))
+            return { until, BlockReason::Paused, 0, 0 };
+        if (auto most = query.availability->maxAwaiting(id, now)) {
+            admission.limitedBy = BlockReason::Paused;
+            admission.room = *most - entry.own.awaiting;
+        }
+    }
+    if (query.callLimits && query.callLimits->limit(id, start, now)) {
+        admission.limitedBy = BlockReason::CallLimit;
+        admission.from = query.callLimits->nextCall(id, start, now);
+        admission.rate = query.callLimits->ownRate(id, start, now);
+    }
+    return admission;
+}
+
 // When the upstream takes a call of this gateway; not before it is warm if the gateway has no part of its rate.
 base::Instant acceptsFrom(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
 {
@@ -54,11 +87,6 @@
     return next ? std::min(*next, entry.coldUntil) : entry.coldUntil;
 }
 
-bool hasCallLimit(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
-{
-    return query.callLimits && query.callLimits->limit(entry.description.id, entry.description.start, now);
-}
-
 // Calls that have ended count until they are reported, so that an upstream is given a little more than it has slots for.
 int64_t slotLimit(const UpstreamEntry& entry, double turnover)
 {
@@ -78,7 +106,7 @@
     return spreadWeight * static_cast<double>(affinityHash(spreadKey, upstream)) / static_cast<double>(std::numeric_limits<size_t>::max());
 }
 
-double costOf(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+double costOf(const UpstreamEntry& entry, const UpstreamQuery& query, const Admission& admission, base::Instant now)
 {
     auto cost = static_cast<double>(entry.awaiting());
     cost += occupancyWeight * static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
@@ -89,7 +117,7 @@
         cost += otherDomainWeight;
     if (entry.coldUntil > now)
         cost += coldWeight;
-    if (hasCallLimit(entry, query, now))
+    if (admission.limitedBy != BlockReason::None)
         cost += limitedWeight;
     return cost + spreadCost(query.spreadKey, entry.description.id);
 }
@@ -113,6 +141,8 @@
         return "cold";
     case BlockReason::CallLimit:
         return "call_limit";
+    case BlockReason::Paused:
+        return "paused";
     case BlockReason::OutsideRegions:
         break;
     }
@@ -147,26 +177,28 @@
     }
     const UpstreamEntry* best = nullptr;
     double bestCost = 0;
+    BlockReason bestLimitedBy = BlockReason::None;
     int64_t freeSlots = 0;
     int64_t inFlight = 0;
     std::optional<base::Instant> acceptedFrom;
-    std::optional<base::Instant> withinLimitFrom;
+    // Of the upstreams that take few calls or none for now, the earliest.
+    BlockReason deferredBy = BlockReason::None;
+    std::optional<base::Instant> deferredTo;
     double limitedRate = 0;
-    bool anyLimited = false;
     bool anyFull = false;
     for (const UpstreamEntry* entry : holders) {
         inFlight += entry->inFlight();
         int64_t free = slotLimit(*entry, query.turnover) - entry->inFlight();
-        if (hasCallLimit(*entry, query, now)) {
-            auto next = query.callLimits->nextCall(entry->description.id, entry->description.start, now);
-            if (!next || *next > now) {
-                anyLimited = true;
-                limitedRate += query.callLimits->ownRate(entry->description.id, entry->description.start, now);
-                if (next)
-                    withinLimitFrom = std::min(withinLimitFrom.value_or(*next), *next);
-                continue;
+        Admission admission = admissionOf(*entry, query, now);
+        if (!admission.from || *admission.from > now || admission.room <= 0) {
+            limitedRate += admission.rate;
+            if (deferredBy == BlockReason::None || (admission.from && (!deferredTo || *admission.from < *deferredTo))) {
+                deferredBy = admission.limitedBy;
+                deferredTo = admission.from;
             }
+            continue;
         }
+        free = std::min(free, admission.room);
         if (free <= 0) {
             anyFull = true;
             continue;
@@ -176,20 +208,21 @@
             continue;
         }
         freeSlots += free;
-        double cost = costOf(*entry, query, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
+        double cost = costOf(*entry, query, admission, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
         if (!best || cost < bestCost) {
             best = entry;
             bestCost = cost;
+            bestLimitedBy = admission.limitedBy;
         }
     }
     if (best)
-        return { BlockReason::None, best->description.id, freeSlots, inFlight, std::nullopt, 0, hasCallLimit(*best, query, now) };
+        return { BlockReason::None, best->description.id, freeSlots, inFlight, std::nullopt, 0, bestLimitedBy };
     if (!anyUpstream)
         return { anyOutsideRegions ? BlockReason::OutsideRegions : BlockReason::NoUpstream, {} };
     if (acceptedFrom)
-        return { BlockReason::Cold, {}, 0, inFlight, acceptedFrom };
-    if (anyLimited && !anyFull)
-        return { BlockReason::CallLimit, {}, 0, inFlight, withinLimitFrom, limitedRate };
+        return { BlockReason::Cold, {}, 0, inFlight, std::min(*acceptedFrom, deferredTo.value_or(*acceptedFrom)) };
+    if (deferredBy != BlockReason::None && !anyFull)
+        return { deferredBy, {}, 0, inFlight, deferredTo, limitedRate };
     if (!holders.empty())
         return { BlockReason::Full, {}, 0, inFlight };
     return { modelLoaded ? BlockReason::AdapterNotLoaded : BlockReason::NotLoaded, {} };
--- a/packages/direct/src/WaitDecision.cpp
+++ b/packages/direct/src/WaitDecision.cpp
@@ -20,13 +20,14 @@
     return WaitDecision::Wait;
 }
 
-WaitDecision decideWaitForLimit(const BlockedCall& call, base::Instant now)
+// For a limit or a pause.
+WaitDecision decideWaitForUpstream(const BlockedCall& call, WaitDecision refusal, base::Instant now)
 {
     // Another replica of the model is on its way.
     if (call.expectedLoad && *call.expectedLoad + minRunTime <= call.answerStartDeadline)
         return WaitDecision::Wait;
     bool refuse = call.acceptedFrom ? *call.acceptedFrom + minRunTime > call.answerStartDeadline : now - call.arrived > maxWaitForEstimate;
-    return refuse ? WaitDecision::RefuseCallLimit : WaitDecision::Wait;
+    return refuse ? refusal : WaitDecision::Wait;
 }
 
 } // namespace
@@ -47,7 +48,9 @@
     else if (call.blockReason == BlockReason::Cold && call.acceptedFrom && *call.acceptedFrom + minRunTime > call.answerStartDeadline)
         decision = WaitDecision::RefuseCold;
     else if (call.blockReason == BlockReason::CallLimit)
-        decision = decideWaitForLimit(call, now);
+        decision = decideWaitForUpstream(call, WaitDecision::RefuseCallLimit, now);
+    else if (call.blockReason == BlockReason::Paused)
+        decision = decideWaitForUpstream(call, WaitDecision::RefusePaused, now);
     if (decision != WaitDecision::Wait)
         return decision;
     return now + minRunTime > call.answerStartDeadline ? WaitDecision::RefuseOverloaded : WaitDecision::Wait;
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -161,6 +161,33 @@
     CHECK_TRUE(selectUpstream(table, query, now).blockReason == BlockReason::Full);
 }
 
+// Guards against an upstream that gets calls within the pause for which it has asked, and all calls at once at its end.
+TEST(UpstreamSelection, AnUpstreamGetsNoCallInItsPauseAndFewAfterIt)
+{
+    UpstreamAvailability availability;
+    UpstreamDescription pausing = engine("one", "m");
+    table.put(pausing, now);
+    UpstreamQuery query = asks("m");
+    query.availability = &availability;
+    base::Instant end = now + std::chrono::seconds(3);
+    availability.onPauseAsked(pausing.id, end, now);
+    // The list shows it anew.
+    table.remove(pausing.id);
+    table.put(pausing, now);
+    UpstreamSelection choice = selectUpstream(table, query, now);
+    CHECK_TRUE(choice.blockReason == BlockReason::Paused);
+    CHECK_TRUE(choice.acceptedFrom == end);
+    now = end;
+    choice = selectUpstream(table, query, now);
+    CHECK_TRUE(choice.blockReason == BlockReason::None && choice.limitedBy == BlockReason::Paused);
+    LONGS_EQUAL(1, choice.freeSlots);
+    table.onDispatched(pausing.id, now);
+    CHECK_TRUE(selectUpstream(table, query, now).blockReason == BlockReason::Paused);
+    table.onAnswerBegun(pausing.id);
+    availability.onAccepted(pausing.id, now);
+    LONGS_EQUAL(2, selectUpstream(table, query, now).freeSlots);
+}
+
 // Guards against calls to a domain that the operator has emptied, and against a rush to its engines afterwards: they may have
 // become cold meanwhile, which the list shows only later.
 TEST(UpstreamSelection, AnEvacuatedDomainGetsNoCallsAndIsColdAfterwards)
--- a/packages/direct/test/PlacementPlanTest.cpp
+++ b/packages/direct/test/PlacementPlanTest.cpp
@@ -324,6 +324,21 @@
     expectOrders({ "load m at two" });
 }
 
+// Guards against callers that wait for the end of a pause while another engine could have loaded their model in less time.
+TEST(PlacementPlan, LoadsAModelElsewhereIfThatIsFasterThanThePauseOfItsEngine)
+{
+    addModel("m");
+    PlannedEngine& paused = addEngine("paused", { "m" });
+    paused.pausedUntil = input.now + std::chrono::milliseconds(100);
+    addEngine("two", {});
+    wait(model("m"), 0, 1);
+    expectOrders({});
+    wait(model("m"), 3, 0);
+    expectOrders({});
+    input.engines.front().pausedUntil = input.now + std::chrono::seconds(60);
+    expectOrders({ "load m at two" });
+}
+
 // Guards against an overloaded engine that is given further models.
 TEST(PlacementPlan, ALimitedEngineGetsNoModelWhileAnotherCanTakeIt)
 {
--- /dev/null
+++ b/packages/direct/test/UpstreamAvailabilityTest.cpp
@@ -0,0 +1,127 @@
+#include "toucanstep/direct/UpstreamAvailability.h"
+#include "toucanstep/direct/UpstreamSelection.h"
+#include "toucanstep/testing/Property.h"
+
+#include <CppUTest/TestHarness.h>
+#include <vector>
+
+using namespace toucanstep;
+using namespace toucanstep::direct;
+
+namespace {
+
+constexpr base::Instant start { std::chrono::hours(1) };
+constexpr auto second = std::chrono::seconds(1);
+const base::UpstreamId upstream("i-1");
+
+UpstreamDescription described(StartId startId = StartId(1))
+{
+    UpstreamDescription description;
+    description.id = upstream;
+    description.service = base::ServiceId("orders");
+    description.start = startId;
+    description.slots = 8;
+    return description;
+}
+
+// What a gateway's process keeps in memory.
+struct Gateway {
+    UpstreamTable table;
+    UpstreamAvailability availability;
+
+    bool sends(base::Instant now)
+    {
+        UpstreamQuery query;
+        query.service = base::ServiceId("orders");
+        query.availability = &availability;
+        return selectUpstream(table, query, now).blockReason == BlockReason::None;
+    }
+};
+
+} // namespace
+
+TEST_GROUP(UpstreamAvailability)
+{
+    UpstreamAvailability availability;
+};
+
+TEST(UpstreamAvailability, APauseIsKeptToItsLatestEnd)
+{
+    CHECK_TRUE(availability.onPauseAsked(upstream, start + 3 * second, start));
+    // The answer to a call that was sent before the first rejection.
+    CHECK_FALSE(availability.onPauseAsked(upstream, start + second, start));
+    CHECK_FALSE(availability.onAccepted(upstream, start + second));
+    CHECK_TRUE(availability.pausedUntil(upstream, start + 2 * second) == start + 3 * second);
+    CHECK_FALSE(availability.pausedUntil(upstream, start + 3 * second).has_value());
+    CHECK_FALSE(availability.onPauseAsked(base::UpstreamId("i-2"), start, start));
+}
+
+// Guards against an upstream that is overloaded again as soon as its pause ends.
+TEST(UpstreamAvailability, AfterAPauseTheRequestsDoubleWithEachAnswer)
+{
+    base::Instant end = start + 3 * second;
+    availability.onPauseAsked(upstream, end, start);
+    LONGS_EQUAL(1, availability.maxAwaiting(upstream, end).value_or(-1));
+    int answers = 0;
+    while (availability.maxAwaiting(upstream, end)) {
+        CHECK_TRUE(availability.onAccepted(upstream, end));
+        ++answers;
+    }
+    LONGS_EQUAL(8, answers);
+    availability.onPauseAsked(upstream, end + second, end);
+    LONGS_EQUAL(1, availability.maxAwaiting(upstream, end + second).value_or(-1));
+    CHECK_FALSE(availability.maxAwaiting(upstream, end + 60 * second).has_value());
+}
+
+// Guards against requests in a pause, whatever happens meanwhile: lists that come and go, further rejections, gateways that start again.
+TEST(UpstreamAvailability, NoRequestOfAnyGatewayArrivesInAPause)
+{
+    CHECK_PROPERTY([] {
+        constexpr auto step = std::chrono::milliseconds(100);
+        // From half a second after a rejection, the platform counts requests.
+        constexpr auto tolerance = 5 * step;
+        auto count = *rc::gen::inRange<size_t>(1, 6);
+        std::vector<Gateway> gateways(count);
+        struct Rejection {
+            base::Instant at;
+            base::Instant until;
+        };
+        std::vector<std::vector<Rejection>> rejections(count);
+        std::vector<std::vector<base::Instant>> underWay(count);
+        for (base::Instant now = start; now < start + 20 * second; now += step) {
+            auto number = *rc::gen::inRange<size_t>(0, count);
+            Gateway& gateway = gateways[number];
+            switch (*rc::gen::inRange(0, 8)) {
+            case 0:
+                gateway.table.remove(upstream);
+                break;
+            case 1:
+                gateway = Gateway();
+                rejections[number].clear();
+                break;
+            default:
+                gateway.table.put(described(), now);
+            }
+            for (size_t index = 0; index < count; ++index) {
+                // A request arrives after up to 300 ms, the time for opening a connection.
+                for (base::Instant& arrival : underWay[index]) {
+                    if (arrival > now)
+                        continue;
+                    arrival = base::Instant::max();
+                    for (const Rejection& rejection : rejections[index])
+                        RC_ASSERT(now < rejection.at + tolerance || now >= rejection.until);
+                    if (*rc::gen::inRange(0, 3) == 0) {
+                        base::Instant until = now + step * *rc::gen::inRange(0, 60);
+                        rejections[index].push_back({ now, until });
+                        gateways[index].availability.onPauseAsked(upstream, until, now);
+                    } else {
+                        gateways[index].availability.onAccepted(upstream, now);
+                    }
+                }
+                gateways[index].availability.expire(now);
+                if (gateways[index].sends(now))
+                    underWay[index].push_back(now + step * *rc::gen::inRange(0, 4));
+            }
+        }
+    });
+}
--- a/packages/direct/test/WaitDecisionTest.cpp
+++ b/packages/direct/test/WaitDecisionTest.cpp
@@ -37,6 +37,19 @@
     expect(WaitDecision::RefuseCold, start);
 }
 
+// Guards against holding a call for an upstream whose pause ends only after its caller has left.
+TEST(WaitDecision, ACallWhoseUpstreamsArePausedForTooLongIsRefusedAtOnce)
+{
+    call.blockReason = BlockReason::Paused;
+    call.acceptedFrom = start + second;
+    expect(WaitDecision::Wait, start);
+    call.acceptedFrom = start + 2 * second;
+    expect(WaitDecision::RefusePaused, start);
+    // A further replica is there before.
+    call.expectedLoad = start + second;
+    expect(WaitDecision::Wait, start);
+}
+
 // Guards against holding a call for an overloaded upstream that will take it only after its caller has left.
 TEST(WaitDecision, ACallThatALimitedUpstreamTakesTooLateIsRefusedAtOnce)
 {
