Upstreams that say that they leave get no further calls (DRAIN)

What callers saw: an engine that answered that it leaves went on getting calls until the list said so, some seconds later or never, and calls that were still running there at its end were lost.

Cause: nothing read Server-Leaving; only the state in the list counted. Class: what an upstream says of itself that no decision uses.

Change: from the first such answer of any kind (successes, failures, rejections, heads of streams, reports, orders) UpstreamAvailability keeps the start that leaves, whatever the list says, until another start is listed. Calls that run go on; waiting and retried calls pass the same selection. The planner treats the engine as draining, so its models are placed elsewhere at once.

New: a test of UpstreamAvailability.

--- a/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
@@ -4,7 +4,8 @@
 // meanwhile: the upstream counts what arrives by its own clock. Afterwards the gateway begins with one request and doubles the
 // number that may await their answers with each answer that is no rejection, since all gateways may have waited for the same moment.
 //
-// An upstream that says that it leaves gets no further request until it has started again.
+// An upstream that says that it leaves gets no further call until it has started again. The list of upstreams says so later, or not at
+// all, and its entry may go and come meanwhile.
 
 #pragma once
 
@@ -31,8 +32,12 @@
     // How many requests of this gateway may await their answers after a pause; nothing if the number is not limited.
     std::optional<int64_t> maxAwaiting(const base::UpstreamId&, base::Instant now) const;
 
-    // Drops what is over.
-    void expire(base::Instant now);
+    // That start of the upstream leaves. Returns whether that is new.
+    bool onLeaving(const base::UpstreamId&, StartId, base::Instant now);
+    bool isLeaving(const base::UpstreamId&, StartId) const;
+
+    // Drops what is over, and what was heard long ago of upstreams that are no longer listed.
+    void expire(base::Instant now, const std::function<bool(const base::UpstreamId&)>& isListed);
 
 private:
     struct Pause {
@@ -40,7 +45,13 @@
         int64_t maxAwaiting = 1;
     };
 
+    struct Leaving {
+        StartId start;
+        base::Instant lastHeard;
+    };
+
     std::map<base::UpstreamId, Pause> m_pauses;
+    std::map<base::UpstreamId, Leaving> m_leaving;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamSelection.h
@@ -30,7 +30,7 @@
     const ColdStartLimit* coldStarts = nullptr;
     // The limits that upstreams advertise; null if none are known.
     const UpstreamCallLimits* callLimits = nullptr;
-    // The pauses that upstreams have asked for; null if none are known.
+    // What upstreams have said of when they take calls; null if nothing is known.
     const UpstreamAvailability* availability = nullptr;
     // Regions in which the call may run, of its route and of its account. Null or empty for all.
     const std::set<base::RegionId>* routeRegions = nullptr;
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -275,7 +275,7 @@
     m_upstreams.expireNotices(time);
     m_quarantine.expire(time);
     m_retryBudget.tick(time);
-    m_availability.expire(time);
+    m_availability.expire(time, [this](const base::UpstreamId& upstream) { return m_upstreams.find(upstream) != nullptr; });
     strikeConfirmedCrashes();
     if (!m_tokenQueue.empty())
         processTokenQueue();
@@ -306,17 +306,21 @@
     m_crashDetector.onHeard(upstream, now());
 }
 
-void CallDispatcher::onUpstreamState(const base::UpstreamId& upstream, const ResponseMetadata& answer, bool accepted)
+void CallDispatcher::onUpstreamState(const base::UpstreamId& upstream, StartId start, const ResponseMetadata& answer, bool accepted)
 {
     if (answer.hasSignature || answer.notRun)
         onCallLimit(upstream, answer);
-    onAvailabilityStated(upstream, answer);
+    onAvailabilityStated(upstream, start, answer);
     if (accepted && m_availability.onAccepted(upstream, now()))
         wakeWaiting();
 }
 
-void CallDispatcher::onAvailabilityStated(const base::UpstreamId& upstream, const ResponseMetadata& answer)
+void CallDispatcher::onAvailabilityStated(const base::UpstreamId& upstream, StartId start, const ResponseMetadata& answer)
 {
+    if (answer.leaving && m_availability.onLeaving(upstream, start, now())) {
+        m_metrics.count("toucanstep_upstreams_leaving_total");
+        base::LogLine("upstream_leaving").add("upstream", upstream).add("start", start);
+    }
     if (answer.retryAfterUnreadable)
         m_metrics.count("toucanstep_unreadable_entries_total", "what=\"retry_after\"");
     if (!answer.retryAfter || !m_availability.onPauseAsked(upstream, now() + *answer.retryAfter, now()))
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -119,9 +119,9 @@
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
     void onUpstreamHeard(const base::UpstreamId&);
     // What the answer to a call says of the upstream itself. `accepted` if the answer is no rejection.
-    void onUpstreamState(const base::UpstreamId&, const ResponseMetadata&, bool accepted);
+    void onUpstreamState(const base::UpstreamId&, StartId, const ResponseMetadata&, bool accepted);
     // What any answer, also to an order, says of when the upstream takes requests.
-    void onAvailabilityStated(const base::UpstreamId&, const ResponseMetadata&);
+    void onAvailabilityStated(const base::UpstreamId&, StartId, const ResponseMetadata&);
     // The connection broke during the call, so its request may have crashed the upstream.
     void reportSuspectedCrash(const base::UpstreamId&, const routing::RequestFingerprint&);
     std::vector<routing::StrikeMessage> recentStrikes();
--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -99,7 +99,7 @@
         planned.push_back(engine->planningState(entry, now));
         planned.back().pausedUntil = m_availability.pausedUntil(id, now);
         planned.back().blocked |= planned.back().pausedUntil.has_value();
-        planned.back().draining |= table.isEvacuated(entry);
+        planned.back().draining |= table.isEvacuated(entry) || m_availability.isLeaving(id, entry.description.start);
     }
     auto storeLoads = static_cast<size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) { return item.second->loadsFromStore(); }));
     for (auto& [id, engine] : m_engines)
@@ -140,7 +140,7 @@
             if (!target)
                 return;
             if (const auto* answer = std::get_if<http1::FetchedAnswer>(&outcome))
-                m_handlers.onAnswer(target->description().id, m_format.readVerdict({ answer->status, "", answer->headers }));
+                m_handlers.onAnswer(target->description(), m_format.readVerdict({ answer->status, "", answer->headers }));
             handler(target, outcome);
         });
 }
--- a/packages/direct/src/EngineController.h
+++ b/packages/direct/src/EngineController.h
@@ -24,7 +24,7 @@
     struct Handlers {
         std::function<void()> onFenced;
         std::function<void()> onChange;
-        std::function<void(const base::UpstreamId&, const ResponseMetadata&)> onAnswer;
+        std::function<void(const UpstreamDescription&, const ResponseMetadata&)> onAnswer;
     };
     EngineController(io::EventLoop&, http1::Client&, const WireFormat&, const UpstreamAvailability&, std::string holder, Handlers);
     ~EngineController();
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -124,7 +124,7 @@
                   scheduleCoalesced(m_planReportTimer, &GatewayCore::sendPlanNow, std::max<base::Duration>(coalescingDelay, planSpacingPerGateway * m_transport->peers().size()));
                   scheduleCoalesced(m_planTimer, &GatewayCore::planNow, coalescingDelay);
               },
-              [this](const base::UpstreamId& upstream, const ResponseMetadata& answer) { m_calls.onAvailabilityStated(upstream, answer); } })
+              [this](const UpstreamDescription& engine, const ResponseMetadata& answer) { m_calls.onAvailabilityStated(engine.id, engine.start, answer); } })
     , m_planner(PlacementSettings {})
     , m_mirror(loop, *m_store, m_client, mirrorSettings(m_settings, *m_format), *this)
     , m_election(loop, *m_store, m_mirror.part(StorePart::Fleet), m_settings, [this] { onElected(); })
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -359,6 +359,7 @@
     m_phase = m_firstByte ? Phase::Delivering : Phase::Sent;
     m_receivedHead = false;
     m_upstream = upstream;
+    m_upstreamStart = entry->description.start;
     m_triedUpstreams.insert(upstream);
     m_lastSent = m_dispatcher.now();
     if (!m_sends)
@@ -395,7 +396,7 @@
     m_responseMetadata = m_dispatcher.format().readVerdict(head);
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
     if (!foreign)
-        m_dispatcher.onUpstreamState(m_upstream, m_responseMetadata, !m_responseMetadata.notRun && head.status < firstServerErrorStatus);
+        m_dispatcher.onUpstreamState(m_upstream, m_upstreamStart, m_responseMetadata, !m_responseMetadata.notRun && head.status < firstServerErrorStatus);
     m_responseHead = std::move(head);
     m_receivedHead = true;
     m_bufferedBody.clear();
--- a/packages/direct/src/UpstreamAvailability.cpp
+++ b/packages/direct/src/UpstreamAvailability.cpp
@@ -10,6 +10,8 @@
 constexpr int64_t unlimitedAwaiting = 256;
 // A pause that ended so long ago says nothing about the upstream any more.
 constexpr auto slowStartTime = std::chrono::seconds(30);
+// An upstream that has left is not listed again under the same start for this long, also after an outage of the store.
+constexpr auto leavingMemory = std::chrono::minutes(10);
 
 } // namespace
 
@@ -49,8 +51,22 @@
     return found->second.until > now ? 0 : found->second.maxAwaiting;
 }
 
-void UpstreamAvailability::expire(base::Instant now)
+bool UpstreamAvailability::onLeaving(const base::UpstreamId& upstream, StartId start, base::Instant now)
 {
+    bool isNew = !isLeaving(upstream, start);
+    m_leaving[upstream] = { start, now };
+    return isNew;
+}
+
+bool UpstreamAvailability::isLeaving(const base::UpstreamId& upstream, StartId start) const
+{
+    auto found = m_leaving.find(upstream);
+    return found != m_leaving.end() && found->second.start == start;
+}
+
+void UpstreamAvailability::expire(base::Instant now, const std::function<bool(const base::UpstreamId&)>& isListed)
+{
+    std::erase_if(m_leaving, [&](const auto& entry) { return entry.second.lastHeard + leavingMemory <= now && !isListed(entry.first); });
     std::erase_if(m_pauses, [&](const auto& entry) { return entry.second.until + slowStartTime <= now; });
 }
 
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -35,7 +35,7 @@
 bool isCandidate(const UpstreamTable& table, const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
 {
     const UpstreamDescription& described = entry.description;
-    return described.service == query.service && !described.draining && entry.avoidUntil <= now && !table.isEvacuated(entry)
+    return described.service == query.service && !described.draining && !(query.availability && query.availability->isLeaving(described.id, described.start)) && entry.avoidUntil <= now && !table.isEvacuated(entry)
         && !(query.triedUpstreams && query.triedUpstreams->contains(described.id));
 }
 
--- a/packages/direct/test/UpstreamAvailabilityTest.cpp
+++ b/packages/direct/test/UpstreamAvailabilityTest.cpp
@@ -73,6 +73,30 @@
     CHECK_FALSE(availability.maxAwaiting(upstream, end + 60 * second).has_value());
 }
 
+TEST(UpstreamAvailability, AnUpstreamThatLeavesStaysSoUntilItStartsAgain)
+{
+    Gateway gateway;
+    gateway.table.put(described(), start);
+    CHECK_TRUE(gateway.sends(start));
+    CHECK_TRUE(gateway.availability.onLeaving(upstream, StartId(1), start));
+    CHECK_FALSE(gateway.availability.onLeaving(upstream, StartId(1), start + second));
+    auto isListed = [&](const base::UpstreamId& id) { return gateway.table.find(id) != nullptr; };
+    // Its entry says that it is ready, goes, and comes again.
+    for (auto time : { start + 2 * second, start + std::chrono::hours(2) }) {
+        gateway.table.put(described(), time);
+        gateway.availability.expire(time, isListed);
+        CHECK_FALSE(gateway.sends(time));
+        gateway.table.remove(upstream);
+        gateway.table.put(described(), time);
+        CHECK_FALSE(gateway.sends(time));
+    }
+    gateway.table.put(described(StartId(2)), start + std::chrono::hours(2));
+    CHECK_TRUE(gateway.sends(start + std::chrono::hours(2)));
+    gateway.table.remove(upstream);
+    gateway.availability.expire(start + std::chrono::hours(3), isListed);
+    CHECK_FALSE(gateway.availability.isLeaving(upstream, StartId(1)));
+}
+
 // Guards against requests in a pause, whatever happens meanwhile: lists that come and go, further rejections, gateways that start again.
 TEST(UpstreamAvailability, NoRequestOfAnyGatewayArrivesInAPause)
 {
@@ -118,7 +142,7 @@
                         gateways[index].availability.onAccepted(upstream, now);
                     }
                 }
-                gateways[index].availability.expire(now);
+                gateways[index].availability.expire(now, [&](const auto&) { return gateways[index].table.find(upstream) != nullptr; });
                 if (gateways[index].sends(now))
                     underWay[index].push_back(now + step * *rc::gen::inRange(0, 4));
             }
