Gateways tell each other which upstreams leave, and the planner of pauses (DRAIN, BUDGET)

A gateway that has had no answer of a leaving upstream yet went on sending calls there until the list showed it, and the planner knew only of pauses that were asked of its own gateway.

Load reports carry the newest 16 such statements that a gateway has heard itself in the last 10 s, in an optional last field that earlier builds ignore. That an upstream leaves holds for all gateways; a pause binds the one of which it was asked, so peers use it for placement only.

Tests: two of UpstreamAvailability; FleetReports.EveryReportTypeRoundTrips has the new field.

--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -6,6 +6,7 @@
 #include "toucanstep/direct/AccountLimits.h"
 #include "toucanstep/direct/Call.h"
 #include "toucanstep/direct/Upstream.h"
+#include "toucanstep/direct/UpstreamAvailability.h"
 #include "toucanstep/direct/UpstreamCallLimits.h"
 #include "toucanstep/routing/Quarantine.h"
 
@@ -81,6 +82,8 @@
     base::FailureDomain domain;
     // What the sender has heard itself of the limits of upstreams. Earlier builds do not send it.
     std::vector<HeardCallLimit> callLimits;
+    // What the sender has heard itself of when upstreams take requests. Earlier builds do not send it.
+    std::vector<HeardAvailability> availability;
     // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
     bool complete = true;
 };
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/direct/include/toucanstep/direct/PlacementPlan.h
@@ -53,7 +53,7 @@
     bool blocked = false;
     // Will be gone soon; its models are not counted as replicas.
     bool draining = false;
-    // It has asked this gateway for a pause, which ends then.
+    // It has asked some gateway for a pause, which ends then.
     std::optional<base::Instant> pausedUntil;
     // The calls per second that it takes for all its models together, if it advertises a limit.
     std::optional<double> callLimit;
--- a/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
@@ -20,10 +20,19 @@
 
 namespace toucanstep::direct {
 
+// What a gateway tells its peers of an upstream.
+struct HeardAvailability {
+    base::UpstreamId upstream;
+    StartId start;
+    bool leaving = false;
+    // Until the end of the pause that it has asked of the sender; zero without one.
+    base::Duration pauseLeft {};
+};
+
 class UpstreamAvailability {
 public:
-    // The upstream has asked for no request until then. Returns whether a pause has begun.
-    bool onPauseAsked(const base::UpstreamId&, base::Instant until, base::Instant now);
+    // That start of the upstream has asked for no request until then. Returns whether a pause has begun.
+    bool onPauseAsked(const base::UpstreamId&, StartId, base::Instant until, base::Instant now);
     // The upstream has begun an answer that is no rejection. Returns whether it takes more requests than before.
     bool onAccepted(const base::UpstreamId&, base::Instant now);
 
@@ -36,11 +45,21 @@
     bool onLeaving(const base::UpstreamId&, StartId, base::Instant now);
     bool isLeaving(const base::UpstreamId&, StartId) const;
 
+    // The newest of what this gateway has heard lately itself.
+    std::vector<HeardAvailability> heardLately(base::Instant now) const;
+    // A peer has heard this. Returns whether it is new that the upstream leaves.
+    bool onPeerHeard(const HeardAvailability&, base::Instant now);
+    // The latest end of the pauses that the start of the upstream has asked of any gateway. Only for placement: a pause binds the gateway
+    // of which it was asked.
+    std::optional<base::Instant> pausedAnywhereUntil(const base::UpstreamId&, StartId, base::Instant now) const;
+
     // Drops what is over, and what was heard long ago of upstreams that are no longer listed.
     void expire(base::Instant now, const std::function<bool(const base::UpstreamId&)>& isListed);
 
 private:
     struct Pause {
+        StartId start;
+        base::Instant heard;
         base::Instant until;
         int64_t maxAwaiting = 1;
     };
@@ -48,10 +67,17 @@
     struct Leaving {
         StartId start;
         base::Instant lastHeard;
+        // By this gateway, not by a peer.
+        std::optional<base::Instant> lastHeardItself;
+    };
+    struct PeerPause {
+        StartId start;
+        base::Instant until;
     };
 
     std::map<base::UpstreamId, Pause> m_pauses;
     std::map<base::UpstreamId, Leaving> m_leaving;
+    std::map<base::UpstreamId, PeerPause> m_peerPauses;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -317,18 +317,28 @@
 
 void CallDispatcher::onAvailabilityStated(const base::UpstreamId& upstream, StartId start, const ResponseMetadata& answer)
 {
-    if (answer.leaving && m_availability.onLeaving(upstream, start, now())) {
-        m_metrics.count("toucanstep_upstreams_leaving_total");
-        base::LogLine("upstream_leaving").add("upstream", upstream).add("start", start);
-    }
+    if (answer.leaving && m_availability.onLeaving(upstream, start, now()))
+        logLeaving(upstream, start, "answer");
     if (answer.retryAfterUnreadable)
         m_metrics.count("toucanstep_unreadable_entries_total", "what=\"retry_after\"");
-    if (!answer.retryAfter || !m_availability.onPauseAsked(upstream, now() + *answer.retryAfter, now()))
+    if (!answer.retryAfter || !m_availability.onPauseAsked(upstream, start, now() + *answer.retryAfter, now()))
         return;
     m_metrics.count("toucanstep_upstream_pauses_total");
     base::LogLine("upstream_paused").add("upstream", upstream).add("for_ms", base::toMilliseconds(*answer.retryAfter));
 }
 
+void CallDispatcher::onPeerHeardAvailability(const HeardAvailability& heard)
+{
+    if (m_availability.onPeerHeard(heard, now()))
+        logLeaving(heard.upstream, heard.start, "peer");
+}
+
+void CallDispatcher::logLeaving(const base::UpstreamId& upstream, StartId start, std::string_view source)
+{
+    m_metrics.count("toucanstep_upstreams_leaving_total");
+    base::LogLine("upstream_leaving").add("upstream", upstream).add("start", start).add("source", source);
+}
+
 void CallDispatcher::onCallLimit(const base::UpstreamId& upstream, const ResponseMetadata& answer)
 {
     if (answer.callLimitUnreadable) {
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -110,6 +110,7 @@
     // In force at the upstream, in calls per second over all gateways; nothing without a limit.
     std::optional<double> callLimitOf(const base::UpstreamId&) const;
     void onPeerHeardCallLimit(const HeardCallLimit&);
+    void onPeerHeardAvailability(const HeardAvailability&);
     // The waiting calls that go before that call, of those that the same upstreams could run.
     int64_t waitingBefore(const ProxiedCall&) const;
     FleetRetryBudget& retryBudget() { return m_retryBudget; }
@@ -134,6 +135,7 @@
     void processTokenQueue();
     void processQueue();
     void onCallLimit(const base::UpstreamId&, const ResponseMetadata&);
+    void logLeaving(const base::UpstreamId&, StartId, std::string_view source);
     void logCallLimit(const base::UpstreamId&, std::optional<double> limit, std::string_view source);
     // In dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder() const;
--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -97,8 +97,8 @@
             }
         }
         planned.push_back(engine->planningState(entry, now));
-        planned.back().pausedUntil = m_availability.pausedUntil(id, now);
-        planned.back().blocked |= planned.back().pausedUntil.has_value();
+        planned.back().pausedUntil = m_availability.pausedAnywhereUntil(id, entry.description.start, now);
+        planned.back().blocked |= m_availability.pausedUntil(id, now).has_value();
         planned.back().draining |= table.isEvacuated(entry) || m_availability.isLeaving(id, entry.description.start);
     }
     auto storeLoads = static_cast<size_t>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& item) { return item.second->loadsFromStore(); }));
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -69,7 +69,10 @@
     Json callLimits = Json::array();
     for (const auto& heard : report.callLimits)
         callLimits.push_back({ heard.upstream.value(), heard.start.value(), encodeLimit(heard.limit), inMilliseconds(heard.age) });
-    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits });
+    Json availability = Json::array();
+    for (const auto& heard : report.availability)
+        availability.push_back({ heard.upstream.value(), heard.start.value(), heard.leaving, inMilliseconds(heard.pauseLeft) });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability });
 }
 
 Json encodeState(const PlannerState& state)
@@ -185,6 +188,11 @@
         for (const Json& entry : value.at(callLimitsIndex))
             report.callLimits.push_back({ asText<base::UpstreamId>(entry.at(0)), asNumber<StartId>(entry.at(1)), asLimit(entry.at(2)), asDuration(entry.at(3)) });
     }
+    constexpr size_t availabilityIndex = 14;
+    if (value.size() > availabilityIndex) {
+        for (const Json& entry : value.at(availabilityIndex))
+            report.availability.push_back({ asText<base::UpstreamId>(entry.at(0)), asNumber<StartId>(entry.at(1)), entry.at(2).get<bool>(), asDuration(entry.at(3)) });
+    }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -62,6 +62,7 @@
     report.strikes = m_calls.recentStrikes();
     report.queued = m_calls.queuedCalls();
     report.callLimits = m_calls.callLimits().heardLately(now);
+    report.availability = m_calls.availability().heardLately(now);
     m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
 }
 
@@ -189,6 +190,8 @@
     m_calls.quarantine().merge(report.strikes, now);
     for (const auto& heard : report.callLimits)
         m_calls.onPeerHeardCallLimit(heard);
+    for (const auto& heard : report.availability)
+        m_calls.onPeerHeardAvailability(heard);
     applyPeerLoads();
 }
 
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -170,7 +170,7 @@
     UpstreamQuery query = asks("m");
     query.availability = &availability;
     base::Instant end = now + std::chrono::seconds(3);
-    availability.onPauseAsked(pausing.id, end, now);
+    availability.onPauseAsked(pausing.id, pausing.start, end, now);
     // The list shows it anew.
     table.remove(pausing.id);
     table.put(pausing, now);
@@ -427,12 +427,17 @@
     STRCMP_EQUAL("x", loadBack.strikes.at(0).crash.value().c_str());
     STRCMP_EQUAL("h", loadBack.limits.silentPeers.at(0).value().c_str());
 
+    load.availability = { { base::UpstreamId("e"), StartId(8), true }, { base::UpstreamId("f"), StartId(9), false, std::chrono::milliseconds(2500) } };
     load.callLimits = { { base::UpstreamId("e"), StartId(8), 2.8, std::chrono::seconds(3) }, { base::UpstreamId("f"), StartId(9), std::nullopt, std::chrono::seconds(1) } };
     loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     DOUBLES_EQUAL(2.8, loadBack.callLimits.at(0).limit.value_or(-1), 1e-9);
     LONGS_EQUAL(3000, base::toMilliseconds(loadBack.callLimits.at(0).age));
     CHECK_FALSE(loadBack.callLimits.at(1).limit.has_value());
     LONGS_EQUAL(9, loadBack.callLimits.at(1).start.value());
+    LONGS_EQUAL(2, loadBack.availability.size());
+    CHECK_TRUE(loadBack.availability.at(0).leaving && loadBack.availability.at(0).start == StartId(8));
+    CHECK_FALSE(loadBack.availability.at(1).leaving);
+    LONGS_EQUAL(2500, base::toMilliseconds(loadBack.availability.at(1).pauseLeft));
 
     load.queued = { { { base::ServiceId("s"), base::ModelId("m") }, { { 1, { 4, 5 } } } } };
     loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
--- a/packages/direct/test/UpstreamAvailabilityTest.cpp
+++ b/packages/direct/test/UpstreamAvailabilityTest.cpp
@@ -47,20 +47,20 @@
 
 TEST(UpstreamAvailability, APauseIsKeptToItsLatestEnd)
 {
-    CHECK_TRUE(availability.onPauseAsked(upstream, start + 3 * second, start));
+    CHECK_TRUE(availability.onPauseAsked(upstream, StartId(1), start + 3 * second, start));
     // The answer to a call that was sent before the first rejection.
-    CHECK_FALSE(availability.onPauseAsked(upstream, start + second, start));
+    CHECK_FALSE(availability.onPauseAsked(upstream, StartId(1), start + second, start));
     CHECK_FALSE(availability.onAccepted(upstream, start + second));
     CHECK_TRUE(availability.pausedUntil(upstream, start + 2 * second) == start + 3 * second);
     CHECK_FALSE(availability.pausedUntil(upstream, start + 3 * second).has_value());
-    CHECK_FALSE(availability.onPauseAsked(base::UpstreamId("i-2"), start, start));
+    CHECK_FALSE(availability.onPauseAsked(base::UpstreamId("i-2"), StartId(1), start, start));
 }
 
 // Guards against an upstream that is overloaded again as soon as its pause ends.
 TEST(UpstreamAvailability, AfterAPauseTheRequestsDoubleWithEachAnswer)
 {
     base::Instant end = start + 3 * second;
-    availability.onPauseAsked(upstream, end, start);
+    availability.onPauseAsked(upstream, StartId(1), end, start);
     LONGS_EQUAL(1, availability.maxAwaiting(upstream, end).value_or(-1));
     int answers = 0;
     while (availability.maxAwaiting(upstream, end)) {
@@ -68,7 +68,7 @@
         ++answers;
     }
     LONGS_EQUAL(8, answers);
-    availability.onPauseAsked(upstream, end + second, end);
+    availability.onPauseAsked(upstream, StartId(1), end + second, end);
     LONGS_EQUAL(1, availability.maxAwaiting(upstream, end + second).value_or(-1));
     CHECK_FALSE(availability.maxAwaiting(upstream, end + 60 * second).has_value());
 }
@@ -97,6 +97,42 @@
     CHECK_FALSE(gateway.availability.isLeaving(upstream, StartId(1)));
 }
 
+// Guards against calls from gateways that have not heard it themselves, and against pauses that bind gateways of which they were not asked.
+TEST(UpstreamAvailability, PeersLearnThatAnUpstreamLeavesAndThePlannerOfPauses)
+{
+    availability.onPauseAsked(upstream, StartId(1), start + 3 * second, start);
+    const base::UpstreamId other("i-2");
+    availability.onLeaving(other, StartId(4), start);
+    UpstreamAvailability peer;
+    auto tell = [&](base::Instant now) {
+        size_t news = 0;
+        for (const auto& heard : availability.heardLately(now))
+            news += peer.onPeerHeard(heard, now) ? 1 : 0;
+        return news;
+    };
+    LONGS_EQUAL(1, tell(start + second));
+    LONGS_EQUAL(0, tell(start + second));
+    CHECK_TRUE(peer.isLeaving(other, StartId(4)));
+    CHECK_FALSE(peer.isLeaving(other, StartId(5)));
+    CHECK_FALSE(peer.pausedUntil(upstream, start + second).has_value());
+    CHECK_TRUE(peer.pausedAnywhereUntil(upstream, StartId(1), start + second) == start + 3 * second);
+    CHECK_FALSE(peer.pausedAnywhereUntil(upstream, StartId(2), start + second).has_value());
+    CHECK_FALSE(peer.pausedAnywhereUntil(upstream, StartId(1), start + 3 * second).has_value());
+    // It tells only what it has heard itself.
+    CHECK_TRUE(peer.heardLately(start + second).empty());
+    CHECK_TRUE(availability.heardLately(start + 10 * second).empty());
+}
+
+// Guards against reports that grow with the number of upstreams that leave at once.
+TEST(UpstreamAvailability, PeersAreToldTheNewestOnly)
+{
+    for (int number = 0; number < 100; ++number)
+        availability.onLeaving(base::UpstreamId("i-" + std::to_string(number)), StartId(1), start + std::chrono::milliseconds(number));
+    auto told = availability.heardLately(start + second);
+    LONGS_EQUAL(16, told.size());
+    STRCMP_EQUAL("i-99", told.front().upstream.value().c_str());
+}
+
 // Guards against requests in a pause, whatever happens meanwhile: lists that come and go, further rejections, gateways that start again.
 TEST(UpstreamAvailability, NoRequestOfAnyGatewayArrivesInAPause)
 {
@@ -137,7 +173,7 @@
                     if (*rc::gen::inRange(0, 3) == 0) {
                         base::Instant until = now + step * *rc::gen::inRange(0, 60);
                         rejections[index].push_back({ now, until });
-                        gateways[index].availability.onPauseAsked(upstream, until, now);
+                        gateways[index].availability.onPauseAsked(upstream, StartId(1), until, now);
                     } else {
                         gateways[index].availability.onAccepted(upstream, now);
                     }
