--- a/packages/direct/src/EventSplitter.h
+++ b/packages/direct/src/EventSplitter.h
@@ -26,7 +26,7 @@
 
     std::string m_partial;
     bool m_partialReleased = false;
-    // Nothing of the current line but its end has come.
+    // The current line has no text so far.
     bool m_atLineStart = true;
     std::string m_lastId;
 };
