--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -371,16 +371,18 @@
     wakeWaiting();
 }
 
-void CallDispatcher::reportSuspectedCrash(const base::UpstreamId& upstream, const routing::RequestFingerprint& fingerprint)
+void CallDispatcher::reportSuspectedCrash(const ProxiedCall& call, const routing::RequestFingerprint& fingerprint)
 {
-    const UpstreamEntry* entry = m_upstreams.find(upstream);
-    m_crashDetector.onConnectionLost({ upstream, entry ? entry->description.start : StartId(), fingerprint, now() });
+    const UpstreamEntry* entry = m_upstreams.find(call.upstream());
+    m_crashDetector.onConnectionLost({ call.upstream(), entry ? entry->description.start : StartId(), fingerprint, now() });
+    base::LogLine("crash_suspected").add("upstream", call.upstream()).add("id", call.id()).add("request", fingerprint).add("prompt", call.promptText()).add("sent_ms_ago", base::toMilliseconds(now() - call.lastSent())).add("events_for_ms", call.firstByte() ? base::toMilliseconds(now() - *call.firstByte()) : -1);
 }
 
 void CallDispatcher::strikeConfirmedCrashes()
 {
     for (const auto& crashed : m_crashDetector.takeConfirmed(now())) {
         routing::CrashId crash(base::concat(crashed.upstream, "/", crashed.start));
+        base::LogLine("crash_confirmed").add("crash", crash).add("request", crashed.fingerprint);
         for (auto& message : m_quarantine.onCrash(crash, { crashed.fingerprint }, now()))
             m_strikes.emplace_back(now() + strikeRepeatTime, std::move(message));
     }
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -124,7 +124,7 @@
     // What any answer, also to an order, says of when the upstream takes requests.
     void onAvailabilityStated(const base::UpstreamId&, StartId, const ResponseMetadata&);
     // The connection broke during the call, so its request may have crashed the upstream.
-    void reportSuspectedCrash(const base::UpstreamId&, const routing::RequestFingerprint&);
+    void reportSuspectedCrash(const ProxiedCall&, const routing::RequestFingerprint&);
     std::vector<routing::StrikeMessage> recentStrikes();
     void onPlannerReport() { m_lastPlannerReport = now(); }
     // Whether the planner has reported recently; without it nothing is loaded.
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -69,6 +69,15 @@
     m_dispatcher.loop().cancel(m_timer);
 }
 
+std::string ProxiedCall::promptText() const
+{
+    constexpr size_t maxLogged = 16;
+    std::string text;
+    for (size_t index = 0; index < std::min(m_call.prompt.size(), maxLogged); ++index)
+        text += base::concat(index ? "," : "", m_call.prompt[index].hash);
+    return text;
+}
+
 base::Duration ProxiedCall::timeLeft() const { return base::remaining(m_dispatcher.now(), m_deadline); }
 
 void ProxiedCall::start()
@@ -613,7 +622,7 @@
     }
     m_dispatcher.upstreams().onFailure(m_upstream, m_dispatcher.now());
     if (breakage == http1::Breakage::Broken)
-        m_dispatcher.reportSuspectedCrash(m_upstream, m_fingerprint);
+        m_dispatcher.reportSuspectedCrash(*this, m_fingerprint);
     m_events.dropPartial();
     bool resumable = m_route->resumable && m_responseMetadata.streaming && !m_events.lastId().empty();
     if ((!m_firstByte || resumable) && tryRetry("broken")) {
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -51,6 +51,11 @@
     bool neverSent() const { return m_triedUpstreams.empty(); }
     const base::UpstreamId& upstream() const { return m_upstream; }
     bool inFlight() const { return m_upstreamExchange != nullptr; }
+    // When the call was last sent, and when the first byte of an answer was forwarded.
+    base::Instant lastSent() const { return m_lastSent; }
+    std::optional<base::Instant> firstByte() const { return m_firstByte; }
+    // The parts of the prompt; for the log.
+    std::string promptText() const;
 
     void onHead(http1::ResponseHead) override;
     void onBody(std::string_view) override;
