--- a/packages/direct/test/UpstreamCallLimitsTest.cpp
+++ b/packages/direct/test/UpstreamCallLimitsTest.cpp
@@ -24,10 +24,12 @@
 
 // A gateway that sends to the engine all that it may, and hears its answers a little later.
 struct Sender {
-    explicit Sender(const FleetShare& fleetShare)
-        : limits(fleetShare)
+    Sender(const FleetShare& fleetShare, size_t gatewayNumber)
+        : number(gatewayNumber)
+        , limits(fleetShare)
     {
     }
+    size_t number;
     UpstreamCallLimits limits;
     std::deque<base::Instant> answers;
     std::optional<base::Instant> firstAnswer;
@@ -36,7 +38,7 @@
 class Fleet : public FleetModel<Sender> {
 public:
     explicit Fleet(size_t size)
-        : FleetModel(size, [](const FleetShare& share, size_t) { return std::make_unique<Sender>(share); })
+        : FleetModel(size, [](const FleetShare& share, size_t number) { return std::make_unique<Sender>(share, number); })
     {
     }
 
@@ -51,7 +53,8 @@
                     gateway.firstAnswer = now;
             }
             bool counts = gateway.firstAnswer && now - *gateway.firstAnswer >= heardFor && isUndisturbed(excusedFor);
-            for (int call = 0; call < callsPerStep; ++call) {
+            bool hasCallers = !m_onlyCaller || *m_onlyCaller == gateway.number;
+            for (int call = 0; hasCallers && call < callsPerStep; ++call) {
                 auto next = gateway.limits.nextCall(engine, firstStart, now);
                 if (!next || *next > now)
                     break;
@@ -64,6 +67,8 @@
         });
     }
 
+    // From now on, all calls come to that gateway.
+    void setOnlyCaller(size_t number) { m_onlyCaller = number; }
     int64_t mostWithinWindow(base::Instant from) const
     {
         int64_t most = 0;
@@ -78,6 +83,7 @@
     int64_t callsSince(base::Instant from) const { return m_all.end() - std::upper_bound(m_all.begin(), m_all.end(), from); }
 
 private:
+    std::optional<size_t> m_onlyCaller;
     std::vector<base::Instant> m_all;
     std::vector<base::Instant> m_counted;
 };
@@ -155,6 +161,28 @@
     }
 }
 
+// Guards against calls that are refused although the upstream takes them: most callers are connected to one gateway, which has a small part
+// of the limit, and the parts of the others are not used.
+TEST(UpstreamCallLimits, AGatewayThatGetsAllCallsUsesTheWholeLimit)
+{
+    for (size_t gateways : { 4, 22 }) {
+        constexpr double limit = 7.5;
+        Fleet fleet(gateways);
+        fleet.advance(steps(std::chrono::seconds(20)), std::nullopt, 0);
+        fleet.advance(steps(std::chrono::seconds(20)), limit);
+        base::Instant spread = fleet.now();
+        fleet.advance(steps(std::chrono::seconds(10)), limit);
+        int64_t callsBefore = fleet.callsSince(spread);
+        fleet.setOnlyCaller(1);
+        // The platform's rule counts from then on.
+        fleet.advance(steps(std::chrono::seconds(3)), limit);
+        base::Instant concentrated = fleet.now();
+        fleet.advance(steps(std::chrono::seconds(10)), limit);
+        CHECK_TRUE(4 * fleet.callsSince(concentrated) >= 3 * callsBefore);
+        CHECK_TRUE(static_cast<double>(fleet.mostWithinWindow(spread)) <= allowedCalls(limit));
+    }
+}
+
 // Guards against a gateway that sends nothing to the upstream and would never learn that its limit has changed or ended.
 TEST(UpstreamCallLimits, WhatPeersHaveHeardLastIsInForce)
 {
