--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -6,6 +6,7 @@
 #include "toucanstep/direct/AccountLimits.h"
 #include "toucanstep/direct/Call.h"
 #include "toucanstep/direct/CrashAttribution.h"
+#include "toucanstep/direct/FleetShare.h"
 #include "toucanstep/direct/Upstream.h"
 #include "toucanstep/direct/UpstreamAvailability.h"
 #include "toucanstep/direct/UpstreamCallLimits.h"
@@ -85,6 +86,9 @@
     std::vector<HeardAvailability> availability;
     // Earlier builds do not send it, and ignore it.
     CrashNews crashes;
+    // Parts of resources that the sender asks its peers for, and those that it lends. Earlier builds do not send them.
+    std::vector<PartRequest> partRequests;
+    std::vector<PartLoan> partLoans;
     // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
     bool complete = true;
 };
--- a/packages/direct/include/toucanstep/direct/UpstreamCallLimits.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamCallLimits.h
@@ -72,7 +72,7 @@
     };
 
     bool setAdvertised(const base::UpstreamId&, Advertised);
-    Part partOf(const base::UpstreamId&, double limit) const;
+    Part partOf(const base::UpstreamId&, double limit, base::Instant now) const;
 
     const FleetShare& m_share;
     std::map<base::UpstreamId, Advertised> m_advertised;
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/direct/include/toucanstep/direct/UpstreamSelection.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace toucanstep::direct {
 
@@ -73,6 +74,8 @@
     double limitedRate = 0;
     // Why the chosen upstream takes few calls: CallLimit, Paused or None.
     BlockReason limitedBy = BlockReason::None;
+    // If the call is blocked because upstreams are cold or advertise a limit: those.
+    std::vector<base::UpstreamId> limitedUpstreams;
 };
 
 UpstreamSelection selectUpstream(const UpstreamTable&, const UpstreamQuery&, base::Instant now);
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -3,6 +3,7 @@
 #include "toucanstep/base/MessagePack.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace toucanstep::direct {
@@ -93,7 +94,13 @@
     Json refusals = Json::array();
     for (const auto& refusal : report.crashes.refusals)
         refusals.push_back({ refusal.trait.value(), inMilliseconds(refusal.remaining) });
-    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals });
+    Json partRequests = Json::array();
+    for (const auto& request : report.partRequests)
+        partRequests.push_back({ request.resource, request.sentAt.count() });
+    Json partLoans = Json::array();
+    for (const auto& loan : report.partLoans)
+        partLoans.push_back({ loan.resource, loan.borrower.value(), loan.sentAt.count(), loan.rank, loan.count });
+    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals, partRequests, partLoans });
 }
 
 Json encodeState(const PlannerState& state)
@@ -152,6 +159,17 @@
     return std::chrono::milliseconds(milliseconds);
 }
 
+// In nanoseconds, by the clock of the gateway that compares it.
+base::Duration asClockTime(const Json& value)
+{
+    // Leaves room for sums.
+    constexpr int64_t latest = std::numeric_limits<int64_t>::max() / 2;
+    int64_t time = asInteger(value);
+    if (time < 0 || time > latest)
+        throw std::invalid_argument("time out of range");
+    return base::Duration(time);
+}
+
 int64_t asCount(const Json& value)
 {
     int64_t count = asInteger(value);
@@ -237,6 +255,13 @@
     constexpr size_t crashesIndex = 15;
     if (value.size() > crashesIndex)
         report.crashes = decodeCrashNews(value.at(crashesIndex), value.at(crashesIndex + 1), value.at(crashesIndex + 2));
+    constexpr size_t partRequestsIndex = 18;
+    if (value.size() > partRequestsIndex) {
+        for (const Json& entry : value.at(partRequestsIndex))
+            report.partRequests.push_back({ entry.at(0).get<std::string>(), asClockTime(entry.at(1)) });
+        for (const Json& entry : value.at(partRequestsIndex + 1))
+            report.partLoans.push_back({ entry.at(0).get<std::string>(), asText<base::InstanceId>(entry.at(1)), asClockTime(entry.at(2)), asCount(entry.at(3)), asCount(entry.at(4)) });
+    }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -59,6 +59,8 @@
             report.use.push_back({ id, entry.own });
     }
     report.limits = m_calls.limits().report(m_incarnation, m_loop.now());
+    report.partRequests = m_calls.fleetShare().requests(now);
+    report.partLoans = m_calls.fleetShare().takeLoans();
     report.crashes = m_calls.crashes().news(m_hasNewPeers, now);
     report.queued = m_calls.queuedCalls();
     report.callLimits = m_calls.callLimits().heardLately(now);
@@ -189,6 +191,9 @@
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
     m_calls.crashes().onPeerNews(report.crashes, now);
     m_calls.refuseCrashingCalls();
+    m_calls.fleetShare().onPeerRequests(report.sender.instance, report.sender.incarnation.value(), report.partRequests, now);
+    if (m_calls.fleetShare().onPeerLoans(report.sender.instance, report.partLoans, now))
+        m_calls.wakeWaiting();
     for (const auto& heard : report.callLimits)
         m_calls.onPeerHeardCallLimit(heard);
     for (const auto& heard : report.availability)
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -247,6 +247,8 @@
     UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), upstreamQuery(), m_dispatcher.now());
     m_runningThere = choice.inFlight;
     m_acceptedFrom = choice.acceptedFrom;
+    for (const auto& limited : choice.limitedUpstreams)
+        m_dispatcher.fleetShare().want(limited.value(), m_dispatcher.now());
     if (choice.blockReason == BlockReason::CallLimit && m_acceptedFrom && choice.limitedRate > 0)
         *m_acceptedFrom += std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(static_cast<double>(m_dispatcher.waitingBefore(*this)) / choice.limitedRate));
     // The few calls that such an upstream takes go to those that have waited, in their order.
@@ -417,6 +419,7 @@
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
     m_dispatcher.coldStarts().onCall(upstream, m_dispatcher.now());
     m_dispatcher.callLimits().onCall(upstream, m_dispatcher.now());
+    m_dispatcher.fleetShare().onUse(upstream.value(), m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
 }
--- a/packages/direct/src/UpstreamCallLimits.cpp
+++ b/packages/direct/src/UpstreamCallLimits.cpp
@@ -89,7 +89,7 @@
     return advertised.ended * std::exp2(base::toSeconds(now - advertised.endedAt));
 }
 
-UpstreamCallLimits::Part UpstreamCallLimits::partOf(const base::UpstreamId& upstream, double limit) const
+UpstreamCallLimits::Part UpstreamCallLimits::partOf(const base::UpstreamId& upstream, double limit, base::Instant now) const
 {
     if (limit <= 0)
         return {};
@@ -97,7 +97,7 @@
     // A limit beyond this is none for a gateway of any speed.
     constexpr double mostCalls = 1e9;
     auto calls = std::max<int64_t>(1, static_cast<int64_t>(std::min(limit * window, mostCalls)));
-    return { m_share.lastPart(upstream.value(), calls), std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(window)) };
+    return { m_share.lastPart(upstream.value(), calls, now), std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(window)) };
 }
 
 std::optional<base::Instant> UpstreamCallLimits::nextCall(const base::UpstreamId& upstream, StartId start, base::Instant now) const
@@ -105,7 +105,7 @@
     std::optional<double> inForce = limit(upstream, start, now);
     if (!inForce)
         return now;
-    Part part = partOf(upstream, *inForce);
+    Part part = partOf(upstream, *inForce, now);
     if (part.calls <= 0)
         return std::nullopt;
     auto found = m_calls.find(upstream);
@@ -123,7 +123,7 @@
 
 double UpstreamCallLimits::ownRate(const base::UpstreamId& upstream, StartId start, base::Instant now) const
 {
-    Part part = partOf(upstream, limit(upstream, start, now).value_or(0));
+    Part part = partOf(upstream, limit(upstream, start, now).value_or(0), now);
     return part.calls > 0 ? static_cast<double>(part.calls) / base::toSeconds(part.window) : 0;
 }
 
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/direct/src/UpstreamSelection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <utility>
 #include <vector>
 
 namespace toucanstep::direct {
@@ -186,12 +187,15 @@
     std::optional<base::Instant> deferredTo;
     double limitedRate = 0;
     bool anyFull = false;
+    std::vector<base::UpstreamId> limitedUpstreams;
     for (const UpstreamEntry* entry : holders) {
         inFlight += entry->inFlight();
         int64_t free = slotLimit(*entry, query.turnover) - entry->inFlight();
         Admission admission = admissionOf(*entry, query, now);
         if (!admission.from || *admission.from > now || admission.room <= 0) {
             limitedRate += admission.rate;
+            if (admission.limitedBy == BlockReason::CallLimit)
+                limitedUpstreams.push_back(entry->description.id);
             if (deferredBy == BlockReason::None || (admission.from && (!deferredTo || *admission.from < *deferredTo))) {
                 deferredBy = admission.limitedBy;
                 deferredTo = admission.from;
@@ -205,6 +209,7 @@
         }
         if (base::Instant from = acceptsFrom(*entry, query, now); from > now) {
             acceptedFrom = std::min(acceptedFrom.value_or(from), from);
+            limitedUpstreams.push_back(entry->description.id);
             continue;
         }
         freeSlots += free;
@@ -220,9 +225,9 @@
     if (!anyUpstream)
         return { anyOutsideRegions ? BlockReason::OutsideRegions : BlockReason::NoUpstream, {} };
     if (acceptedFrom)
-        return { BlockReason::Cold, {}, 0, inFlight, std::min(*acceptedFrom, deferredTo.value_or(*acceptedFrom)) };
+        return { BlockReason::Cold, {}, 0, inFlight, std::min(*acceptedFrom, deferredTo.value_or(*acceptedFrom)), 0, BlockReason::None, std::move(limitedUpstreams) };
     if (deferredBy != BlockReason::None && !anyFull)
-        return { deferredBy, {}, 0, inFlight, deferredTo, limitedRate };
+        return { deferredBy, {}, 0, inFlight, deferredTo, limitedRate, BlockReason::None, std::move(limitedUpstreams) };
     if (!holders.empty())
         return { BlockReason::Full, {}, 0, inFlight };
     return { modelLoaded ? BlockReason::AdapterNotLoaded : BlockReason::NotLoaded, {} };
--- a/packages/direct/test/ColdStartLimitTest.cpp
+++ b/packages/direct/test/ColdStartLimitTest.cpp
@@ -21,11 +21,21 @@
 
     void advance(int steps, bool calls, int64_t limit)
     {
-        FleetModel::advance(steps, [&](ColdStartLimit& coldStarts, base::Instant now) {
-            for (int call = 0; calls && call < 20; ++call)
-                tryCall(coldStarts, limit, now);
-        });
+        for (int count = 0; count < steps; ++count) {
+            size_t number = 0;
+            FleetModel::advance(1, [&](ColdStartLimit& coldStarts, base::Instant now) {
+                bool hasCallers = !m_onlyCaller || *m_onlyCaller == number++;
+                for (int call = 0; calls && hasCallers && call < 20; ++call)
+                    tryCall(coldStarts, limit, now);
+            });
+            if (m_lostReports && count % stepsPerReport == 0)
+                exchangeLoans(*m_lostReports);
+        }
     }
+    // From now on, all calls come to the running gateway with that place.
+    void setOnlyCaller(size_t place) { m_onlyCaller = place; }
+    // From now on, gateways hear each other; so much of what they send is lost.
+    void setLostReports(double lost) { m_lostReports = lost; }
     int64_t maxCallsWithinSecond() const
     {
         int64_t most = 0;
@@ -40,15 +50,22 @@
     size_t totalCalls() const { return m_calls.size(); }
 
 private:
+    static constexpr int stepsPerReport = 2;
+
     void tryCall(ColdStartLimit& coldStarts, int64_t limit, base::Instant now)
     {
         auto next = coldStarts.nextCall(engine, limit, now);
-        if (!next || *next > now)
+        if (!next || *next > now) {
+            actingShare().want(engine.value(), now);
             return;
+        }
         coldStarts.onCall(engine, now);
+        actingShare().onUse(engine.value(), now);
         m_calls.push_back(now);
     }
 
+    std::optional<size_t> m_onlyCaller;
+    std::optional<double> m_lostReports;
     std::vector<base::Instant> m_calls;
 };
 
@@ -120,3 +137,34 @@
         RC_ASSERT(fleet.maxCallsWithinSecond() <= limit);
     });
 }
+
+// Guards against calls that wait although the cold upstream takes them: most callers are connected to one gateway.
+TEST(ColdStartLimit, AGatewayThatGetsAllCallsUsesTheWholeRate)
+{
+    Fleet fleet(22);
+    fleet.setLostReports(0);
+    fleet.advance(settled, false, 29);
+    fleet.setOnlyCaller(3);
+    fleet.advance(40, true, 29);
+    LONGS_EQUAL(29, fleet.maxCallsWithinSecond());
+}
+
+// Guards against a part that two gateways use, its owner and the one that has borrowed it.
+TEST(ColdStartLimit, NoSequenceOfFailuresExceedsTheRateWithBorrowedParts)
+{
+    CHECK_PROPERTY_WITH((toucanstep::testing::PropertyOptions { .seed = 43, .maxSuccess = 100 }), [] {
+        auto limit = *rc::gen::inRange<int64_t>(1, 40);
+        Fleet fleet(*rc::gen::inRange<size_t>(1, 12));
+        fleet.setLostReports(*rc::gen::inRange(0, 5) * 0.1);
+        fleet.advance(*rc::gen::inRange(0, 400), false, limit);
+        int events = *rc::gen::inRange(5, 60);
+        for (int count = 0; count < events; ++count) {
+            if (*rc::gen::inRange(0, 2) == 0)
+                fleet.setOnlyCaller(*rc::gen::inRange<size_t>(0, fleet.size()));
+            else
+                fleet.disturb();
+            fleet.advance(*rc::gen::inRange(1, 240), true, limit);
+        }
+        RC_ASSERT(fleet.maxCallsWithinSecond() <= limit);
+    });
+}
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -449,6 +449,17 @@
     CHECK_FALSE(loadBack.availability.at(1).leaving);
     LONGS_EQUAL(2500, base::toMilliseconds(loadBack.availability.at(1).pauseLeft));
 
+    load.partRequests = { { "e", std::chrono::milliseconds(123456) } };
+    load.partLoans = { { "f", base::InstanceId("h"), std::chrono::milliseconds(7890), 3, 22 } };
+    loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
+    STRCMP_EQUAL("e", loadBack.partRequests.at(0).resource.c_str());
+    LONGS_EQUAL(123456, base::toMilliseconds(loadBack.partRequests.at(0).sentAt));
+    const PartLoan& loan = loadBack.partLoans.at(0);
+    STRCMP_EQUAL("h", loan.borrower.value().c_str());
+    LONGS_EQUAL(7890, base::toMilliseconds(loan.sentAt));
+    LONGS_EQUAL(3, loan.rank);
+    LONGS_EQUAL(22, loan.count);
+
     load.queued = { { { base::ServiceId("s"), base::ModelId("m") }, { { 1, { 4, 5 } } } } };
     loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     LONGS_EQUAL(4, loadBack.queued.begin()->second.at(1).inTime);
--- a/packages/direct/test/FleetModel.h
+++ b/packages/direct/test/FleetModel.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <random>
 #include <vector>
 
 namespace toucanstep::direct::testing {
@@ -40,6 +41,7 @@
         gateway.share = std::make_unique<FleetShare>(FleetShareSettings {}, gateway.id);
         gateway.state = m_makeState(*gateway.share, number);
         gateway.running = true;
+        gateway.incarnation = ++m_incarnations;
         gateway.disturbedAt = m_now;
     }
     void stop(size_t number) { m_gateways[number].running = false; }
@@ -76,6 +78,27 @@
         }
     }
 
+    // The gateways tell each other what they ask for and what they lend; each message is lost with that probability.
+    void exchangeLoans(double lost = 0)
+    {
+        auto reaches = [&] { return std::uniform_real_distribution<>()(m_random) >= lost; };
+        for (Gateway& from : m_gateways) {
+            if (!from.running || from.suspended)
+                continue;
+            auto requests = from.share->requests(m_now);
+            auto loans = from.share->takeLoans();
+            if (requests.empty() && loans.empty())
+                continue;
+            for (Gateway& to : m_gateways) {
+                if (&to == &from || !to.running || to.suspended || !reaches())
+                    continue;
+                to.share->onPeerRequests(from.id, from.incarnation, requests, m_now);
+                to.share->onPeerLoans(from.id, loans, m_now);
+            }
+        }
+    }
+    FleetShare& actingShare() { return *m_acting->share; }
+
     // A failure of one gateway or of some, or its end. To be called within a property.
     void disturb()
     {
@@ -118,6 +141,7 @@
         base::InstanceId id;
         std::unique_ptr<FleetShare> share;
         std::unique_ptr<State> state;
+        int64_t incarnation = 0;
         bool running = false;
         bool cutOff = false;
         bool suspended = false;
@@ -148,6 +172,8 @@
     base::Instant m_now { std::chrono::hours(1) };
     std::vector<Gateway> m_gateways;
     const Gateway* m_acting = nullptr;
+    int64_t m_incarnations = 0;
+    std::mt19937_64 m_random;
     // In the store.
     std::map<base::InstanceId, base::Instant> m_leaseEnds;
 };
--- a/packages/direct/test/UpstreamCallLimitsTest.cpp
+++ b/packages/direct/test/UpstreamCallLimitsTest.cpp
@@ -45,7 +45,36 @@
     // The engine advertises `limit` in its answers; nothing if it advertises none.
     void advance(int steps, std::optional<double> limit, int callsPerStep = 3)
     {
-        FleetModel::advance(steps, [&](Sender& gateway, base::Instant now) {
+        for (int count = 0; count < steps; ++count) {
+            advanceStep(limit, callsPerStep);
+            if (m_lostReports && count % stepsPerReport == 0)
+                exchangeLoans(*m_lostReports);
+        }
+    }
+
+    // From now on, all calls come to that gateway.
+    void setOnlyCaller(size_t number) { m_onlyCaller = number; }
+    // From now on, gateways hear each other; so much of what they send is lost.
+    void setLostReports(double lost) { m_lostReports = lost; }
+    int64_t mostWithinWindow(base::Instant from) const
+    {
+        int64_t most = 0;
+        auto first = std::lower_bound(m_counted.begin(), m_counted.end(), from);
+        for (auto last = first; last != m_counted.end(); ++last) {
+            while (*last - *first > ruleWindow)
+                ++first;
+            most = std::max<int64_t>(most, last - first + 1);
+        }
+        return most;
+    }
+    int64_t callsSince(base::Instant from) const { return m_all.end() - std::upper_bound(m_all.begin(), m_all.end(), from); }
+
+private:
+    static constexpr int stepsPerReport = 2;
+
+    void advanceStep(std::optional<double> limit, int callsPerStep)
+    {
+        FleetModel::advance(1, [&](Sender& gateway, base::Instant now) {
             while (!gateway.answers.empty() && gateway.answers.front() <= now) {
                 gateway.answers.pop_front();
                 gateway.limits.onAnswer(engine, firstStart, limit, now);
@@ -56,9 +85,12 @@
             bool hasCallers = !m_onlyCaller || *m_onlyCaller == gateway.number;
             for (int call = 0; hasCallers && call < callsPerStep; ++call) {
                 auto next = gateway.limits.nextCall(engine, firstStart, now);
-                if (!next || *next > now)
+                if (!next || *next > now) {
+                    actingShare().want(engine.value(), now);
                     break;
+                }
                 gateway.limits.onCall(engine, now);
+                actingShare().onUse(engine.value(), now);
                 gateway.answers.push_back(now + answerTime);
                 m_all.push_back(now);
                 if (counts)
@@ -67,23 +99,8 @@
         });
     }
 
-    // From now on, all calls come to that gateway.
-    void setOnlyCaller(size_t number) { m_onlyCaller = number; }
-    int64_t mostWithinWindow(base::Instant from) const
-    {
-        int64_t most = 0;
-        auto first = std::lower_bound(m_counted.begin(), m_counted.end(), from);
-        for (auto last = first; last != m_counted.end(); ++last) {
-            while (*last - *first > ruleWindow)
-                ++first;
-            most = std::max<int64_t>(most, last - first + 1);
-        }
-        return most;
-    }
-    int64_t callsSince(base::Instant from) const { return m_all.end() - std::upper_bound(m_all.begin(), m_all.end(), from); }
-
-private:
     std::optional<size_t> m_onlyCaller;
+    std::optional<double> m_lostReports;
     std::vector<base::Instant> m_all;
     std::vector<base::Instant> m_counted;
 };
@@ -168,6 +185,7 @@
     for (size_t gateways : { 4, 22 }) {
         constexpr double limit = 7.5;
         Fleet fleet(gateways);
+        fleet.setLostReports(0);
         fleet.advance(steps(std::chrono::seconds(20)), std::nullopt, 0);
         fleet.advance(steps(std::chrono::seconds(20)), limit);
         base::Instant spread = fleet.now();
@@ -235,3 +253,26 @@
         RC_ASSERT(static_cast<double>(fleet.mostWithinWindow(from)) <= allowedCalls(limit));
     });
 }
+
+// Guards against a part that two gateways use, its owner and the one that has borrowed it. The gateway to which the calls come changes, and
+// reports are lost.
+TEST(UpstreamCallLimits, NoSequenceOfFailuresExceedsTheLimitWithBorrowedParts)
+{
+    CHECK_PROPERTY_WITH((toucanstep::testing::PropertyOptions { .seed = 43, .maxSuccess = 100 }), [] {
+        double limit = *rc::gen::element(0.3, 1.0, 2.8, 7.5);
+        Fleet fleet(*rc::gen::inRange<size_t>(1, 24));
+        fleet.setLostReports(*rc::gen::inRange(0, 5) * 0.1);
+        fleet.advance(*rc::gen::inRange(0, 400), std::nullopt, 0);
+        fleet.advance(steps(std::chrono::seconds(4)), limit);
+        base::Instant from = fleet.now();
+        int events = *rc::gen::inRange(5, 40);
+        for (int event = 0; event < events; ++event) {
+            if (*rc::gen::inRange(0, 2) == 0)
+                fleet.setOnlyCaller(*rc::gen::inRange<size_t>(0, fleet.size()));
+            else
+                fleet.disturb();
+            fleet.advance(*rc::gen::inRange(1, 240), limit);
+        }
+        RC_ASSERT(static_cast<double>(fleet.mostWithinWindow(from)) <= allowedCalls(limit));
+    });
+}
