--- a/packages/direct/include/toucanstep/direct/FleetShare.h
+++ b/packages/direct/include/toucanstep/direct/FleetShare.h
@@ -79,7 +79,7 @@
     std::vector<PartLoan> takeLoans();
     // The incarnation tells the processes of one gateway apart.
     void onPeerRequests(const base::InstanceId& id, int64_t incarnation, const std::vector<PartRequest>&, base::Instant now);
-    // Returns whether this gateway has borrowed a part.
+    // Returns whether a loan has begun, rather than been renewed.
     bool onPeerLoans(const base::InstanceId& lender, const std::vector<PartLoan>&, base::Instant now);
 
     // It takes at least this long until a gateway has a part, and has one again after it had none.
--- a/packages/direct/src/FleetShare.cpp
+++ b/packages/direct/src/FleetShare.cpp
@@ -175,16 +175,17 @@
 
 bool FleetShare::onPeerLoans(const base::InstanceId& lender, const std::vector<PartLoan>& loans, base::Instant now)
 {
-    bool borrows = false;
+    bool began = false;
     for (const PartLoan& loan : loans) {
         base::Instant sent(loan.sentAt);
         base::Instant until = sent + loanTime;
         if (loan.borrower != m_self || !m_requestsSent.contains(sent) || until <= now || loan.rank < 0 || loan.count < 1)
             continue;
-        m_borrowed[loan.resource][lender] = { { loan.rank, loan.count }, until };
-        borrows = true;
+        Borrowed& borrowed = m_borrowed[loan.resource][lender];
+        began |= borrowed.until <= now;
+        borrowed = { { loan.rank, loan.count }, until };
     }
-    return borrows;
+    return began;
 }
 
 void FleetShare::expireLoans(base::Instant now)
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -192,8 +192,11 @@
     m_calls.crashes().onPeerNews(report.crashes, now);
     m_calls.refuseCrashingCalls();
     m_calls.fleetShare().onPeerRequests(report.sender.instance, report.sender.incarnation.value(), report.partRequests, now);
-    if (m_calls.fleetShare().onPeerLoans(report.sender.instance, report.partLoans, now))
+    if (m_calls.fleetShare().onPeerLoans(report.sender.instance, report.partLoans, now)) {
+        base::LogLine("parts_borrowed").add("from", report.sender.instance).add("resources", report.partLoans.size());
+        m_metrics.count("toucanstep_parts_borrowed_total");
         m_calls.wakeWaiting();
+    }
     for (const auto& heard : report.callLimits)
         m_calls.onPeerHeardCallLimit(heard);
     for (const auto& heard : report.availability)
