--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -145,6 +145,8 @@
     // The suspects that have the trait, over all crashes.
     absl::flat_hash_map<int64_t, int64_t> m_strikes;
     std::map<CallTrait, Refusal> m_refusals;
+    // Until when peers and the store may still say that a trait is refused which this gateway no longer refuses.
+    std::map<CallTrait, base::Instant> m_withdrawn;
     std::vector<CallTrait> m_newlyRefused;
     // Two generations bound the number and the age of the traits that are known to be harmless.
     absl::flat_hash_set<int64_t> m_cleared;
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -27,6 +27,8 @@
 constexpr auto hopTimeReduction = std::chrono::seconds(1);
 // News are repeated for this long, since datagrams may be lost.
 constexpr auto tellingTime = std::chrono::seconds(2);
+// Longer than peers take to hear of the crash that has shown another cause.
+constexpr auto withdrawalMemory = std::chrono::seconds(10);
 constexpr auto clearedGenerationTime = std::chrono::minutes(5);
 constexpr size_t maxClearedPerGeneration = 4096;
 constexpr size_t maxCrashes = 64;
@@ -198,7 +200,9 @@
 
 void CrashAttribution::refuse(CallTrait trait, base::Instant until, std::optional<base::Instant> judgedAt, base::Instant now)
 {
-    if (until <= now || isCleared(trait))
+    auto withdrawn = m_withdrawn.find(trait);
+    bool isOutdated = !judgedAt && withdrawn != m_withdrawn.end() && withdrawn->second > now;
+    if (until <= now || isCleared(trait) || isOutdated)
         return;
     auto [place, isNew] = m_refusals.try_emplace(trait, Refusal { until, judgedAt, now + firstTrialInterval, firstTrialInterval });
     place->second.until = std::max(place->second.until, until);
@@ -342,6 +346,8 @@
         else
             refuse(*trait, now + refusalTime, now, now);
     }
+    for (const auto& [trait, refusal] : revised)
+        m_withdrawn[trait] = now + withdrawalMemory;
 }
 
 CrashNews CrashAttribution::news(bool everything, base::Instant now)
@@ -396,11 +402,8 @@
             }
         }
     }
-    // Where the crashes with the trait are known, they decide.
-    for (const TraitRefusal& refusal : news.refusals) {
-        if (!isStruck(refusal.trait) || m_refusals.contains(refusal.trait))
-            refuse(refusal.trait, now + std::min<base::Duration>(refusal.remaining, refusalTime), std::nullopt, now);
-    }
+    for (const TraitRefusal& refusal : news.refusals)
+        refuse(refusal.trait, now + std::min<base::Duration>(refusal.remaining, refusalTime), std::nullopt, now);
     if (changed)
         judge(now);
 }
@@ -437,6 +440,7 @@
     for (auto crash = m_crashes.begin(); crash != m_crashes.end();)
         crash = crash->second.crashedAt + crashMemory <= now ? forget(crash) : std::next(crash);
     std::erase_if(m_refusals, [&](const auto& entry) { return entry.second.until <= now; });
+    std::erase_if(m_withdrawn, [&](const auto& entry) { return entry.second <= now; });
 }
 
 } // namespace toucanstep::direct
--- a/packages/direct/test/CrashAttributionTest.cpp
+++ b/packages/direct/test/CrashAttributionTest.cpp
@@ -138,6 +138,34 @@
     CHECK_TRUE(gateways[2].news(false, later).crashes.empty());
 }
 
+// Guards against a gateway that does not take a refusal over since it has seen a crash itself.
+TEST(CrashAttribution, ARefusalIsTakenOverBesideOwnCrashes)
+{
+    CrashAttribution peer;
+    peer.onStoredRefusal(crashing, start);
+    crash({ callWith(1, { crashing }) });
+    CHECK_FALSE(refuses(callWith(99, { crashing })));
+    attribution.onPeerNews(peer.news(false, now()), now());
+    CHECK_TRUE(refuses(callWith(99, { crashing })));
+}
+
+// Guards against a harmless part that stays refused since peers go on saying so, although a further crash has shown the cause.
+TEST(CrashAttribution, AWithdrawnRefusalIsNotTakenOverAgain)
+{
+    CrashAttribution peer;
+    peer.onStoredRefusal(document, start);
+    // The document was in fewer calls.
+    for (int number = 1; number <= 3; ++number)
+        crash({ callWith(number, { crashing }), callWith(100 + number, { crashing }), callWith(200 + number, { document }) });
+    CHECK_TRUE(refuses(callWith(99, { document })));
+    crash({ callWith(4, { crashing }) });
+    CHECK_TRUE(refuses(callWith(99, { crashing })));
+    CHECK_FALSE(refuses(callWith(99, { document })));
+    attribution.onPeerNews(peer.news(false, now()), now());
+    attribution.onStoredRefusal(document, now());
+    CHECK_FALSE(refuses(callWith(99, { document })));
+}
+
 // Guards against upstreams that crash anew because the refusal ends while such calls still come, and against refusals without end.
 TEST(CrashAttribution, ARefusalLastsWhileSuchCallsCome)
 {
