--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -70,7 +70,7 @@
     // Whether a call with these traits is refused. Refusals that still happen keep the trait refused.
     bool refuses(const CallTraits&, base::Instant now);
     // Whether one of the traits has been in a crash and is not cleared: sending the call again may crash another upstream.
-    bool isSuspected(const CallTraits&, base::Instant now) const;
+    bool isSuspected(const CallTraits&) const;
     // When the refusal of calls with these traits ends, unless more of them come.
     std::optional<base::Instant> refusedUntil(const CallTraits&, base::Instant now) const;
     // Only one gateway lets a call with a refused trait through from time to time, to find out whether it was refused wrongly.
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -46,6 +46,20 @@
     return CallTrait(static_cast<int64_t>(std::strtoull(digest.c_str(), nullptr, hexadecimal)));
 }
 
+int64_t countIndependent(std::vector<base::Instant>& crashTimes)
+{
+    std::sort(crashTimes.begin(), crashTimes.end());
+    int64_t count = 0;
+    std::optional<base::Instant> last;
+    for (base::Instant time : crashTimes) {
+        if (last && time - *last < sameCauseTime)
+            continue;
+        ++count;
+        last = time;
+    }
+    return count;
+}
+
 } // namespace
 
 CallTrait requestTrait(const routing::RequestFingerprint& fingerprint) { return digestOf(base::concat("request\n", fingerprint)); }
@@ -140,7 +154,7 @@
     return m_crashes.erase(crash);
 }
 
-bool CrashAttribution::isSuspected(const CallTraits& traits, base::Instant) const
+bool CrashAttribution::isSuspected(const CallTraits& traits) const
 {
     if (m_crashes.empty())
         return false;
@@ -257,19 +271,11 @@
             add(part);
     });
 
-    int64_t most = 0;
+    int64_t most = minCrashesOfRequest;
     std::map<CallTrait, Candidate> found;
     for (auto& [trait, times] : crashTimes) {
-        std::sort(times.begin(), times.end());
-        int64_t independent = 0;
-        std::optional<base::Instant> last;
-        for (base::Instant time : times) {
-            if (last && time - *last < sameCauseTime)
-                continue;
-            ++independent;
-            last = time;
-        }
-        if (independent < std::max(most, minCrashesOfRequest))
+        int64_t independent = countIndependent(times);
+        if (independent < most)
             continue;
         if (independent > most)
             found.clear();
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -674,7 +674,7 @@
     m_events.dropPartial();
     bool resumable = m_route->resumable && m_responseMetadata.streaming && !m_events.lastId().empty();
     // It may have crashed this upstream, like an earlier one.
-    bool suspected = m_dispatcher.crashes().isSuspected(m_traits, m_dispatcher.now());
+    bool suspected = m_dispatcher.crashes().isSuspected(m_traits);
     if ((!m_firstByte || resumable) && !suspected && tryRetry("broken")) {
         base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("behind", m_events.lastId());
         dispatchOrWait();
