--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -74,6 +74,8 @@
     // No call is running any more, or the termination grace period is nearly over.
     virtual bool drained() const = 0;
     virtual base::Endpoint callerEndpoint() const = 0;
+    // Where metrics and status are read, and peers call.
+    virtual base::Endpoint operatorEndpoint() const = 0;
 };
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/DirectGateway.cpp
+++ b/packages/direct/src/DirectGateway.cpp
@@ -40,6 +40,7 @@
     }
     bool drained() const override { return m_core->drained(); }
     base::Endpoint callerEndpoint() const override { return m_core->callerEndpoint(); }
+    base::Endpoint operatorEndpoint() const override { return m_core->operatorEndpoint(); }
 
 private:
     io::EventLoop m_loop;
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -26,6 +26,7 @@
     void leave();
     bool drained() const { return m_drained.load(); }
     base::Endpoint callerEndpoint() const { return m_callerServer->endpoint(); }
+    base::Endpoint operatorEndpoint() const { return m_operatorServer->endpoint(); }
 
     void onEntry(const base::KeyValue&) override;
     void onRemoved(const std::string& key) override;
