Decisions of the direct gateway move to libraries of their own

Cause: packages/direct held input, output and decisions together, so every further decision would have been added to it. Change: packages/serving has the types that the decision libraries share, packages/upstreams what is known of upstreams and the selection, packages/scheduling who goes first, waits or is refused, packages/planner the placement. They do no I/O. Code is moved unchanged but for namespaces and includes.

--- a/bench/placement_replay.cpp
+++ b/bench/placement_replay.cpp
@@ -5,8 +5,8 @@
 // take no time, as a lower bound that no policy can pass. With --pass, prints how long one planning pass takes at several sizes.
 
 #include "toucanstep/base/Text.h"
-#include "toucanstep/direct/PlacementPlan.h"
-#include "toucanstep/direct/StoreConcurrencyLimit.h"
+#include "toucanstep/planner/PlacementPlan.h"
+#include "toucanstep/planner/StoreConcurrencyLimit.h"
 
 #include <algorithm>
 #include <boost/program_options.hpp>
@@ -18,7 +18,7 @@
 #include <random>
 
 using namespace toucanstep;
-using namespace toucanstep::direct;
+using namespace toucanstep::planner;
 
 namespace {
 
--- a/packages/direct/include/toucanstep/direct/CrashDetector.h
+++ b/packages/direct/include/toucanstep/direct/CrashDetector.h
@@ -10,7 +10,8 @@
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
 #include "toucanstep/direct/CrashAttribution.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/direct/Imports.h"
+#include "toucanstep/serving/Upstream.h"
 
 #include <vector>
 
--- a/packages/direct/include/toucanstep/direct/DemandReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/DemandReportChanges.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/direct/Imports.h"
 
 #include <map>
 #include <vector>
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -13,6 +13,7 @@
 #include "toucanstep/base/KeyValue.h"
 #include "toucanstep/base/Result.h"
 #include "toucanstep/base/StrongTypes.h"
+#include "toucanstep/direct/Imports.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
 
--- a/packages/direct/include/toucanstep/direct/LoadReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/LoadReportChanges.h
@@ -7,8 +7,9 @@
 
 #pragma once
 
-#include "toucanstep/direct/ChangeTracker.h"
 #include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/direct/Imports.h"
+#include "toucanstep/serving/ChangeTracker.h"
 
 #include <map>
 #include <set>
--- a/packages/direct/include/toucanstep/direct/WireFormat.h
+++ b/packages/direct/include/toucanstep/direct/WireFormat.h
@@ -5,10 +5,11 @@
 
 #pragma once
 
-#include "toucanstep/direct/Call.h"
-#include "toucanstep/direct/DesiredState.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/direct/Imports.h"
 #include "toucanstep/http1/Message.h"
+#include "toucanstep/serving/Call.h"
+#include "toucanstep/serving/DesiredState.h"
+#include "toucanstep/serving/Upstream.h"
 
 #include <memory>
 #include <optional>
--- a/packages/direct/src/EngineController.h
+++ b/packages/direct/src/EngineController.h
@@ -4,11 +4,11 @@
 
 #pragma once
 
-#include "EngineRecord.h"
-#include "toucanstep/direct/UpstreamAvailability.h"
-#include "toucanstep/direct/UpstreamTable.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
+#include "toucanstep/planner/EngineRecord.h"
+#include "toucanstep/upstreams/UpstreamAvailability.h"
+#include "toucanstep/upstreams/UpstreamTable.h"
 
 #include <functional>
 #include <map>
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -11,7 +11,7 @@
 #include "toucanstep/direct/DemandReportChanges.h"
 #include "toucanstep/direct/DirectGateway.h"
 #include "toucanstep/direct/LoadReportChanges.h"
-#include "toucanstep/direct/PlannerSuccession.h"
+#include "toucanstep/planner/PlannerSuccession.h"
 
 #include <atomic>
 
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -3,7 +3,7 @@
 #include "toucanstep/base/Digest.h"
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
-#include "toucanstep/direct/WaitDecision.h"
+#include "toucanstep/scheduling/WaitDecision.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/direct/test/AccountLimitsTest.cpp
+++ b/packages/direct/test/AccountLimitsTest.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/scheduling/AccountLimits.h"
 #include "toucanstep/direct/LoadReportChanges.h"
 #include "toucanstep/testing/Property.h"
 
--- a/packages/direct/include/toucanstep/direct/DemandTracker.h
+++ b/packages/planner/include/toucanstep/planner/DemandTracker.h
@@ -2,12 +2,13 @@
 
 #pragma once
 
-#include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/planner/Imports.h"
+#include "toucanstep/serving/Demand.h"
 
 #include <map>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 class DemandTracker {
 public:
@@ -41,4 +42,4 @@
     std::map<ModelTarget, Entry> m_entries;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/src/EngineRecord.h
+++ b/packages/planner/include/toucanstep/planner/EngineRecord.h
@@ -8,16 +8,17 @@
 
 #pragma once
 
-#include "toucanstep/direct/PlacementPlan.h"
-#include "toucanstep/direct/StoreConcurrencyLimit.h"
-#include "toucanstep/direct/UpstreamTable.h"
+#include "toucanstep/planner/Imports.h"
+#include "toucanstep/planner/PlacementPlan.h"
+#include "toucanstep/planner/StoreConcurrencyLimit.h"
+#include "toucanstep/upstreams/UpstreamTable.h"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 class EngineRecord {
 public:
@@ -105,4 +106,4 @@
 // rejects earlier calls.
 constexpr auto adapterLoadTime = std::chrono::milliseconds(15);
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/include/toucanstep/direct/PlacementPlan.h
+++ b/packages/planner/include/toucanstep/planner/PlacementPlan.h
@@ -8,9 +8,10 @@
 
 #pragma once
 
-#include "toucanstep/direct/DesiredState.h"
-#include "toucanstep/direct/FleetReports.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/planner/Imports.h"
+#include "toucanstep/serving/Demand.h"
+#include "toucanstep/serving/DesiredState.h"
+#include "toucanstep/serving/Upstream.h"
 
 #include <map>
 #include <optional>
@@ -18,7 +19,7 @@
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 enum class LoadSource {
     WeightStore,
@@ -151,4 +152,4 @@
     base::Instant m_lastNewEngine;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/include/toucanstep/direct/PlannerSuccession.h
+++ b/packages/planner/include/toucanstep/planner/PlannerSuccession.h
@@ -6,11 +6,12 @@
 
 #pragma once
 
-#include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/planner/Imports.h"
+#include "toucanstep/serving/Demand.h"
 
 #include <optional>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 class PlannerSuccession {
 public:
@@ -33,4 +34,4 @@
     base::Instant m_changedAt;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/include/toucanstep/direct/StoreConcurrencyLimit.h
+++ b/packages/planner/include/toucanstep/planner/StoreConcurrencyLimit.h
@@ -13,7 +13,7 @@
 #include <cmath>
 #include <cstddef>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 class StoreConcurrencyLimit {
 public:
@@ -66,4 +66,4 @@
     bool m_slowLoadSeen = false;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/src/DemandTracker.cpp
+++ b/packages/planner/src/DemandTracker.cpp
@@ -1,8 +1,8 @@
-#include "toucanstep/direct/DemandTracker.h"
+#include "toucanstep/planner/DemandTracker.h"
 
 #include <cmath>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 namespace {
 
@@ -85,4 +85,4 @@
     return demand;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/src/EngineRecord.cpp
+++ b/packages/planner/src/EngineRecord.cpp
@@ -1,10 +1,10 @@
-#include "EngineRecord.h"
+#include "toucanstep/planner/EngineRecord.h"
 
 #include "toucanstep/base/LogLine.h"
 
 #include <algorithm>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 namespace {
 
@@ -254,4 +254,4 @@
         notices.push_back({ m_description.id, m_description.start, target, announcement.loaded });
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/src/PlacementPlan.cpp
+++ b/packages/planner/src/PlacementPlan.cpp
@@ -1,10 +1,10 @@
-#include "toucanstep/direct/PlacementPlan.h"
+#include "toucanstep/planner/PlacementPlan.h"
 
 #include <algorithm>
 #include <cmath>
 #include <tuple>
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 namespace {
 
@@ -724,4 +724,4 @@
     return PlanningPass(*this, input).run();
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/src/PlannerSuccession.cpp
+++ b/packages/planner/src/PlannerSuccession.cpp
@@ -1,6 +1,6 @@
-#include "toucanstep/direct/PlannerSuccession.h"
+#include "toucanstep/planner/PlannerSuccession.h"
 
-namespace toucanstep::direct {
+namespace toucanstep::planner {
 
 namespace {
 
@@ -46,4 +46,4 @@
     return handover;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::planner
--- a/packages/direct/include/toucanstep/direct/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -19,14 +19,15 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/serving/DesiredState.h"
 
 #include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 // Distinguishes the successive starts of a gateway.
 using Incarnation = base::StrongNumber<struct IncarnationTag>;
@@ -153,4 +154,4 @@
     std::map<base::InstanceId, Peer> m_peers;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/CallTimes.h
+++ b/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
@@ -6,13 +6,14 @@
 #pragma once
 
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/serving/Demand.h"
 
 #include <algorithm>
 #include <map>
 #include <optional>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 class CallTimes {
 public:
@@ -58,4 +59,4 @@
     Averages m_ends;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/QueueDiscipline.h
+++ b/packages/scheduling/include/toucanstep/scheduling/QueueDiscipline.h
@@ -10,13 +10,14 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/Call.h"
+#include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/serving/Call.h"
 
 #include <compare>
 #include <map>
 #include <tuple>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 // Orders the calls of equal priority; earlier values go first.
 enum class QueueClass {
@@ -71,4 +72,4 @@
 // many calls a second. Without any completion seen, nothing is known.
 bool willBecomeLate(int64_t callsAhead, double completionsPerSecond, base::Duration leftUntilLate);
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/SlotShare.h
+++ b/packages/scheduling/include/toucanstep/scheduling/SlotShare.h
@@ -9,13 +9,14 @@
 
 #pragma once
 
-#include "toucanstep/direct/FleetReports.h"
-#include "toucanstep/direct/QueueDiscipline.h"
+#include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/scheduling/QueueDiscipline.h"
+#include "toucanstep/serving/Demand.h"
 
 #include <map>
 #include <string>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 // Ranks a waiting call; lower values go first.
 struct QueueRank {
@@ -56,4 +57,4 @@
     std::map<ModelQueue, Credit> m_credits;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/TokenQueue.h
+++ b/packages/scheduling/include/toucanstep/scheduling/TokenQueue.h
@@ -8,13 +8,14 @@
 
 #pragma once
 
-#include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/scheduling/AccountLimits.h"
+#include "toucanstep/scheduling/Imports.h"
 
 #include <deque>
 #include <map>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 using QueuedCallNumber = base::StrongNumber<struct QueuedCallNumberTag>;
 
@@ -61,4 +62,4 @@
     QueuedCallNumber m_lastNumber;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/WaitDecision.h
+++ b/packages/scheduling/include/toucanstep/scheduling/WaitDecision.h
@@ -6,11 +6,12 @@
 #pragma once
 
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/UpstreamSelection.h"
+#include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/upstreams/UpstreamSelection.h"
 
 #include <optional>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 struct BlockedCall {
     BlockReason blockReason = BlockReason::None;
@@ -46,4 +47,4 @@
 
 WaitDecision decideWait(const BlockedCall&, base::Instant now);
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/src/AccountLimits.cpp
+++ b/packages/scheduling/src/AccountLimits.cpp
@@ -1,10 +1,10 @@
-#include "toucanstep/direct/AccountLimits.h"
+#include "toucanstep/scheduling/AccountLimits.h"
 
-#include "toucanstep/direct/FleetReports.h"
+#include "toucanstep/serving/Demand.h"
 
 #include <algorithm>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 namespace {
 
@@ -264,4 +264,4 @@
     return report;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/src/QueueDiscipline.cpp
+++ b/packages/scheduling/src/QueueDiscipline.cpp
@@ -1,6 +1,6 @@
-#include "toucanstep/direct/QueueDiscipline.h"
+#include "toucanstep/scheduling/QueueDiscipline.h"
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 namespace {
 
@@ -59,4 +59,4 @@
     return static_cast<double>(callsAhead) / completionsPerSecond > base::toSeconds(leftUntilLate);
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/src/SlotShare.cpp
+++ b/packages/scheduling/src/SlotShare.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/direct/SlotShare.h"
+#include "toucanstep/scheduling/SlotShare.h"
 
 #include "toucanstep/base/Text.h"
 
@@ -6,7 +6,7 @@
 #include <functional>
 #include <limits>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 namespace {
 
@@ -101,4 +101,4 @@
     return ahead.before + ahead.equal + theirs.before + theirs.equal;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/src/TokenQueue.cpp
+++ b/packages/scheduling/src/TokenQueue.cpp
@@ -1,8 +1,8 @@
-#include "toucanstep/direct/TokenQueue.h"
+#include "toucanstep/scheduling/TokenQueue.h"
 
 #include <algorithm>
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 TokenQueue::Decision TokenQueue::chargeOrQueue(AccountLimits& limits, const base::ClientAccountId& account, base::Tokens cost, base::Instant maxWaitUntil, base::Instant now)
 {
@@ -57,4 +57,4 @@
     return earliest;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/src/WaitDecision.cpp
+++ b/packages/scheduling/src/WaitDecision.cpp
@@ -1,6 +1,6 @@
-#include "toucanstep/direct/WaitDecision.h"
+#include "toucanstep/scheduling/WaitDecision.h"
 
-namespace toucanstep::direct {
+namespace toucanstep::scheduling {
 
 namespace {
 
@@ -56,4 +56,4 @@
     return now + minRunTime > call.answerStartDeadline ? WaitDecision::RefuseOverloaded : WaitDecision::Wait;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::scheduling
--- a/packages/direct/include/toucanstep/direct/Call.h
+++ b/packages/serving/include/toucanstep/serving/Call.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::serving {
 
 // An adapter of a model; empty for the base model.
 using AdapterId = base::StrongId<struct AdapterIdTag>;
@@ -79,4 +79,4 @@
     bool retryAfterUnreadable = false;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::serving
--- a/packages/direct/include/toucanstep/direct/ChangeTracker.h
+++ b/packages/serving/include/toucanstep/serving/ChangeTracker.h
@@ -10,7 +10,7 @@
 #include <utility>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::serving {
 
 template <typename Key, typename Value>
 class ChangeTracker {
@@ -47,4 +47,4 @@
     std::map<Key, Sent> m_sent;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::serving
--- a/packages/direct/include/toucanstep/direct/DesiredState.h
+++ b/packages/serving/include/toucanstep/serving/DesiredState.h
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::serving {
 
 using RouteId = base::StrongId<struct RouteIdTag>;
 // Assigned by the operators. Versions increase, but not necessarily by one.
@@ -139,4 +139,4 @@
     std::map<base::KeyFingerprint, size_t> m_accountsByKey;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::serving
--- a/packages/direct/include/toucanstep/direct/Upstream.h
+++ b/packages/serving/include/toucanstep/serving/Upstream.h
@@ -5,7 +5,7 @@
 #include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/Call.h"
+#include "toucanstep/serving/Call.h"
 
 #include <map>
 #include <optional>
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::serving {
 
 // Distinguishes the starts of an upstream's process under the same id.
 using StartId = base::StrongNumber<struct StartIdTag>;
@@ -94,4 +94,4 @@
     Unknown,
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::serving
--- a/packages/direct/src/DesiredState.cpp
+++ b/packages/serving/src/DesiredState.cpp
@@ -1,8 +1,8 @@
-#include "toucanstep/direct/DesiredState.h"
+#include "toucanstep/serving/DesiredState.h"
 
 #include <algorithm>
 
-namespace toucanstep::direct {
+namespace toucanstep::serving {
 
 namespace {
 
@@ -65,4 +65,4 @@
     }
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::serving
--- a/packages/direct/include/toucanstep/direct/ColdStartLimit.h
+++ b/packages/upstreams/include/toucanstep/upstreams/ColdStartLimit.h
@@ -9,13 +9,14 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/FleetShare.h"
+#include "toucanstep/upstreams/FleetShare.h"
+#include "toucanstep/upstreams/Imports.h"
 
 #include <deque>
 #include <map>
 #include <optional>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 struct ColdStartLimitSettings {
     base::Duration callWindow = std::chrono::milliseconds(1350);
@@ -39,4 +40,4 @@
     std::map<base::UpstreamId, std::deque<base::Instant>> m_calls;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/FleetRetryBudget.h
+++ b/packages/upstreams/include/toucanstep/upstreams/FleetRetryBudget.h
@@ -18,15 +18,16 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/DesiredState.h"
-#include "toucanstep/direct/FleetShare.h"
+#include "toucanstep/serving/DesiredState.h"
+#include "toucanstep/upstreams/FleetShare.h"
+#include "toucanstep/upstreams/Imports.h"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 struct FleetRetryBudgetSettings {
     // All gateways together may send this fraction of the calls, plus a fixed number, as retries in each window.
@@ -102,4 +103,4 @@
     std::optional<base::Instant> m_lastTick;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/FleetShare.h
+++ b/packages/upstreams/include/toucanstep/upstreams/FleetShare.h
@@ -34,7 +34,7 @@
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 struct FleetShareSettings {
     base::Duration maxListAge = std::chrono::seconds(5);
@@ -139,4 +139,4 @@
     ByResource<std::map<base::InstanceId, Borrowed>> m_borrowed;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/UpstreamAvailability.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamAvailability.h
@@ -11,14 +11,15 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/serving/Upstream.h"
+#include "toucanstep/upstreams/Imports.h"
 
 #include <functional>
 #include <map>
 #include <optional>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 // What a gateway tells its peers of an upstream.
 struct HeardAvailability {
@@ -80,4 +81,4 @@
     std::map<base::UpstreamId, PeerPause> m_peerPauses;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/UpstreamCallLimits.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamCallLimits.h
@@ -13,15 +13,16 @@
 
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
-#include "toucanstep/direct/FleetShare.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/serving/Upstream.h"
+#include "toucanstep/upstreams/FleetShare.h"
+#include "toucanstep/upstreams/Imports.h"
 
 #include <deque>
 #include <map>
 #include <optional>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 // What a gateway has heard of the limit of an upstream; sent to its peers.
 struct HeardCallLimit {
@@ -80,4 +81,4 @@
     std::map<base::UpstreamId, std::deque<base::Instant>> m_calls;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/UpstreamSelection.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamSelection.h
@@ -2,17 +2,18 @@
 
 #pragma once
 
-#include "toucanstep/direct/ColdStartLimit.h"
-#include "toucanstep/direct/UpstreamAvailability.h"
-#include "toucanstep/direct/UpstreamCallLimits.h"
-#include "toucanstep/direct/UpstreamTable.h"
+#include "toucanstep/upstreams/ColdStartLimit.h"
+#include "toucanstep/upstreams/Imports.h"
+#include "toucanstep/upstreams/UpstreamAvailability.h"
+#include "toucanstep/upstreams/UpstreamCallLimits.h"
+#include "toucanstep/upstreams/UpstreamTable.h"
 
 #include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 struct UpstreamQuery {
     base::ServiceId service;
@@ -80,4 +81,4 @@
 
 UpstreamSelection selectUpstream(const UpstreamTable&, const UpstreamQuery&, base::Instant now);
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/include/toucanstep/direct/UpstreamTable.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamTable.h
@@ -3,8 +3,9 @@
 
 #pragma once
 
-#include "toucanstep/direct/FleetReports.h"
-#include "toucanstep/direct/Upstream.h"
+#include "toucanstep/serving/Demand.h"
+#include "toucanstep/serving/Upstream.h"
+#include "toucanstep/upstreams/Imports.h"
 
 #include <functional>
 #include <map>
@@ -12,7 +13,7 @@
 #include <set>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 struct UpstreamEntry {
     UpstreamDescription description;
@@ -79,4 +80,4 @@
     std::map<base::UpstreamId, std::map<ModelTarget, Notice>> m_notices;
 };
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/ColdStartLimit.cpp
+++ b/packages/upstreams/src/ColdStartLimit.cpp
@@ -1,8 +1,8 @@
-#include "toucanstep/direct/ColdStartLimit.h"
+#include "toucanstep/upstreams/ColdStartLimit.h"
 
 #include <algorithm>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 ColdStartLimit::ColdStartLimit(ColdStartLimitSettings settings, const FleetShare& share)
     : m_settings(settings)
@@ -31,4 +31,4 @@
     return std::max(now, blocking + m_settings.callWindow);
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/FleetRetryBudget.cpp
+++ b/packages/upstreams/src/FleetRetryBudget.cpp
@@ -1,11 +1,11 @@
-#include "toucanstep/direct/FleetRetryBudget.h"
+#include "toucanstep/upstreams/FleetRetryBudget.h"
 
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -147,4 +147,4 @@
         state.earnedRetries.remove(retry.at);
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/FleetShare.cpp
+++ b/packages/upstreams/src/FleetShare.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/direct/FleetShare.h"
+#include "toucanstep/upstreams/FleetShare.h"
 
 #include "toucanstep/base/Text.h"
 
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <utility>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -199,4 +199,4 @@
     std::erase_if(m_borrowed, [](const auto& entry) { return entry.second.empty(); });
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/UpstreamAvailability.cpp
+++ b/packages/upstreams/src/UpstreamAvailability.cpp
@@ -1,9 +1,9 @@
-#include "toucanstep/direct/UpstreamAvailability.h"
+#include "toucanstep/upstreams/UpstreamAvailability.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -119,4 +119,4 @@
     std::erase_if(m_pauses, [&](const auto& entry) { return entry.second.until + slowStartTime <= now; });
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/UpstreamCallLimits.cpp
+++ b/packages/upstreams/src/UpstreamCallLimits.cpp
@@ -1,9 +1,9 @@
-#include "toucanstep/direct/UpstreamCallLimits.h"
+#include "toucanstep/upstreams/UpstreamCallLimits.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -127,4 +127,4 @@
     return part.calls > 0 ? static_cast<double>(part.calls) / base::toSeconds(part.window) : 0;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/UpstreamSelection.cpp
+++ b/packages/upstreams/src/UpstreamSelection.cpp
@@ -1,4 +1,4 @@
-#include "toucanstep/direct/UpstreamSelection.h"
+#include "toucanstep/upstreams/UpstreamSelection.h"
 
 #include <algorithm>
 #include <functional>
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -233,4 +233,4 @@
     return { modelLoaded ? BlockReason::AdapterNotLoaded : BlockReason::NotLoaded, {} };
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
--- a/packages/direct/src/UpstreamTable.cpp
+++ b/packages/upstreams/src/UpstreamTable.cpp
@@ -1,9 +1,9 @@
-#include "toucanstep/direct/UpstreamTable.h"
+#include "toucanstep/upstreams/UpstreamTable.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace toucanstep::direct {
+namespace toucanstep::upstreams {
 
 namespace {
 
@@ -202,4 +202,4 @@
     return entry.awaitingSince && now - *entry.awaitingSince > unresponsiveAfter;
 }
 
-} // namespace toucanstep::direct
+} // namespace toucanstep::upstreams
