--- a/packages/cli/include/toucanstep/cli/Command.h
+++ b/packages/cli/include/toucanstep/cli/Command.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <boost/program_options.hpp>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -94,6 +95,11 @@
 
 void addCommand(std::unique_ptr<Command>);
 
+// Checks the settings file of a direct gateway, whose format the platform lays out: one line for each finding.
+using SettingsChecker = std::function<std::vector<std::string>(const std::string& text)>;
+// `toucanstep check` uses it for files that end with .toml; without one it checks operators' texts only.
+void setSettingsChecker(SettingsChecker);
+
 template <typename Type>
 class RegisterCommand {
 public:
--- a/packages/cli/src/CheckCommand.cpp
+++ b/packages/cli/src/CheckCommand.cpp
@@ -30,10 +30,31 @@
     return nlohmann::json { { "findings", std::move(list) } }.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+SettingsChecker& settingsChecker()
+{
+    static SettingsChecker checker;
+    return checker;
+}
+
+int checkSettings(const std::string& file, const std::string& text, internal::OutputFormat format, Streams streams)
+{
+    auto findings = settingsChecker()(text);
+    if (format == internal::OutputFormat::Json) {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto& finding : findings)
+            list.push_back({ { "file", file }, { "severity", "error" }, { "message", finding } });
+        streams.output << nlohmann::json { { "findings", std::move(list) } }.dump(2, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    } else {
+        for (const auto& finding : findings)
+            streams.output << file << ": error: " << finding << "\n";
+    }
+    return findings.empty() ? exitGood : exitFindings;
+}
+
 class CheckCommand final : public Command {
 public:
     std::string name() const override { return "check"; }
-    std::string summary() const override { return "Check a text and print every finding with its place."; }
+    std::string summary() const override { return "Check a text, or the settings file of a direct gateway, and print every finding with its place."; }
     std::string example() const override { return "toucanstep check samples/clampwise.json"; }
     std::vector<ExitStatus> exitStatuses() const override
     {
@@ -46,7 +67,7 @@
 
     void declare(Syntax& syntax) const override
     {
-        syntax.addOperand("FILE", "the text");
+        syntax.addOperand("FILE", "the text; a direct gateway's settings file ends with .toml");
         internal::declareFormat(syntax);
     }
 
@@ -59,6 +80,8 @@
         auto text = internal::readTextFile(file, streams.errors);
         if (!text)
             return exitUnusable;
+        if (file.ends_with(".toml") && settingsChecker())
+            return checkSettings(file, *text, *format, streams);
         base::Findings findings = config::parseConfiguration(file, *text).findings;
         if (*format == internal::OutputFormat::Json)
             streams.output << asJson(findings) << "\n";
@@ -72,4 +95,9 @@
 
 } // namespace
 
+void setSettingsChecker(SettingsChecker checker)
+{
+    settingsChecker() = std::move(checker);
+}
+
 } // namespace toucanstep::cli
--- a/packages/direct/include/toucanstep/direct/DirectGateway.h
+++ b/packages/direct/include/toucanstep/direct/DirectGateway.h
@@ -14,6 +14,7 @@
 #include "toucanstep/base/Result.h"
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/direct/Imports.h"
+#include "toucanstep/direct/LoadPolicies.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
 
@@ -47,6 +48,7 @@
     double retryRatio = 0.2;
     int64_t retrySlack = 50;
     base::Duration retryWindow = std::chrono::seconds(10);
+    LoadPolicies policies;
 };
 
 // How the store is watched if each answer to a watch is a billed request.
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -6,6 +6,7 @@
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/direct/CrashAttribution.h"
 #include "toucanstep/direct/CrashDetector.h"
+#include "toucanstep/direct/LoadPolicies.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
 #include "toucanstep/http1/Server.h"
@@ -39,6 +40,7 @@
     base::InstanceId instance;
     base::FailureDomain domain;
     FleetRetryBudgetSettings retries;
+    LoadPolicies policies;
 };
 
 class CallDispatcher final : public http1::RequestHandler {
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -46,6 +46,7 @@
     CallDispatcherSettings calls;
     calls.instance = settings.instance;
     calls.domain = settings.domain;
+    calls.policies = settings.policies;
     calls.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
     return calls;
 }
