Tokens of an account go to its urgent calls first

Change: while an account is short of tokens, a priority gets what more urgent calls have not asked for lately, and a tenth of the gateway's rate at least. Calls that are not the most urgent wait for longer. A refusal says whether the tokens were left to urgent calls. Only with the policy 'pressure'; otherwise all calls have one priority.

--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -88,9 +88,9 @@
     return m_lastPlannerReport && now() - *m_lastPlannerReport < plannerReportLifetime;
 }
 
-TokenQueue::Decision CallDispatcher::acquireTokens(const std::shared_ptr<ProxiedCall>& call, const base::ClientAccountId& account, base::Tokens cost, base::Instant maxWaitUntil)
+TokenQueue::Decision CallDispatcher::acquireTokens(const std::shared_ptr<ProxiedCall>& call, const TokenRequest& request)
 {
-    TokenQueue::Decision decision = m_tokenQueue.chargeOrQueue(m_limits, account, cost, maxWaitUntil, now());
+    TokenQueue::Decision decision = m_tokenQueue.chargeOrQueue(m_limits, request, now());
     if (decision.result == TokenResult::Queued) {
         m_awaitingTokens.emplace(decision.number, call);
         if (!m_tokenTimer)
@@ -116,7 +116,7 @@
         if (due.charged)
             waitingCall.mapped()->onTokensCharged();
         else
-            waitingCall.mapped()->onTokensUnavailable(due.expected);
+            waitingCall.mapped()->onTokensUnavailable(due.expected, due.leftToUrgent);
     }
     // Keeps the timer from firing at once, again and again, while the bucket is short of a fraction of a token.
     constexpr auto minTimerDelay = std::chrono::milliseconds(2);
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -96,7 +96,7 @@
 
     // For ProxiedCall.
     // Charges the account, refuses the call, or queues it until onTokensCharged() or onTokensUnavailable() is called.
-    TokenQueue::Decision acquireTokens(const std::shared_ptr<ProxiedCall>&, const base::ClientAccountId&, base::Tokens, base::Instant maxWaitUntil);
+    TokenQueue::Decision acquireTokens(const std::shared_ptr<ProxiedCall>&, const TokenRequest&);
     void leaveTokenQueue(QueuedCallNumber);
     void enqueue(const std::shared_ptr<ProxiedCall>&);
     void dequeue(ProxiedCall&);
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -30,6 +30,8 @@
 // A call waits for its account's tokens for at most this fraction of its latency target; the rest is left for sending it and
 // for the start of the answer.
 constexpr double tokenWaitFraction = 0.3;
+// Where urgent calls go first, the others wait for longer.
+constexpr double lessUrgentTokenWaitFraction = 0.6;
 // An upstream whose events go on for this long was not crashed by the call.
 constexpr auto provenAfter = std::chrono::milliseconds(1000);
 // Of longer prompts, only the first parts are compared with those of other calls.
@@ -161,8 +163,10 @@
 bool ProxiedCall::acquireTokens(const Account& account)
 {
     m_cost = account.countsTokens ? (m_call.declaresTokens ? m_call.cost() : account.baseCost) : base::Tokens(1);
-    auto maxWaitUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * tokenWaitFraction);
-    TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), m_account, m_cost, maxWaitUntil);
+    bool byPriority = m_dispatcher.settings().policies.pressure;
+    double fraction = byPriority && m_priority > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
+    auto maxWaitUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * fraction);
+    TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), { m_account, m_cost, byPriority ? m_priority : 0, maxWaitUntil });
     switch (decision.result) {
     case TokenResult::Charged:
         m_charged = m_cost;
@@ -173,7 +177,7 @@
         m_phase = Phase::WaitingForTokens;
         return false;
     case TokenResult::Refused:
-        onTokensUnavailable(decision.expected);
+        onTokensUnavailable(decision.expected, decision.leftToUrgent);
         break;
     }
     return false;
@@ -187,10 +191,12 @@
     onAdmitted();
 }
 
-void ProxiedCall::onTokensUnavailable(base::Instant expected)
+void ProxiedCall::onTokensUnavailable(base::Instant expected, bool leftToUrgent)
 {
     m_tokenQueueNumber.reset();
-    refuse(statusTooManyRequests, "rate_limited", Execution::NotRun, "the account is over its rate", base::remaining(m_dispatcher.now(), expected));
+    std::string_view code = leftToUrgent ? "rate_limited_for_urgent" : "rate_limited";
+    std::string_view message = leftToUrgent ? "the account is over its rate, and its tokens are left to more urgent calls" : "the account is over its rate";
+    refuse(statusTooManyRequests, code, Execution::NotRun, message, base::remaining(m_dispatcher.now(), expected));
 }
 
 bool ProxiedCall::selectService(const Route& route)
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -34,7 +34,7 @@
     // The account has been charged for the queued call.
     void onTokensCharged();
     // The tokens did not become available in time; they are expected at `expected`.
-    void onTokensUnavailable(base::Instant expected);
+    void onTokensUnavailable(base::Instant expected, bool leftToUrgent);
 
     QueueClass queueClass() const;
     // The answer has to be sent for before this time to start within the latency target; never for a call without one.
--- a/packages/scheduling/test/TokenQueueTest.cpp
+++ b/packages/scheduling/test/TokenQueueTest.cpp
@@ -1,6 +1,9 @@
 #include "toucanstep/scheduling/TokenQueue.h"
 
 #include <CppUTest/TestHarness.h>
+#include <map>
+#include <utility>
+#include <vector>
 
 using namespace toucanstep;
 using namespace toucanstep::scheduling;
@@ -31,7 +34,7 @@
         state.accounts.push_back(account);
         limits.setAccounts(state, now);
     }
-    TokenQueue::Decision take(int64_t cost, base::Duration maxWait) { return queue.chargeOrQueue(limits, farm, Tokens(cost), now + maxWait, now); }
+    TokenQueue::Decision take(int64_t cost, base::Duration maxWait, int64_t priority = 0) { return queue.chargeOrQueue(limits, { farm, Tokens(cost), priority, now + maxWait }, now); }
     std::vector<TokenQueue::Due> dueAt(base::Instant then)
     {
         now = then;
@@ -95,3 +98,76 @@
     LONGS_EQUAL(1, dueAt(start + ms(40)).size());
     CHECK_TRUE(second.result == TokenResult::Queued && queue.empty());
 }
+
+TEST(TokenQueue, AnUrgentCallGoesBeforeCallsThatCanWait)
+{
+    auto canWait = take(250, ms(2000), 2);
+    auto urgent = take(100, ms(300), 0);
+    CHECK_TRUE(urgent.result == TokenResult::Queued);
+    LONGS_EQUAL(100, base::toMilliseconds(urgent.expected - now));
+    auto due = dueAt(start + ms(100));
+    LONGS_EQUAL(1, due.size());
+    CHECK_TRUE(due[0].number == urgent.number);
+    CHECK_TRUE(canWait.result == TokenResult::Queued);
+}
+
+namespace {
+
+struct Asked {
+    int64_t priority;
+    // Calls of 100 tokens a second, and how long they wait.
+    int64_t callsPerSecond;
+    base::Duration maxWait;
+};
+
+// The part of each class's calls that are charged while they ask for several times the rate of 1000 tokens a second.
+std::map<int64_t, double> chargedParts(AccountLimits& limits, const std::vector<Asked>& classes, bool byPriority)
+{
+    const base::ClientAccountId farm("farm");
+    TokenQueue queue;
+    std::map<int64_t, double> charged;
+    std::map<int64_t, double> asked;
+    std::map<QueuedCallNumber, int64_t> waiting;
+    base::Instant now = start;
+    for (int step = 0; step < 1000; ++step, now += ms(10)) {
+        for (const Asked& each : classes) {
+            if (step * each.callsPerSecond / 100 == (step + 1) * each.callsPerSecond / 100)
+                continue;
+            asked[each.priority] += 1;
+            auto decision = queue.chargeOrQueue(limits, { farm, Tokens(100), byPriority ? each.priority : 0, now + each.maxWait }, now);
+            charged[each.priority] += decision.result == TokenResult::Charged ? 1 : 0;
+            if (decision.result == TokenResult::Queued)
+                waiting[decision.number] = each.priority;
+        }
+        for (const auto& due : queue.takeDue(limits, now))
+            charged[waiting.at(due.number)] += due.charged ? 1 : 0;
+    }
+    for (auto& [priority, count] : charged)
+        count /= asked[priority];
+    return charged;
+}
+
+} // namespace
+
+// Guards against urgent calls that are refused while calls that could wait spend the account's tokens in order of arrival.
+TEST(TokenQueue, UnderFloodUrgentCallsGetTheTokensFirst)
+{
+    std::vector<Asked> classes { { 0, 8, ms(120) }, { 1, 10, ms(120) }, { 2, 20, ms(2000) } };
+    auto parts = chargedParts(limits, classes, true);
+    setup();
+    AccountLimits fresh { AccountLimitsSettings {} };
+    std::swap(limits, fresh);
+    setup();
+    auto inOrderOfArrival = chargedParts(limits, classes, false);
+    CHECK_TRUE(parts[0] >= 0.95);
+    CHECK_TRUE(inOrderOfArrival[0] < 0.5);
+    CHECK_TRUE(parts[1] >= parts[2]);
+}
+
+// Guards against starvation of calls that can wait: the urgent ones ask for three times the rate.
+TEST(TokenQueue, EachPriorityGetsAPartOfTheTokens)
+{
+    auto parts = chargedParts(limits, { { 0, 30, ms(120) }, { 2, 10, ms(2000) } }, true);
+    CHECK_TRUE(parts[2] >= 0.05);
+    CHECK_TRUE(parts[0] >= 0.25);
+}
