--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -164,9 +164,11 @@
 {
     m_cost = account.countsTokens ? (m_call.declaresTokens ? m_call.cost() : account.baseCost) : base::Tokens(1);
     bool byPriority = m_dispatcher.settings().policies.pressure;
-    double fraction = byPriority && m_priority > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
+    // An account's own priority is the same for all its calls.
+    int64_t priority = byPriority ? m_route->priority : 0;
+    double fraction = priority > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
     auto maxWaitUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * fraction);
-    TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), { m_account, m_cost, byPriority ? m_priority : 0, maxWaitUntil });
+    TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), { m_account, m_cost, priority, maxWaitUntil });
     switch (decision.result) {
     case TokenResult::Charged:
         m_charged = m_cost;
