--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -165,8 +165,8 @@
     m_cost = account.countsTokens ? (m_call.declaresTokens ? m_call.cost() : account.baseCost) : base::Tokens(1);
     bool byPriority = m_dispatcher.settings().policies.pressure;
     // An account's own priority is the same for all its calls.
-    int64_t priority = byPriority ? m_route->priority : 0;
-    double fraction = priority > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
+    auto priority = byPriority ? std::optional(m_route->priority) : std::nullopt;
+    double fraction = priority.value_or(0) > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
     auto maxWaitUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * fraction);
     TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), { m_account, m_cost, priority, maxWaitUntil });
     switch (decision.result) {
--- a/packages/scheduling/include/toucanstep/scheduling/TokenQueue.h
+++ b/packages/scheduling/include/toucanstep/scheduling/TokenQueue.h
@@ -3,13 +3,13 @@
 // Short bursts should not cause refusals: an account within its rate sends a few calls at once, or all gateways have just
 // started with empty buckets. The tokens become available a moment later, but a refused caller comes back on a new
 // connection, competes with later arrivals and mostly finds the tokens spent again. So a call waits if its tokens are
-// expected early enough for its latency target, and no later call of the account and priority is charged before it. Any other
+// expected early enough for its latency target, and no later call of the account is charged before it, unless that is more urgent. Any other
 // call is refused at once, with the time at which the tokens for the calls ahead of it and for itself are expected.
 //
 // Load pattern of the priorities: an account asks for several times its rate for some seconds, with calls that are urgent and
 // calls that can wait. More urgent calls go first. While the account is short of tokens, the calls of a priority get what the more
-// urgent ones have not asked for lately, and at least a small part, so that none is starved. Calls of equal priority are charged
-// in order of arrival.
+// urgent ones have not asked for lately, and at least a small part, so that none is starved. Of equal priority, the call that can
+// wait for the shortest time goes first.
 
 #pragma once
 
@@ -33,8 +33,8 @@
 struct TokenRequest {
     base::ClientAccountId account;
     base::Tokens cost;
-    // 0 is the most urgent. Equal for all calls where priorities do not count.
-    int64_t priority = 0;
+    // 0 is the most urgent. Nothing where calls go in order of arrival.
+    std::optional<int64_t> priority;
     // A call that is expected to be charged later is refused.
     base::Instant maxWaitUntil;
 };
@@ -74,6 +74,8 @@
     };
     struct Position {
         int64_t priority = 0;
+        // Until when the call waits; the same for all calls that go in order of arrival.
+        base::Instant waitUntil;
         QueuedCallNumber number;
 
         auto operator<=>(const Position&) const = default;
--- a/packages/scheduling/src/TokenQueue.cpp
+++ b/packages/scheduling/src/TokenQueue.cpp
@@ -32,7 +32,7 @@
 
 void TokenQueue::recordAsked(const TokenRequest& request, base::Instant now)
 {
-    PriorityUse& use = m_uses[request.account][request.priority];
+    PriorityUse& use = m_uses[request.account][request.priority.value_or(0)];
     use.askedRate = askedRateAt(use, now) + static_cast<double>(request.cost.value()) / askedTimeConstant;
     use.askedAsOf = now;
 }
@@ -68,7 +68,7 @@
     if (!limits.isShort(account, now))
         return first;
     // Of the less urgent priorities, the most urgent one whose part covers its first call.
-    for (auto call = queue.upper_bound({ first->first.priority, m_lastNumber }); call != queue.end(); call = queue.upper_bound({ call->first.priority, m_lastNumber })) {
+    for (auto call = queue.lower_bound({ first->first.priority + 1, {}, {} }); call != queue.end(); call = queue.lower_bound({ call->first.priority + 1, {}, {} })) {
         if (accrue(limits, account, call->first.priority, call->second.cost, now).leastCredit >= static_cast<double>(call->second.cost.value()))
             return call;
     }
@@ -118,10 +118,11 @@
 {
     recordAsked(request, now);
     m_lastNumber = QueuedCallNumber(m_lastNumber.value() + 1);
-    Position position { request.priority, m_lastNumber };
+    int64_t priority = request.priority.value_or(0);
+    Position position { priority, request.priority ? request.maxWaitUntil : base::Instant(), m_lastNumber };
     auto queue = m_queues.find(request.account);
     bool isFirst = queue == m_queues.end() || position < nextCall(limits, request.account, queue->second, now)->first;
-    if (isFirst && charge(limits, request.account, request.priority, request.cost, now))
+    if (isFirst && charge(limits, request.account, priority, request.cost, now))
         return {};
     Expectation expected = expectation(limits, request.account, position, request.cost, now);
     if (expected.at > request.maxWaitUntil)
--- a/packages/scheduling/test/TokenQueueTest.cpp
+++ b/packages/scheduling/test/TokenQueueTest.cpp
@@ -34,7 +34,7 @@
         state.accounts.push_back(account);
         limits.setAccounts(state, now);
     }
-    TokenQueue::Decision take(int64_t cost, base::Duration maxWait, int64_t priority = 0) { return queue.chargeOrQueue(limits, { farm, Tokens(cost), priority, now + maxWait }, now); }
+    TokenQueue::Decision take(int64_t cost, base::Duration maxWait, std::optional<int64_t> priority = {}) { return queue.chargeOrQueue(limits, { farm, Tokens(cost), priority, now + maxWait }, now); }
     std::vector<TokenQueue::Due> dueAt(base::Instant then)
     {
         now = then;
@@ -111,6 +111,18 @@
     CHECK_TRUE(canWait.result == TokenResult::Queued);
 }
 
+// Guards against short calls that are refused behind calls of the same priority that can wait for seconds.
+TEST(TokenQueue, OfEqualPriorityTheCallThatCanWaitLeastGoesFirst)
+{
+    auto canWait = take(250, ms(2000), 2);
+    auto cannot = take(100, ms(200), 2);
+    CHECK_TRUE(cannot.result == TokenResult::Queued);
+    auto due = dueAt(start + ms(100));
+    LONGS_EQUAL(1, due.size());
+    CHECK_TRUE(due[0].number == cannot.number);
+    CHECK_TRUE(canWait.result == TokenResult::Queued);
+}
+
 namespace {
 
 struct Asked {
@@ -134,7 +146,7 @@
             if (step * each.callsPerSecond / 100 == (step + 1) * each.callsPerSecond / 100)
                 continue;
             asked[each.priority] += 1;
-            auto decision = queue.chargeOrQueue(limits, { farm, Tokens(100), byPriority ? each.priority : 0, now + each.maxWait }, now);
+            auto decision = queue.chargeOrQueue(limits, { farm, Tokens(100), byPriority ? std::optional(each.priority) : std::nullopt, now + each.maxWait }, now);
             charged[each.priority] += decision.result == TokenResult::Charged ? 1 : 0;
             if (decision.result == TokenResult::Queued)
                 waiting[decision.number] = each.priority;
