Upstreams' speeds: an estimate of how long work takes at each, used by the selection

Cause: nothing was known of an upstream's speed. Calls were spread by count, and slow engines got as many as fast ones. Change: UpstreamSpeeds estimates the work factor of each upstream from the figure that it states and from the times of its answers; the selection weighs queues by it, fills slow upstreams less, keeps gateways further apart the more calls of peers are in doubt, and sends trial calls.

--- a/packages/serving/include/toucanstep/serving/Call.h
+++ b/packages/serving/include/toucanstep/serving/Call.h
@@ -59,6 +59,17 @@
 
 constexpr int64_t lowestPriority = 9;
 
+// What an upstream states of itself in an answer.
+struct StatedLoad {
+    int64_t running = 0;
+    int64_t waiting = 0;
+    int64_t slots = 1;
+    // How long work takes there at this moment, 100 being usual; nothing if the upstream does not state it.
+    std::optional<int64_t> workPercent;
+
+    bool operator==(const StatedLoad&) const = default;
+};
+
 // Metadata from the head of an upstream's response.
 struct ResponseMetadata {
     base::RequestId id;
@@ -77,6 +88,9 @@
     std::optional<base::Duration> retryAfter;
     // It asks for a time that is no number.
     bool retryAfterUnreadable = false;
+    std::optional<StatedLoad> statedLoad;
+    // It states a load that is not one, see StatedLoad.
+    bool statedLoadUnreadable = false;
 };
 
 } // namespace toucanstep::serving
--- a/packages/upstreams/include/toucanstep/upstreams/UpstreamSelection.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamSelection.h
@@ -6,6 +6,7 @@
 #include "toucanstep/upstreams/Imports.h"
 #include "toucanstep/upstreams/UpstreamAvailability.h"
 #include "toucanstep/upstreams/UpstreamCallLimits.h"
+#include "toucanstep/upstreams/UpstreamSpeeds.h"
 #include "toucanstep/upstreams/UpstreamTable.h"
 
 #include <set>
@@ -34,6 +35,8 @@
     const UpstreamCallLimits* callLimits = nullptr;
     // What upstreams have said of when they take calls; null if nothing is known.
     const UpstreamAvailability* availability = nullptr;
+    // How long work takes at the upstreams; null if that is not considered.
+    const UpstreamSpeeds* speeds = nullptr;
     // Regions in which the call may run, of its route and of its account. Null or empty for all.
     const std::set<base::RegionId>* routeRegions = nullptr;
     const std::set<base::RegionId>* accountRegions = nullptr;
--- a/packages/upstreams/src/UpstreamSelection.cpp
+++ b/packages/upstreams/src/UpstreamSelection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,10 @@
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
 
+// See uncertaintyOf(). The bound keeps a preferred domain or spread from outweighing a queue of several prompts.
+constexpr double uncertaintyPerAwaiting = 4;
+constexpr double maxUncertainty = 8;
+
 // The part of an upstream's slots that are assumed free without a report, at most.
 constexpr double maxEndedUnreported = 0.0625;
 
@@ -88,11 +93,32 @@
     return next ? std::min(*next, entry.coldUntil) : entry.coldUntil;
 }
 
-// Calls that have ended count until they are reported, so that an upstream is given a little more than it has slots for.
-int64_t slotLimit(const UpstreamEntry& entry, double turnover)
+// Of how many calls at an upstream this gateway cannot know, relative to none: the more calls of peers await their answers on average,
+// the more of them have been sent or have begun since the last reports. Costs that keep gateways apart grow with it, where
+// upstreams state speeds: without that all gateways send to the same fast upstreams until the next reports.
+double uncertaintyOf(const std::vector<const UpstreamEntry*>& holders, const UpstreamQuery& query)
+{
+    if (!query.speeds || holders.empty() || !query.speeds->hasStated(query.service))
+        return 1;
+    int64_t awaiting = 0;
+    for (const UpstreamEntry* entry : holders)
+        awaiting += entry->peers.awaiting;
+    double mean = static_cast<double>(awaiting) / static_cast<double>(holders.size());
+    return std::min(1 + uncertaintyPerAwaiting * mean, maxUncertainty);
+}
+
+double workFactorOf(const UpstreamEntry& entry, const UpstreamQuery& query, base::Instant now)
+{
+    return query.speeds ? query.speeds->workFactor(entry.description.id, entry.description.start, now) : 1;
+}
+
+// Calls that have ended count until they are reported, so that an upstream is given a little more than it has slots for. A slow
+// upstream is given fewer calls, since each of them would take longer. A fast one is not given more than it states.
+int64_t slotLimit(const UpstreamEntry& entry, double turnover, double workFactor)
 {
     auto slots = static_cast<double>(entry.description.slots);
-    return entry.description.slots + static_cast<int64_t>(slots * std::min(turnover, maxEndedUnreported));
+    int64_t limit = entry.description.slots + static_cast<int64_t>(slots * std::min(turnover, maxEndedUnreported));
+    return workFactor > 1 ? std::max<int64_t>(1, static_cast<int64_t>(static_cast<double>(limit) / workFactor)) : limit;
 }
 
 // Rendezvous hash: of the upstreams that hold a target, the one with the lowest value is preferred for a prompt prefix. It
@@ -107,22 +133,55 @@
     return spreadWeight * static_cast<double>(affinityHash(spreadKey, upstream)) / static_cast<double>(std::numeric_limits<size_t>::max());
 }
 
-double costOf(const UpstreamEntry& entry, const UpstreamQuery& query, const Admission& admission, base::Instant now)
+double costOf(const UpstreamEntry& entry, const UpstreamQuery& query, const Admission& admission, double workFactor, double uncertainty, base::Instant now)
 {
-    auto cost = static_cast<double>(entry.awaiting());
-    cost += occupancyWeight * static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots);
+    auto cost = static_cast<double>(entry.awaiting()) * workFactor;
+    cost += occupancyWeight * static_cast<double>(entry.inFlight()) / static_cast<double>(entry.description.slots) * workFactor;
+    // The call itself, whose prompt takes longer or shorter than usual too.
+    cost += workFactor - 1;
     cost += failureWeight * UpstreamTable::recentFailures(entry, now);
     if (UpstreamTable::isUnresponsive(entry, now))
         cost += silentWeight;
     if (entry.description.domain != query.domain)
-        cost += otherDomainWeight;
+        cost += otherDomainWeight * uncertainty;
     if (entry.coldUntil > now)
         cost += coldWeight;
     if (admission.limitedBy != BlockReason::None)
         cost += limitedWeight;
-    return cost + spreadCost(query.spreadKey, entry.description.id);
+    return cost + spreadCost(query.spreadKey, entry.description.id) * uncertainty;
 }
 
+// The upstream that has had no call of this gateway for longest, if one is due for a trial call, see UpstreamSpeeds.
+class TrialChoice {
+public:
+    void offer(const UpstreamEntry& entry, const UpstreamQuery& query, const Admission& admission, base::Instant now)
+    {
+        const UpstreamDescription& described = entry.description;
+        if (!query.speeds || admission.limitedBy != BlockReason::None || entry.coldUntil > now || UpstreamTable::isUnresponsive(entry, now) || UpstreamTable::recentFailures(entry, now) >= 1)
+            return;
+        auto since = query.speeds->trialDueSince(described.service, described.id, described.start, now);
+        if (!since)
+            return;
+        double tieBreak = spreadCost(query.spreadKey, described.id);
+        if (m_entry && std::tie(*since, tieBreak) >= std::tie(m_since, m_tieBreak))
+            return;
+        m_entry = &entry;
+        m_since = *since;
+        m_tieBreak = tieBreak;
+    }
+
+    // Trial calls do not leave the gateway's failure domain unless the call would leave it anyway.
+    const UpstreamEntry* instead(const UpstreamEntry* best, const base::FailureDomain& own) const
+    {
+        return m_entry && (m_entry->description.domain == own || best->description.domain != own) ? m_entry : nullptr;
+    }
+
+private:
+    const UpstreamEntry* m_entry = nullptr;
+    base::Instant m_since;
+    double m_tieBreak = 0;
+};
+
 } // namespace
 
 std::string_view toText(BlockReason blockReason)
@@ -188,9 +247,12 @@
     double limitedRate = 0;
     bool anyFull = false;
     std::vector<base::UpstreamId> limitedUpstreams;
+    TrialChoice trial;
+    double uncertainty = uncertaintyOf(holders, query);
     for (const UpstreamEntry* entry : holders) {
         inFlight += entry->inFlight();
-        int64_t free = slotLimit(*entry, query.turnover) - entry->inFlight();
+        double workFactor = workFactorOf(*entry, query, now);
+        int64_t free = slotLimit(*entry, query.turnover, workFactor) - entry->inFlight();
         Admission admission = admissionOf(*entry, query, now);
         if (!admission.from || *admission.from > now || admission.room <= 0) {
             limitedRate += admission.rate;
@@ -213,13 +275,16 @@
             continue;
         }
         freeSlots += free;
-        double cost = costOf(*entry, query, admission, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
+        double cost = costOf(*entry, query, admission, workFactor, uncertainty, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
         if (!best || cost < bestCost) {
             best = entry;
             bestCost = cost;
             bestLimitedBy = admission.limitedBy;
         }
+        trial.offer(*entry, query, admission, now);
     }
+    if (const UpstreamEntry* tried = best ? trial.instead(best, query.domain) : nullptr)
+        return { BlockReason::None, tried->description.id, freeSlots, inFlight };
     if (best)
         return { BlockReason::None, best->description.id, freeSlots, inFlight, std::nullopt, 0, bestLimitedBy };
     if (!anyUpstream)
