--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -30,6 +30,7 @@
     , m_coldStarts(ColdStartLimitSettings {}, m_fleetShare)
     , m_retryBudget(m_settings.retries, m_fleetShare)
     , m_callLimits(m_fleetShare)
+    , m_speeds(m_metrics, m_settings.policies.statedSpeed)
 {
 }
 
@@ -263,6 +264,7 @@
     m_crashes.expire(time);
     m_retryBudget.tick(time);
     m_availability.expire(time, [this](const base::UpstreamId& upstream) { return m_upstreams.find(upstream) != nullptr; });
+    m_speeds.expire(m_upstreams);
     attributeConfirmedCrashes();
     if (!m_tokenQueue.empty())
         processTokenQueue();
@@ -351,6 +353,13 @@
     return entry == m_upstreams.all().end() ? std::nullopt : m_callLimits.limit(upstream, entry->second.description.start, now());
 }
 
+double CallDispatcher::workFactorOf(const base::UpstreamId& upstream) const
+{
+    auto entry = m_upstreams.all().find(upstream);
+    const UpstreamSpeeds* estimates = m_speeds.estimates();
+    return entry == m_upstreams.all().end() || !estimates ? 1 : estimates->workFactor(upstream, entry->second.description.start, now());
+}
+
 void CallDispatcher::logCallLimit(const base::UpstreamId& upstream, std::optional<double> limit, std::string_view source)
 {
     m_metrics.count("toucanstep_call_limits_total", limit ? "change=\"begun\"" : "change=\"ended\"");
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "SpeedObserver.h"
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/direct/CrashAttribution.h"
 #include "toucanstep/direct/CrashDetector.h"
@@ -112,6 +113,9 @@
     const UpstreamAvailability& availability() const { return m_availability; }
     // In force at the upstream, in calls per second over all gateways; nothing without a limit.
     std::optional<double> callLimitOf(const base::UpstreamId&) const;
+    SpeedObserver& speeds() { return m_speeds; }
+    // How long work takes at the upstream relative to usual.
+    double workFactorOf(const base::UpstreamId&) const;
     void onPeerHeardCallLimit(const HeardCallLimit&);
     void onPeerHeardAvailability(const HeardAvailability&);
     // The waiting calls that go before that call, of those that the same upstreams could run.
@@ -172,6 +176,7 @@
     FleetRetryBudget m_retryBudget;
     UpstreamCallLimits m_callLimits;
     UpstreamAvailability m_availability;
+    SpeedObserver m_speeds;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -403,6 +403,7 @@
     if (auto answered = m_mirror.lastAnswer())
         m_metrics.gauge("toucanstep_store_silence_seconds", "", base::toSeconds(m_loop.now() - *answered));
     m_metrics.gauge("toucanstep_directory_revision", "", static_cast<double>(m_mirror.part(StorePart::DesiredState).revision().value()));
+    m_calls.speeds().writeGauges(m_calls.upstreams(), m_loop.now());
     return m_metrics.render();
 }
 
--- a/packages/direct/src/GatewayPlanner.cpp
+++ b/packages/direct/src/GatewayPlanner.cpp
@@ -56,8 +56,10 @@
         input.traits = &*service.engine;
         input.maxStoreLoads = m_engineController.maxStoreLoads();
         input.engines = m_engineController.engines(m_calls.upstreams(), service.id, now);
-        for (auto& engine : input.engines)
+        for (auto& engine : input.engines) {
             engine.callLimit = m_calls.callLimitOf(engine.id);
+            engine.workFactor = m_calls.workFactorOf(engine.id);
+        }
         for (const auto& [target, entry] : demand) {
             if (service.engine->findModel(target.model))
                 input.demand.push_back(entry);
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -227,6 +227,7 @@
     query.coldStarts = &m_dispatcher.coldStarts();
     query.callLimits = &m_dispatcher.callLimits();
     query.availability = &m_dispatcher.availability();
+    query.speeds = m_dispatcher.speeds().estimates();
     if (const ServiceTraits* service = m_state->findService(m_service); service && service->coldStart)
         query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
@@ -411,6 +412,7 @@
     m_upstreamStart = entry->description.start;
     m_triedUpstreams.insert(upstream);
     m_lastSent = m_dispatcher.now();
+    m_observed = m_dispatcher.speeds().onSent(m_service, *entry, m_call.promptTokens, m_lastSent);
     m_firstEventHere.reset();
     if (!m_sends)
         m_firstSent = m_lastSent;
@@ -446,8 +448,10 @@
     }
     m_responseMetadata = m_dispatcher.format().readVerdict(head);
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
-    if (!foreign)
+    if (!foreign) {
         m_dispatcher.onUpstreamState(m_upstream, m_upstreamStart, m_responseMetadata, !m_responseMetadata.notRun && head.status < firstServerErrorStatus);
+        m_dispatcher.speeds().onHead(m_observed, m_responseMetadata, m_responseMetadata.hasSignature && head.status < firstRedirectStatus, m_dispatcher.now());
+    }
     m_responseHead = std::move(head);
     m_receivedHead = true;
     m_bufferedBody.clear();
@@ -492,6 +496,7 @@
     m_lastPiece = m_dispatcher.now();
     if (!m_firstEventHere)
         m_firstEventHere = m_lastPiece;
+    m_dispatcher.speeds().onEvents(m_observed, m_answerBytes, m_lastPiece);
     if (!wentOn && eventsGoOn())
         m_dispatcher.crashes().onCleared(m_traits, m_lastPiece);
     m_callerExchange->write(events);
@@ -562,6 +567,7 @@
     if (status < firstRedirectStatus && m_responseHead.framing != http1::BodyFraming::ToEnd)
         m_dispatcher.crashes().onCleared(m_traits, m_dispatcher.now());
     m_dispatcher.callTimes().onAnswerEnded(queue(), m_dispatcher.now() - m_lastSent);
+    m_dispatcher.speeds().onEnded(m_observed, m_answerBytes, m_lastPiece);
     releaseUpstream();
     if (streamed)
         m_callerExchange->end();
@@ -793,6 +799,8 @@
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("pause_ms", base::toMilliseconds(m_longestPause)).add("total_ms", base::toMilliseconds(time - m_arrived));
     if (m_responseMetadata.leaving)
         line.add("upstream_leaving", "yes");
+    if (m_observed.workPercent)
+        line.add("work_percent", *m_observed.workPercent);
     if (m_receivedHead)
         line.add("framing", http1::toText(m_responseHead.framing)).add("answer_bytes", m_answerBytes).add("within_event", m_endedWithinEvent ? "yes" : "no");
     m_dispatcher.metrics().count("toucanstep_calls_total", base::concat("outcome=\"", outcome, "\""));
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -164,6 +164,7 @@
     std::set<base::UpstreamId> m_triedUpstreams;
     base::UpstreamId m_upstream;
     StartId m_upstreamStart;
+    ObservedCall m_observed;
     std::unique_ptr<http1::Exchange> m_upstreamExchange;
     int64_t m_sends = 0;
     // Upstreams on which the call has run or may have run.
--- a/packages/upstreams/include/toucanstep/upstreams/UpstreamSpeeds.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamSpeeds.h
@@ -66,9 +66,9 @@
 
 // Measured at the end of an answer that was streamed.
 struct EndedAnswer {
-    // From the first event to the last.
+    // From the first event to the last, and the bytes received meanwhile. Bytes do not depend on how many events a gateway reads at once.
     base::Duration streamed {};
-    int64_t events = 0;
+    int64_t bytes = 0;
 };
 
 class UpstreamSpeeds {
@@ -87,6 +87,8 @@
     // How long work takes relative to usual, from minFactor to maxFactor; exactly 1 for an upstream that has stated no speed.
     double workFactor(const base::UpstreamId&, StartId, base::Instant now) const;
     bool hasStated(const base::ServiceId& service) const { return m_services.contains(service); }
+    // That start of the upstream has stated a speed.
+    bool hasStated(const base::UpstreamId&, StartId) const;
     bool isContradicted(const base::UpstreamId&, StartId) const;
     // When the upstream was last sent a call, long ago for one that never was, if it is due for a trial call.
     std::optional<base::Instant> trialDueSince(const base::ServiceId&, const base::UpstreamId&, StartId, base::Instant now) const;
@@ -118,7 +120,8 @@
     static constexpr size_t promptSizes = 24;
     struct Service {
         std::array<RunningMedian, promptSizes> startTimes;
-        RunningMedian eventTimes;
+        // For one byte of a stream.
+        RunningMedian byteTimes;
         RunningMedian stated;
         int64_t callsSinceTrial = 0;
     };
--- a/packages/upstreams/src/UpstreamSpeeds.cpp
+++ b/packages/upstreams/src/UpstreamSpeeds.cpp
@@ -114,13 +114,13 @@
 
 bool UpstreamSpeeds::onAnswerEnded(const base::UpstreamId& upstream, StartId start, const EndedAnswer& answer, base::Instant now)
 {
-    // Fewer events say more about the network than about the upstream.
-    constexpr int64_t leastEvents = 4;
+    // Fewer bytes may come in one or two packets, whose times say more about the network than about the upstream.
+    constexpr int64_t leastBytes = 256;
     auto found = m_records.find(upstream);
-    if (found == m_records.end() || found->second.start != start || !found->second.hasStated || answer.events < leastEvents)
+    if (found == m_records.end() || found->second.start != start || !found->second.hasStated || answer.bytes < leastBytes)
         return false;
-    double seconds = base::toSeconds(answer.streamed) / static_cast<double>(answer.events - 1);
-    return addMeasured(found->second, m_services[found->second.service].eventTimes, seconds, now);
+    double seconds = base::toSeconds(answer.streamed) / static_cast<double>(answer.bytes);
+    return addMeasured(found->second, m_services[found->second.service].byteTimes, seconds, now);
 }
 
 bool UpstreamSpeeds::addMeasured(Record& record, RunningMedian& median, double seconds, base::Instant now)
@@ -195,6 +195,12 @@
     return clampFactor(factor);
 }
 
+bool UpstreamSpeeds::hasStated(const base::UpstreamId& upstream, StartId start) const
+{
+    const Record* record = find(upstream, start);
+    return record && record->hasStated;
+}
+
 bool UpstreamSpeeds::isContradicted(const base::UpstreamId& upstream, StartId start) const
 {
     const Record* record = find(upstream, start);
--- a/packages/upstreams/test/SpeedReplay.h
+++ b/packages/upstreams/test/SpeedReplay.h
@@ -85,7 +85,7 @@
     static constexpr int stepsPerReport = 10;
     static constexpr double promptSeconds = 0.1;
     static constexpr double answerSeconds = 1;
-    static constexpr int64_t events = 20;
+    static constexpr int64_t answerBytes = 1000;
     static constexpr auto latencyTarget = std::chrono::milliseconds(400);
 
     struct Gateway {
@@ -171,7 +171,7 @@
     {
         Gateway& gateway = *m_gateways[call.gateway];
         gateway.table.onEnded(engine.id, true);
-        gateway.speeds.onAnswerEnded(engine.id, StartId(), { m_now - call.started, events }, m_now);
+        gateway.speeds.onAnswerEnded(engine.id, StartId(), { m_now - call.started, answerBytes }, m_now);
     }
 
     bool send(Call& call)
--- a/packages/upstreams/test/UpstreamSpeedsTest.cpp
+++ b/packages/upstreams/test/UpstreamSpeedsTest.cpp
@@ -141,7 +141,7 @@
             time += std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
             learning.onStated(service, engine, firstStart, states(*rc::gen::inRange<int64_t>(1, 10000)), time);
             learning.onAnswerStarted(engine, firstStart, { base::Tokens(*rc::gen::arbitrary<int64_t>()), std::chrono::milliseconds(*rc::gen::inRange(-5, 60000)), *rc::gen::inRange(-3, 90) }, time);
-            learning.onAnswerEnded(engine, firstStart, { std::chrono::milliseconds(*rc::gen::inRange(0, 60000)), *rc::gen::inRange(0, 50) }, time);
+            learning.onAnswerEnded(engine, firstStart, { std::chrono::milliseconds(*rc::gen::inRange(0, 60000)), *rc::gen::inRange(0, 5000) }, time);
             double factor = learning.workFactor(engine, firstStart, time);
             RC_ASSERT(factor >= UpstreamSpeeds::minFactor && factor <= UpstreamSpeeds::maxFactor);
         }
