--- a/packages/upstreams/src/UpstreamSelection.cpp
+++ b/packages/upstreams/src/UpstreamSelection.cpp
@@ -1,6 +1,7 @@
 #include "toucanstep/upstreams/UpstreamSelection.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <tuple>
@@ -31,9 +32,11 @@
 // Keeps gateways that see the same idle upstreams from all choosing the same one; less than the cost of another domain.
 constexpr double spreadWeight = 0.3;
 
-// See uncertaintyOf(). The bound keeps a preferred domain or spread from outweighing a queue of several prompts.
+// See uncertaintyOf(). The bounds keep the spread from outweighing a queue of three prompts, and another domain from costing more than
+// two: a call that waits for more of them starts late.
 constexpr double uncertaintyPerAwaiting = 4;
 constexpr double maxUncertainty = 8;
+constexpr double maxDomainUncertainty = 4;
 
 // The part of an upstream's slots that are assumed free without a report, at most.
 constexpr double maxEndedUnreported = 0.0625;
@@ -118,7 +121,8 @@
 {
     auto slots = static_cast<double>(entry.description.slots);
     int64_t limit = entry.description.slots + static_cast<int64_t>(slots * std::min(turnover, maxEndedUnreported));
-    return workFactor > 1 ? std::max<int64_t>(1, static_cast<int64_t>(static_cast<double>(limit) / workFactor)) : limit;
+    // Rounded: of few slots, a factor hardly above 1 would take a whole one.
+    return workFactor > 1 ? std::max<int64_t>(1, std::lround(static_cast<double>(limit) / workFactor)) : limit;
 }
 
 // Rendezvous hash: of the upstreams that hold a target, the one with the lowest value is preferred for a prompt prefix. It
@@ -143,7 +147,7 @@
     if (UpstreamTable::isUnresponsive(entry, now))
         cost += silentWeight;
     if (entry.description.domain != query.domain)
-        cost += otherDomainWeight * uncertainty;
+        cost += otherDomainWeight * std::min(uncertainty, maxDomainUncertainty);
     if (entry.coldUntil > now)
         cost += coldWeight;
     if (admission.limitedBy != BlockReason::None)
--- a/packages/upstreams/src/UpstreamSpeeds.cpp
+++ b/packages/upstreams/src/UpstreamSpeeds.cpp
@@ -16,8 +16,9 @@
 constexpr double maxMeanWeight = 20;
 // Usual speed counts as much as one figure.
 constexpr double usualWeight = 1;
-// A measured time includes the network and the calls beside it; four count as much as one stated figure.
-constexpr double measuredWeight = 0.25;
+// A measured time includes the network and the calls beside it; ten count as much as one stated figure, so that chance does not take
+// slots from an upstream that states usual speed.
+constexpr double measuredWeight = 0.1;
 
 // Queues at an upstream alone make its answers differ by less, as a mean over several.
 constexpr double contradictionRatio = 2;
--- a/packages/upstreams/test/SpeedReplay.h
+++ b/packages/upstreams/test/SpeedReplay.h
@@ -19,6 +19,10 @@
     size_t gateways = 1;
     double callsPerSecond = 260;
     bool useSpeeds = false;
+    // All calls come to the first gateway.
+    bool allAtOne = false;
+    // The first so many gateways and the others do not hear each other, nor do those hear one another.
+    size_t cutOff = 0;
     bool statesSpeed = true;
     // The engine that states a quarter of the usual time, whatever its speed.
     std::optional<size_t> falselyFast;
@@ -63,7 +67,7 @@
             advanceEngines();
             int64_t arrivals = std::poisson_distribution<int64_t>(m_settings.callsPerSecond * base::toSeconds(stepTime))(m_random);
             for (int64_t count = 0; count < arrivals; ++count)
-                m_waiting.push_back({ std::uniform_int_distribution<size_t>(0, m_settings.gateways - 1)(m_random), m_now });
+                m_waiting.push_back({ std::uniform_int_distribution<size_t>(0, m_settings.allAtOne ? 0 : m_settings.gateways - 1)(m_random), m_now });
             std::deque<Call> stillWaiting;
             for (Call& call : m_waiting) {
                 if (!send(call))
@@ -203,11 +207,13 @@
     {
         for (const Engine& engine : m_engines) {
             UpstreamLoad all;
-            for (const auto& gateway : m_gateways) {
+            for (auto place = m_gateways.begin() + static_cast<ptrdiff_t>(m_settings.cutOff); place != m_gateways.end(); ++place) {
+                const auto& gateway = *place;
                 all.inFlight += gateway->table.find(engine.id)->own.inFlight;
                 all.awaiting += gateway->table.find(engine.id)->own.awaiting;
             }
-            for (const auto& gateway : m_gateways) {
+            for (auto place = m_gateways.begin() + static_cast<ptrdiff_t>(m_settings.cutOff); place != m_gateways.end(); ++place) {
+                const auto& gateway = *place;
                 const UpstreamLoad& own = gateway->table.find(engine.id)->own;
                 gateway->table.setPeersLoad(engine.id, { all.inFlight - own.inFlight, all.awaiting - own.awaiting });
             }
--- a/packages/upstreams/test/UpstreamSpeedsTest.cpp
+++ b/packages/upstreams/test/UpstreamSpeedsTest.cpp
@@ -244,6 +244,17 @@
     }
 }
 
+// Guards against estimates that help only while gateways hear each other and share the callers evenly.
+TEST(UpstreamSpeeds, HoldsForGatewaysThatAreCutOffAndForCallersAtOneOfThem)
+{
+    for (bool allAtOne : { false, true }) {
+        ReplayResult counting = SpeedReplay({ .gateways = 27, .allAtOne = allAtOne, .cutOff = 9 }).run();
+        ReplayResult estimating = SpeedReplay({ .gateways = 27, .useSpeeds = true, .allAtOne = allAtOne, .cutOff = 9 }).run();
+        CHECK_TRUE(estimating.late <= counting.late / 2);
+        CHECK_TRUE(estimating.longestQueueSeconds <= counting.longestQueueSeconds);
+    }
+}
+
 // Guards against an upstream that states a false speed being overloaded by it.
 TEST(UpstreamSpeeds, AFalselyFastUpstreamGetsNoMoreThanItsPart)
 {
