--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -94,6 +94,7 @@
     TokenQueue::Decision decision = m_tokenQueue.chargeOrQueue(m_limits, request, now());
     if (decision.result == TokenResult::Queued) {
         m_awaitingTokens.emplace(decision.number, call);
+        countAsWaiting(*call, 1);
         if (!m_tokenTimer)
             m_tokenTimer = m_loop.at(decision.expected, [this] { processTokenQueue(); });
     }
@@ -103,7 +104,19 @@
 void CallDispatcher::leaveTokenQueue(QueuedCallNumber number)
 {
     m_tokenQueue.remove(number);
-    m_awaitingTokens.erase(number);
+    auto waitingCall = m_awaitingTokens.extract(number);
+    if (!waitingCall.empty())
+        countAsWaiting(*waitingCall.mapped(), -1);
+}
+
+// Calls may wait for tokens as long as a model takes to load, so that the planner has to know of them.
+void CallDispatcher::countAsWaiting(const ProxiedCall& call, int64_t change)
+{
+    if (!m_settings.policies.pressure || call.target().empty())
+        return;
+    m_demand.onWaiting(call.target(), change);
+    if (change > 0 && m_onTargetMissing)
+        m_onTargetMissing();
 }
 
 void CallDispatcher::processTokenQueue()
@@ -114,6 +127,7 @@
         auto waitingCall = m_awaitingTokens.extract(due.number);
         if (waitingCall.empty())
             continue;
+        countAsWaiting(*waitingCall.mapped(), -1);
         if (due.charged)
             waitingCall.mapped()->onTokensCharged();
         else
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -141,6 +141,7 @@
 private:
     void attributeConfirmedCrashes();
     void processTokenQueue();
+    void countAsWaiting(const ProxiedCall&, int64_t change);
     void processQueue();
     void onCallLimit(const base::UpstreamId&, const ResponseMetadata&);
     void logLeaving(const base::UpstreamId&, StartId, std::string_view source);
