Planner: placement by expected loss for services with uneven demand

Cause: models that are loaded nowhere come before a saturated one, whatever its loss; a draining victim holds a permit of the weight store; need is seen when the slots are full; engines' speed and the failure domains of the callers are not looked at. Change: with PlacementInput::unevenDemand, urgent requests are ordered by expected loss per second of load time with an aging term, victims by the value of their place, permits belong to loads that run, candidates of equal time by failure domain and speed, busy models are loaded ahead while the store is idle, and Placement::unplaced says why a full model gets no replica. Without it plans are unchanged.

--- a/bench/placement_replay.cpp
+++ b/bench/placement_replay.cpp
@@ -3,18 +3,22 @@
 //
 // Prints one JSON object for each policy: how long calls waited, what was loaded from where, and the same demand with loads that
 // take no time, as a lower bound that no policy can pass. With --pass, prints how long one planning pass takes at several sizes.
+// With --uneven, the demand for one model rises to several times its replicas' slots and then moves to two others, engines differ in
+// speed, and each other model has single callers: placement by expected loss is compared with that in the order of priorities.
 
 #include "toucanstep/base/Text.h"
 #include "toucanstep/planner/PlacementPlan.h"
 #include "toucanstep/planner/StoreConcurrencyLimit.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/program_options.hpp>
 #include <chrono>
 #include <cmath>
 #include <deque>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <numbers>
 #include <random>
 
 using namespace toucanstep;
@@ -27,11 +31,11 @@
 
 constexpr base::Instant origin { std::chrono::hours(1) };
 constexpr double stepSeconds = 0.1;
+constexpr size_t domains = 3;
+constexpr std::array workFactors { 0.6, 1.0, 1.6 };
 constexpr int64_t gigabyte = 1'000'000'000;
 constexpr int64_t modelGigabytes = 70;
-constexpr int64_t engineGigabytes = 200;
 constexpr size_t diskPlaces = 6;
-constexpr int64_t slotsPerEngine = 16;
 constexpr double storeSeconds = 7.8;
 constexpr double diskSeconds = 0.84;
 // Loads from the store that run at full speed.
@@ -48,20 +52,35 @@
     double shiftSeconds = 8;
     double shiftEvery = 20;
     uint64_t seed = 1;
+    int64_t slots = 16;
+    int64_t engineGigabytes = 200;
+    // Callers leave after so many seconds.
+    double abandonAfter = 2;
+    // The pattern of uneven demand instead of the above, and whether the planner places by expected loss.
+    bool uneven = false;
+    bool byLoss = false;
 };
 
 struct Call {
     size_t model = 0;
     double arrived = 0;
+    size_t domain = 0;
+};
+
+struct RunningCall {
+    size_t model = 0;
+    double ends = 0;
+    size_t domain = 0;
 };
 
 struct SimulatedEngine {
     base::UpstreamId id;
+    size_t domain = 0;
+    double workFactor = 1;
     std::vector<size_t> loaded;
     // Most recently used first.
     std::deque<size_t> disk;
-    // The end of each running call, by model.
-    std::vector<std::pair<size_t, double>> running;
+    std::vector<RunningCall> running;
     std::optional<PlannedOrder> order;
     size_t orderModel = 0;
     double orderSince = 0;
@@ -71,6 +90,9 @@
 };
 
 struct Result {
+    // Of the models with single callers in uneven demand.
+    int64_t singleCalls = 0;
+    int64_t singleAbandoned = 0;
     int64_t calls = 0;
     int64_t served = 0;
     int64_t withinTarget = 0;
@@ -94,7 +116,7 @@
         , m_waiting(scenario.models)
         , m_rates(scenario.models)
     {
-        m_traits.memory = base::Bytes(engineGigabytes * gigabyte);
+        m_traits.memory = base::Bytes(scenario.engineGigabytes * gigabyte);
         for (size_t index = 0; index < scenario.models; ++index) {
             ModelTraits model;
             model.id = base::ModelId(base::concat("model-", index));
@@ -108,7 +130,12 @@
         for (size_t index = 0; index < scenario.engines; ++index) {
             SimulatedEngine engine;
             engine.id = base::UpstreamId(base::concat("engine-", index));
-            engine.loaded = { index % scenario.models, (index + scenario.engines) % scenario.models };
+            for (int64_t place = 0; (place + 1) * modelGigabytes <= scenario.engineGigabytes; ++place)
+                engine.loaded.push_back((index + static_cast<size_t>(place) * scenario.engines) % scenario.models);
+            if (scenario.uneven) {
+                engine.domain = index % domains;
+                engine.workFactor = workFactors[index / domains % workFactors.size()];
+            }
             engine.disk.assign(engine.loaded.begin(), engine.loaded.end());
             while (engine.disk.size() < diskPlaces)
                 engine.disk.push_back(anyModel(m_random));
@@ -137,8 +164,47 @@
         return { (shift * 17 + 7) % m_scenario.models, std::min(1.0, since / m_scenario.shiftSeconds) };
     }
 
+    // Calls per second of a model in uneven demand: model 0 rises within 3 s, and 20 s later its calls move to models 1 and 2.
+    double unevenRate(size_t model) const
+    {
+        constexpr double risesAt = 10;
+        constexpr double movesAt = 30;
+        constexpr double riseSeconds = 3;
+        constexpr double singleCallsPerSecond = 0.1;
+        constexpr double timesSlots = 4;
+        double high = timesSlots * static_cast<double>(m_scenario.slots) / m_scenario.callSeconds;
+        double risen = std::clamp((m_now - risesAt) / riseSeconds, 0.0, 1.0);
+        double moved = std::clamp((m_now - movesAt) / riseSeconds, 0.0, 1.0);
+        if (model == 0)
+            return high * std::max(risen - moved, 0.1);
+        return model < 3 ? high * std::max(moved / 2, 0.05) : singleCallsPerSecond;
+    }
+
+    void arriveUnevenly()
+    {
+        constexpr double swing = 0.55;
+        constexpr double period = 12;
+        for (size_t model = 0; model < m_scenario.models; ++model) {
+            m_rates[model] *= std::exp(-stepSeconds / 4);
+            for (size_t domain = 0; domain < domains; ++domain) {
+                double phase = 2 * std::numbers::pi * (m_now / period + static_cast<double>(domain) / domains);
+                double rate = unevenRate(model) / domains * (1 + swing * std::sin(phase));
+                for (int call = std::poisson_distribution<int>(rate * stepSeconds)(m_random); call > 0; --call) {
+                    m_waiting[model].push_back({ model, m_now, domain });
+                    m_rates[model] += 0.25;
+                    ++m_result.calls;
+                    m_result.singleCalls += model < 3 ? 0 : 1;
+                }
+            }
+        }
+    }
+
     void arrive()
     {
+        if (m_scenario.uneven) {
+            arriveUnevenly();
+            return;
+        }
         std::poisson_distribution<int> count(m_scenario.callsPerSecond * stepSeconds);
         std::uniform_real_distribution<double> draw(0, 1);
         std::uniform_int_distribution<size_t> anyModel(0, m_scenario.models - 1);
@@ -164,11 +230,11 @@
     void dispatch()
     {
         constexpr double target = 0.3;
-        constexpr double abandonAfter = 2;
         std::exponential_distribution<double> duration(1 / m_scenario.callSeconds);
         for (size_t model = 0; model < m_waiting.size(); ++model) {
             auto& calls = m_waiting[model];
-            while (!calls.empty() && m_now - calls.front().arrived > abandonAfter) {
+            while (!calls.empty() && m_now - calls.front().arrived > m_scenario.abandonAfter) {
+                m_result.singleAbandoned += model < 3 ? 0 : 1;
                 calls.pop_front();
                 ++m_result.abandoned;
             }
@@ -176,15 +242,15 @@
                 SimulatedEngine* best = nullptr;
                 for (auto& engine : m_engines) {
                     bool holds = std::find(engine.loaded.begin(), engine.loaded.end(), model) != engine.loaded.end() && !isUnloading(engine, model);
-                    bool free = static_cast<int64_t>(engine.running.size()) < slotsPerEngine;
+                    bool free = static_cast<int64_t>(engine.running.size()) < m_scenario.slots;
                     if (holds && free && (!best || engine.running.size() < best->running.size()))
                         best = &engine;
                 }
                 if (!best)
                     break;
                 double waited = m_now - calls.front().arrived;
+                best->running.push_back({ model, m_now + duration(m_random) * best->workFactor, calls.front().domain });
                 calls.pop_front();
-                best->running.emplace_back(model, m_now + duration(m_random));
                 ++m_result.served;
                 m_result.withinTarget += waited < target ? 1 : 0;
                 m_result.waitedSeconds += waited;
@@ -195,7 +261,7 @@
     void endCalls()
     {
         for (auto& engine : m_engines)
-            std::erase_if(engine.running, [&](const auto& call) { return call.second <= m_now; });
+            std::erase_if(engine.running, [&](const auto& call) { return call.ends <= m_now; });
     }
 
     void advanceOrders()
@@ -210,7 +276,7 @@
             bool slowed = engine.order->kind == OrderKind::Load && engine.order->source == LoadSource::WeightStore;
             engine.workLeft -= stepSeconds * (slowed ? storeSpeed : 1);
             engine.storeLoadsSum += fromStore;
-            bool inUse = engine.order->kind == OrderKind::Unload && std::any_of(engine.running.begin(), engine.running.end(), [&](const auto& call) { return call.first == engine.orderModel; });
+            bool inUse = engine.order->kind == OrderKind::Unload && std::any_of(engine.running.begin(), engine.running.end(), [&](const auto& call) { return call.model == engine.orderModel; });
             if (engine.workLeft <= 0 && !inUse)
                 finishOrder(engine);
         }
@@ -234,6 +300,8 @@
 
     base::Instant instantOf(double seconds) const { return origin + std::chrono::milliseconds(static_cast<int64_t>(seconds * 1000)); }
 
+    static base::FailureDomain domainOf(size_t domain) { return base::FailureDomain(base::concat("domain-", domain)); }
+
     PlannedEngine planningState(const SimulatedEngine& engine) const
     {
         PlannedEngine state;
@@ -242,13 +310,31 @@
             state.loaded[m_traits.models[model].id];
         for (size_t model : engine.disk)
             state.onDisk.insert(m_traits.models[model].id);
-        state.slots = slotsPerEngine;
+        state.domain = domainOf(engine.domain);
+        state.workFactor = engine.workFactor;
+        state.slots = m_scenario.slots;
         state.inFlight = static_cast<int64_t>(engine.running.size());
         if (engine.order)
             state.running = RunningOrder { engine.order->kind, engine.order->target.model, engine.order->source, engine.order->expected, instantOf(engine.orderSince) + engine.order->expected };
         return state;
     }
 
+    void addDemandByDomain(PlacementInput& input) const
+    {
+        input.unevenDemand = true;
+        std::map<std::pair<size_t, size_t>, int64_t> calls;
+        for (const auto& engine : m_engines) {
+            for (const auto& call : engine.running)
+                ++calls[{ call.model, call.domain }];
+        }
+        for (const auto& waiting : m_waiting) {
+            for (const auto& call : waiting)
+                ++calls[{ call.model, call.domain }];
+        }
+        for (const auto& [key, count] : calls)
+            input.demandByDomain.push_back({ m_traits.models[key.first].id, domainOf(key.second), count });
+    }
+
     void plan()
     {
         PlacementInput input;
@@ -259,8 +345,10 @@
         for (const auto& engine : m_engines) {
             input.engines.push_back(planningState(engine));
             for (const auto& call : engine.running)
-                ++running[call.first];
+                ++running[call.model];
         }
+        if (m_scenario.byLoss)
+            addDemandByDomain(input);
         for (size_t model = 0; model < m_scenario.models; ++model) {
             auto waiting = static_cast<int64_t>(m_waiting[model].size());
             if (waiting || running[model] || m_rates[model] > 0.02)
@@ -318,6 +406,8 @@
         sum.storeLoads += result.storeLoads;
         sum.diskLoads += result.diskLoads;
         sum.unloads += result.unloads;
+        sum.singleCalls += result.singleCalls;
+        sum.singleAbandoned += result.singleAbandoned;
         late.push_back(1 - static_cast<double>(result.withinTarget) / static_cast<double>(result.calls));
     }
     double mean = 0;
@@ -327,8 +417,11 @@
         mean += value / count;
     for (double value : late)
         variance += (value - mean) * (value - mean);
-    return { { "policy", policy }, { "runs", late.size() }, { "calls", sum.calls }, { "late_or_abandoned", mean }, { "standard_error", late.size() > 1 ? std::sqrt(variance / (count - 1) / count) : 0 }, { "abandoned", sum.abandoned },
+    Json json { { "policy", policy }, { "runs", late.size() }, { "calls", sum.calls }, { "late_or_abandoned", mean }, { "standard_error", late.size() > 1 ? std::sqrt(variance / (count - 1) / count) : 0 }, { "abandoned", sum.abandoned },
         { "mean_wait_ms", sum.waitedSeconds * 1000 / static_cast<double>(std::max<int64_t>(sum.served, 1)) }, { "store_loads", sum.storeLoads }, { "disk_loads", sum.diskLoads }, { "unloads", sum.unloads } };
+    if (sum.singleCalls)
+        json["single_callers_abandoned"] = static_cast<double>(sum.singleAbandoned) / static_cast<double>(sum.singleCalls);
+    return json;
 }
 
 std::vector<std::pair<std::string, PlacementSettings>> policies()
@@ -362,17 +455,41 @@
     play("bound: loads take no time", PlacementSettings {}, true);
 }
 
+void replayUneven(Scenario scenario, uint64_t seeds)
+{
+    scenario.uneven = true;
+    scenario.engines = 50;
+    scenario.models = 158;
+    scenario.slots = 32;
+    scenario.engineGigabytes = 230;
+    scenario.abandonAfter = 8;
+    for (bool byLoss : { false, true }) {
+        scenario.byLoss = byLoss;
+        std::vector<Result> results;
+        for (uint64_t seed = 1; seed <= seeds; ++seed) {
+            scenario.seed = seed;
+            results.push_back(Replay(scenario, PlacementSettings {}, false).run());
+        }
+        std::cout << toJson(byLoss ? "expected loss" : "priorities", results).dump() << std::endl;
+    }
+}
+
 void measurePass()
 {
     constexpr double callsPerEngine = 4;
-    for (auto [engines, models] : { std::pair<size_t, size_t>(60, 113), { 300, 300 }, { 600, 600 }, { 1200, 1200 } }) {
+    auto measure = [&](size_t engines, size_t models, bool byLoss) {
         Scenario scenario;
         scenario.engines = engines;
         scenario.models = models;
         scenario.seconds = 10;
+        scenario.byLoss = byLoss;
         scenario.callsPerSecond = callsPerEngine * static_cast<double>(engines);
         Result result = Replay(scenario, PlacementSettings {}, false).run();
-        std::cout << Json { { "engines", engines }, { "models", models }, { "passes", result.passes }, { "pass_ms", result.passSeconds * 1000 / static_cast<double>(result.passes) } }.dump() << std::endl;
+        std::cout << Json { { "engines", engines }, { "models", models }, { "by_loss", byLoss }, { "passes", result.passes }, { "pass_ms", result.passSeconds * 1000 / static_cast<double>(result.passes) } }.dump() << std::endl;
+    };
+    for (auto [engines, models] : { std::pair<size_t, size_t>(1, 2), { 50, 158 }, { 300, 300 }, { 600, 600 }, { 1200, 1200 } }) {
+        for (bool byLoss : { false, true })
+            measure(engines, models, byLoss);
     }
 }
 
@@ -386,6 +503,7 @@
     auto add = described.add_options();
     add("help", "prints this text");
     add("pass", "prints how long a planning pass takes at several sizes");
+    add("uneven", "compares the order by expected loss with that by priorities on uneven demand; only seconds and seeds apply");
     add("engines", options::value(&scenario.engines)->default_value(scenario.engines), "number of engines");
     add("models", options::value(&scenario.models)->default_value(scenario.models), "number of models");
     add("seconds", options::value(&scenario.seconds)->default_value(scenario.seconds), "simulated seconds a run");
@@ -410,6 +528,8 @@
     }
     if (given.count("pass"))
         measurePass();
+    else if (given.count("uneven"))
+        replayUneven(scenario, seeds);
     else
         replayPolicies(scenario, seeds);
     return 0;
--- a/packages/planner/include/toucanstep/planner/PlacementPlan.h
+++ b/packages/planner/include/toucanstep/planner/PlacementPlan.h
@@ -5,10 +5,15 @@
 // at full speed. Models that are loaded nowhere and have waiting callers come first, then further replicas of saturated
 // models, then models that are loaded nowhere and have no waiting callers, then further replicas of busy models. A model
 // occupies memory from the order to load it until a report no longer lists it, so no order exceeds an engine's memory.
+//
+// For a service with uneven demand (PlacementInput::unevenDemand) the order of urgent requests is their expected loss, see
+// ExpectedLoss, and docs/design/uneven-demand.md.
 
 #pragma once
 
+#include "toucanstep/planner/DemandForecast.h"
 #include "toucanstep/planner/Imports.h"
+#include "toucanstep/planner/StorePermits.h"
 #include "toucanstep/serving/Demand.h"
 #include "toucanstep/serving/DesiredState.h"
 #include "toucanstep/serving/Upstream.h"
@@ -47,6 +52,8 @@
     std::set<base::ModelId> inHostMemory;
     std::set<base::ModelId> onDisk;
     int64_t slots = 1;
+    // How long work takes on the engine, where 1 is usual.
+    double workFactor = 1;
     int64_t inFlight = 0;
     std::optional<RunningOrder> running;
     // Accepts no orders for now: it is draining, a request to it is pending, its state has not been reported, or the outcome of
@@ -65,13 +72,27 @@
     bool runsUnknownOrder = false;
 };
 
+// Waiting and running calls for a model from the gateways of one failure domain.
+struct DomainDemand {
+    base::ModelId model;
+    base::FailureDomain domain;
+    int64_t calls = 0;
+};
+
 struct PlacementInput {
     base::Instant now;
+    base::ServiceId service;
     const EngineTraits* traits = nullptr;
     std::vector<PlannedEngine> engines;
     std::vector<TargetDemand> demand;
     // Concurrent loads from the weight store. Above this number each load slows down in proportion and none ends earlier.
     size_t maxStoreLoads = 4;
+    // Models are placed by the trend of their demand in each failure domain and by the loss that each place avoids.
+    bool unevenDemand = false;
+    // The demand by failure domain; only used for uneven demand. If empty, all demand counts as one failure domain's.
+    std::vector<DomainDemand> demandByDomain;
+    // Time within which each gateway reports its whole demand.
+    base::Duration demandReportInterval = std::chrono::milliseconds(200);
 };
 
 struct PlannedOrder {
@@ -80,12 +101,36 @@
     ModelTarget target;
     LoadSource source = LoadSource::WeightStore;
     base::Duration expected {};
+    // No caller needs the replica yet; the weight store is idle.
+    bool ahead = false;
+};
+
+enum class PlacementObstacle {
+    // The weight store runs as many loads as it carries.
+    NoPermit,
+    // Each engine holds the model, is draining, or is reserved for another model.
+    NoEngine,
+    // No engine has free memory, and none holds a model that may be evicted.
+    Memory,
+    // The best engine executes another order, or evicts a model for this replica.
+    OrderInProgress,
+};
+
+std::string_view toText(PlacementObstacle);
+
+// A model whose replicas are full while most slots of the fleet are free, and for which no replica could be ordered.
+struct UnplacedReplica {
+    base::ModelId model;
+    PlacementObstacle obstacle = PlacementObstacle::NoEngine;
+    int64_t waiting = 0;
 };
 
 struct Placement {
     std::vector<PlannedOrder> orders;
     // For targets with demand that are being loaded or that no engine holds.
     std::vector<ExpectedLoad> expected;
+    // At most one entry per second for each model.
+    std::vector<UnplacedReplica> unplaced;
 };
 
 struct PlacementSettings {
@@ -122,6 +167,10 @@
     // Engines are listed one after the other when a fleet starts. Until none has been added for this long, a model that no
     // listed engine holds may be loaded at one that is not listed yet.
     base::Duration fleetSettlingTime = std::chrono::seconds(2);
+    // Uneven demand: after this many loads from the weight store, an urgent request that was not placed comes before each new one.
+    int turnLoads = 2;
+    // Uneven demand: a model with at least this fraction of an engine's slots in use is loaded ahead onto further disks.
+    double busySlots = 0.25;
 };
 
 class PlacementPlanner {
@@ -137,6 +186,14 @@
         base::ModelId model;
         base::Instant until;
     };
+    // For each service with uneven demand.
+    struct UnevenState {
+        DemandForecast forecast;
+        StorePermits permits;
+        // Since when a model has an urgent request of which no replica has been ordered.
+        std::map<base::ModelId, base::Instant> unplacedSince;
+        std::map<base::ModelId, base::Instant> nextUnplacedNotice;
+    };
     struct DesiredPeak {
         int64_t replicas = 0;
         base::Instant until;
@@ -150,6 +207,7 @@
     std::map<base::ModelId, DesiredPeak> m_desiredPeaks;
     std::set<base::UpstreamId> m_knownEngines;
     base::Instant m_lastNewEngine;
+    std::map<base::ServiceId, UnevenState> m_uneven;
 };
 
 } // namespace toucanstep::planner
--- a/packages/planner/include/toucanstep/planner/StorePermits.h
+++ b/packages/planner/include/toucanstep/planner/StorePermits.h
@@ -25,7 +25,8 @@
     // earlier would be idle until the load starts.
     bool mayDrain(base::Instant readyAt) const;
     void onStarted(base::Duration loadTime);
-    size_t running() const { return m_runningUntil.size(); }
+    // No load runs, and none waits for its victim.
+    bool isIdle() const { return m_runningUntil.empty() && !m_draining; }
 
 private:
     base::Instant m_now;
--- a/packages/planner/src/PlacementPlan.cpp
+++ b/packages/planner/src/PlacementPlan.cpp
@@ -19,6 +19,21 @@
     return "disk";
 }
 
+std::string_view toText(PlacementObstacle obstacle)
+{
+    switch (obstacle) {
+    case PlacementObstacle::NoPermit:
+        return "no_permit";
+    case PlacementObstacle::NoEngine:
+        return "no_engine";
+    case PlacementObstacle::Memory:
+        return "memory";
+    case PlacementObstacle::OrderInProgress:
+        break;
+    }
+    return "order_in_progress";
+}
+
 PlacementPlanner::PlacementPlanner(PlacementSettings settings)
     : m_settings(settings)
 {
--- a/packages/planner/src/PlanningPass.cpp
+++ b/packages/planner/src/PlanningPass.cpp
@@ -13,6 +13,7 @@
 
 PlacementPlanner::PlanningPass::PlanningPass(PlacementPlanner& planner, const PlacementInput& input)
     : m_planner(planner)
+    , m_uneven(input.unevenDemand ? &planner.m_uneven[input.service] : nullptr)
     , m_settings(planner.m_settings)
     , m_input(input)
     , m_traits(*input.traits)
@@ -26,6 +27,10 @@
         addDemand(entry);
     for (const Engine& engine : m_engines)
         leaveOutUnavailable(engine);
+    if (m_uneven) {
+        observeDemand();
+        startPermits();
+    }
     for (auto& [id, model] : m_models)
         setDesiredReplicas(id, model);
 }
@@ -42,13 +47,21 @@
     Engine engine { &state, freeMemory(state), state.running.has_value() || state.blocked || state.draining, {}, {}, reservationAt(state) };
     m_storeLoads += loadsFromStore(state) ? 1 : 0;
     if (!state.draining) {
-        for (const auto& [model, adapters] : state.loaded)
-            m_models[model].ready += engine.isUnloading(model) ? 0 : 1;
-        if (state.running && state.running->kind == OrderKind::Load && !engine.holds(state.running->model))
+        for (const auto& [model, adapters] : state.loaded) {
+            if (engine.isUnloading(model))
+                continue;
+            m_models[model].ready += 1;
+            countSlots(m_models[model], state, 1);
+        }
+        if (state.running && state.running->kind == OrderKind::Load && !engine.holds(state.running->model)) {
             m_models[state.running->model].loading += 1;
+            countSlots(m_models[state.running->model], state, 1);
+        }
         for (const auto* cached : { &state.inHostMemory, &state.onDisk }) {
-            for (const auto& model : *cached)
+            for (const auto& model : *cached) {
                 m_models[model].hasLocalWeights = true;
+                m_models[model].hasSpareLocalWeights |= !engine.holds(model) && !engine.isLoading(model);
+            }
         }
     }
     m_engines.push_back(std::move(engine));
@@ -66,8 +79,10 @@
         bool withinLimit = !state.callLimit || model.demand.callsPerSecond <= *state.callLimit / static_cast<double>(models);
         bool replicaIsSooner = !state.pausedUntil || shortestLoadTime(model) < base::remaining(m_input.now, *state.pausedUntil);
         bool takesAll = withinLimit && (!model.demand.waiting || !replicaIsSooner);
-        if (!takesAll && !engine.isUnloading(id))
+        if (!takesAll && !engine.isUnloading(id)) {
             model.ready -= 1;
+            countSlots(model, state, -1);
+        }
     }
 }
 
--- a/packages/planner/src/PlanningPass.h
+++ b/packages/planner/src/PlanningPass.h
@@ -1,9 +1,11 @@
 // Working state of one call of PlacementPlanner::plan(). Its parts are in one file each: the state (PlanningPass.cpp), the models
-// that need replicas (ReplicaRequests.cpp), their places (ReplicaPlacement.cpp), what yields (Victims.cpp), and adapters
-// (AdapterPlacement.cpp).
+// that need replicas (ReplicaRequests.cpp), their places (ReplicaPlacement.cpp), what yields (Victims.cpp), adapters
+// (AdapterPlacement.cpp), and for services with uneven demand the forecast and slots (UnevenDemand.cpp), the order of requests by
+// loss (LossOrder.cpp) and loads ahead of need (LoadAhead.cpp).
 
 #pragma once
 
+#include "toucanstep/planner/ExpectedLoss.h"
 #include "toucanstep/planner/PlacementPlan.h"
 
 #include <tuple>
@@ -35,11 +37,13 @@
     ModelDemand demand;
     // Replicas that are neither loaded nor being loaded yet.
     int64_t missing = 0;
+    // Uneven demand: the order of urgent requests, the highest first.
+    double rank = 0;
 
     // Callers are waiting, or are delayed by long prefill queues.
     bool isUrgent() const { return demand.waiting || priority == Priority::Saturated; }
 
-    auto sortKey() const { return std::tuple(priority, -demand.waiting, -demand.callsPerSecond, model->id); }
+    auto sortKey() const { return std::tuple(!isUrgent(), -rank, priority, -demand.waiting, -demand.callsPerSecond, model->id); }
 };
 
 class PlacementPlanner::PlanningPass {
@@ -64,6 +68,14 @@
         int64_t desiredLately = 1;
         // Its weights are in the host memory or on the disk of some engine.
         bool hasLocalWeights = false;
+        // The following are set for uneven demand only. Its weights are at some engine that does not hold the model.
+        bool hasSpareLocalWeights = false;
+        // Slots of its replicas, each divided by the work factor of its engine.
+        double slots = 0;
+        std::map<base::FailureDomain, double> slotsByDomain;
+        // Expected calls in progress when a further replica would be ready.
+        double callsAhead = 0;
+        std::map<base::FailureDomain, double> callsAheadByDomain;
 
         int64_t replicas() const { return ready + loading; }
     };
@@ -76,8 +88,10 @@
         base::Duration delay {};
         int victimClass = 0;
         base::Instant lastUsed;
+        // Calls that are late if it yields; 0 without uneven demand.
+        double value = 0;
 
-        auto sortKey() const { return std::tuple(delay, victimClass, lastUsed); }
+        auto sortKey() const { return std::tuple(delay, value, victimClass, lastUsed); }
     };
 
     struct Engine {
@@ -119,9 +133,14 @@
         base::Instant victimLastUsed;
         // The engine can take the order now.
         bool canStart = false;
+        // The following are 0 without uneven demand. Calls of the engine's failure domain that no replica there has slots for.
+        int64_t uncovered = 0;
+        int64_t victimValue = 0;
+        double workFactor = 0;
+        bool lacksPermit = false;
 
         // Among equal times, prefers a candidate that can start now, since a running order may take longer than expected.
-        auto sortKey() const { return std::tuple(timeToReady, !canStart, victimClass, victimLastUsed, engine->state->inFlight, -engine->free, engine->state->id); }
+        auto sortKey() const { return std::tuple(timeToReady, !canStart, -uncovered, victimValue, workFactor, victimClass, victimLastUsed, engine->state->inFlight, -engine->free, engine->state->id); }
     };
 
     void addEngine(const PlannedEngine& state);
@@ -178,6 +197,40 @@
     void load(const Candidate& candidate, const ReplicaRequest& request);
     void evict(const Candidate& candidate, const ReplicaRequest& request);
     void reportRunningLoads();
+
+    // Uneven demand.
+    void observeDemand();
+    void startPermits();
+    // Slots that a replica at the engine has for calls of usual length.
+    static double effectiveSlots(const PlannedEngine&);
+    // The same for an average engine of the fleet.
+    double slotsOfReplica() const;
+    // Adds the slots of a replica at the engine, or takes them away for -1.
+    void countSlots(Model&, const PlannedEngine&, int sign);
+    ModelLoad loadOf(const Model&) const;
+    static base::Duration timeOfNextLoad(const Model&);
+    // The time rounded up to steps of an eviction.
+    base::Duration stepsOf(base::Duration) const;
+    // Calls that are late if the engine's replica of the model yields.
+    double valueOfPlace(const Engine&, const Model&) const;
+    // Other replicas have slots for all its calls, with a margin.
+    bool isCoveredWithout(const Engine&, const Model&) const;
+    // Sets what is compared at candidates of equal time: steps of time, the failure domain, the value of the victim, the speed.
+    void compareUneven(const ReplicaRequest&, Candidate&) const;
+    // A candidate that would load from the weight store starts only with a permit.
+    void requirePermit(const ReplicaRequest&, Candidate&) const;
+    // Gives each next replica to the request with the largest expected loss.
+    void placeByLoss(std::vector<ReplicaRequest>&);
+    void rankRequests(std::vector<ReplicaRequest>&) const;
+    // Records which models still wait for their turn.
+    void recordUnplaced(const std::vector<ReplicaRequest>&);
+    void noteUnplaced(const std::vector<ReplicaRequest>&);
+    PlacementObstacle obstacleTo(const ReplicaRequest&) const;
+    // Where the weight store is idle and no urgent request waits for it, puts the busiest model that is on few disks onto a further one.
+    void loadAhead();
+    // An engine that can take it now, in free memory or in that of a replica whose place is worth nothing.
+    std::optional<Candidate> placeAhead(const Model&);
+
     bool hasDemand(const base::ModelId& id) const;
     void placeAdapters();
     static int64_t adaptersAt(const PlannedEngine& engine);
@@ -185,11 +238,15 @@
     std::optional<ModelTarget> leastRecentlyUsedAdapter(const PlannedEngine& engine) const;
 
     PlacementPlanner& m_planner;
+    // Null without uneven demand.
+    UnevenState* m_uneven;
     const PlacementSettings& m_settings;
     const PlacementInput& m_input;
     const EngineTraits& m_traits;
     std::vector<Engine> m_engines;
     int64_t m_adapterReserve = 0;
+    // Slots of an average engine, once computed.
+    mutable double m_slotsOfReplica = 0;
     // Sent in this pass.
     int64_t m_evictions = 0;
     std::map<base::ModelId, Model> m_models;
@@ -197,6 +254,10 @@
     size_t m_storeLoads = 0;
     // Some request of this pass is urgent.
     bool m_hasUrgentRequests = false;
+    // Models of which this pass has ordered a replica or an eviction for one.
+    std::set<base::ModelId> m_orderedFor;
+    // Why the last candidate of a model could not start.
+    std::map<base::ModelId, PlacementObstacle> m_obstacles;
     Placement m_result;
 };
 
--- a/packages/planner/src/ReplicaPlacement.cpp
+++ b/packages/planner/src/ReplicaPlacement.cpp
@@ -9,6 +9,11 @@
     std::vector<ReplicaRequest> list = replicaRequests();
     releaseUnneededReservations(list);
     m_hasUrgentRequests = std::any_of(list.begin(), list.end(), [](const ReplicaRequest& request) { return request.isUrgent(); });
+    if (m_uneven) {
+        placeByLoss(list);
+        reportRunningLoads();
+        return;
+    }
     bool placedAny = true;
     while (placedAny) {
         placedAny = false;
@@ -32,7 +37,10 @@
         if (!engine.reserved)
             continue;
         if (needed[*engine.reserved]-- > 0) {
-            m_storeLoads += sourceAt(engine, *engine.reserved) == LoadSource::WeightStore ? 1 : 0;
+            bool fromStore = sourceAt(engine, *engine.reserved) == LoadSource::WeightStore;
+            m_storeLoads += fromStore ? 1 : 0;
+            if (m_uneven && fromStore)
+                m_uneven->permits.onDraining();
             continue;
         }
         engine.reserved.reset();
@@ -63,6 +71,8 @@
     }
     if (!best)
         return false;
+    if (!best->canStart)
+        m_obstacles[model] = best->lacksPermit ? PlacementObstacle::NoPermit : PlacementObstacle::OrderInProgress;
     best->engine->assigned.insert(model);
     if (request.demand.waiting && !m_models.at(model).replicas())
         m_result.expected.push_back({ { model, AdapterId() }, best->timeToReady });
@@ -78,8 +88,10 @@
     Candidate candidate { &engine, sourceAt(engine, request.model->id) };
     candidate.timeToReady = loadTime(*request.model, candidate.source);
     candidate.canStart = !engine.unavailable;
-    if (engine.free >= request.model->memory.value())
+    if (engine.free >= request.model->memory.value()) {
+        requirePermit(request, candidate);
         return candidate;
+    }
     candidate.timeToReady += m_settings.evictionTime;
     // The order to unload was not accepted, so the memory is still in use.
     bool evictAgain = !engine.unavailable && chooseVictim(engine, request, candidate);
@@ -111,11 +123,11 @@
     candidate.timeToReady = loadTime(*request.model, candidate.source);
     if (engine.state->running)
         candidate.timeToReady += std::max<base::Duration>(base::remaining(m_input.now, engine.state->running->expectedEnd), m_settings.overdueAllowance);
-    if (!needsEviction)
-        return candidate;
-    if (!chooseVictim(engine, request, candidate))
+    if (needsEviction && !chooseVictim(engine, request, candidate))
         return std::nullopt;
     candidate.timeToReady += candidate.evictionDelay;
+    requirePermit(request, candidate);
+    compareUneven(request, candidate);
     return candidate;
 }
 
@@ -135,7 +147,8 @@
             return false;
         permits -= permits > 1 ? 1 : 0;
     }
-    candidate.canStart = candidate.canStart && m_storeLoads < permits;
+    // With uneven demand, requirePermit() decides once the victim is known.
+    candidate.canStart = candidate.canStart && (m_uneven || m_storeLoads < permits);
     return true;
 }
 
@@ -147,6 +160,10 @@
     candidate.engine->free -= request.model->memory.value();
     candidate.engine->ordered.insert(request.model->id);
     m_models.at(request.model->id).loading += 1;
+    m_orderedFor.insert(request.model->id);
+    countSlots(m_models.at(request.model->id), *candidate.engine->state, 1);
+    if (m_uneven && candidate.source == LoadSource::WeightStore)
+        m_uneven->permits.onStarted(loadTime(*request.model, candidate.source));
 }
 
 void PlacementPlanner::PlanningPass::evict(const Candidate& candidate, const ReplicaRequest& request)
@@ -154,6 +171,10 @@
     m_result.orders.push_back({ candidate.engine->state->id, OrderKind::Unload, { *candidate.victim, AdapterId() }, LoadSource::HostMemory, base::Duration::zero() });
     candidate.engine->unavailable = true;
     m_models.at(*candidate.victim).evicted += 1;
+    m_orderedFor.insert(request.model->id);
+    countSlots(m_models.at(*candidate.victim), *candidate.engine->state, -1);
+    if (m_uneven && candidate.source == LoadSource::WeightStore)
+        m_uneven->permits.onDraining();
     ++m_evictions;
     m_storeLoads += candidate.source == LoadSource::WeightStore ? 1 : 0;
     // Otherwise the evicted model could be loaded into the freed memory again.
--- a/packages/planner/src/ReplicaRequests.cpp
+++ b/packages/planner/src/ReplicaRequests.cpp
@@ -26,7 +26,12 @@
     int64_t minimum = model.demand.callsPerSecond > m_settings.callsPerSecondForTwoReplicas ? 2 : 1;
     double prefillLoad = prefillUtilization(model.demand.awaiting, std::max<int64_t>(model.ready, 1));
     auto forPrefill = static_cast<int64_t>(std::ceil(prefillLoad / m_settings.prefillUtilizationPerReplica));
-    return std::max({ forSlots, minimum, forPrefill });
+    if (!m_uneven)
+        return std::max({ forSlots, minimum, forPrefill });
+    // Replicas on slow engines have room for fewer calls than counted above. Those expected ahead need no further headroom.
+    auto forTrend = static_cast<int64_t>(std::ceil(loadOf(model).callsAhead / (slotsOfReplica() * m_settings.slotsInUseBeforeStoreLoad)));
+    int64_t forSpeed = model.replicas() + (lacksSlots(model) ? 1 : 0);
+    return std::max({ forSlots, minimum, forPrefill, forTrend, forSpeed });
 }
 
 void PlacementPlanner::PlanningPass::setDesiredReplicas(const base::ModelId& id, Model& model)
@@ -40,8 +45,8 @@
 
 bool PlacementPlanner::PlanningPass::lacksSlots(const Model& model) const
 {
-    auto slots = static_cast<double>(m_engines.front().state->slots * model.replicas());
-    auto calls = static_cast<double>(model.demand.waiting + model.demand.running);
+    auto slots = m_uneven ? model.slots : static_cast<double>(m_engines.front().state->slots * model.replicas());
+    auto calls = std::max(static_cast<double>(model.demand.waiting + model.demand.running), model.callsAhead);
     bool prefillSaturated = model.ready && prefillUtilization(model.demand.awaiting, model.ready) > m_settings.saturatedPrefillUtilization * static_cast<double>(model.replicas());
     return prefillSaturated || calls > slots * m_settings.slotsInUseBeforeStoreLoad;
 }
@@ -49,7 +54,8 @@
 bool PlacementPlanner::PlanningPass::isSaturated(const Model& model) const
 {
     bool prefillSaturated = model.ready && prefillUtilization(model.demand.awaiting, model.ready) > m_settings.saturatedPrefillUtilization * static_cast<double>(model.ready);
-    return model.demand.waiting || prefillSaturated;
+    bool willLackSlots = m_uneven && model.callsAhead > model.slots;
+    return model.demand.waiting || prefillSaturated || willLackSlots;
 }
 
 std::vector<PlacementPlanner::ReplicaRequest> PlacementPlanner::PlanningPass::replicaRequests() const
@@ -67,6 +73,8 @@
             request.priority = ReplicaRequest::Priority::NotLoadedWithWaiters;
         list.push_back(request);
     }
+    if (m_uneven)
+        rankRequests(list);
     std::sort(list.begin(), list.end(), [](const ReplicaRequest& left, const ReplicaRequest& right) { return left.sortKey() < right.sortKey(); });
     return list;
 }
--- a/packages/planner/src/Victims.cpp
+++ b/packages/planner/src/Victims.cpp
@@ -26,6 +26,7 @@
         candidate.evictionDelay = victim.delay;
         candidate.victimClass = victim.victimClass;
         candidate.victimLastUsed = victim.lastUsed;
+        candidate.victimValue = std::llround(victim.value);
         return true;
     }
     return false;
@@ -38,8 +39,16 @@
     engine.victimsValidFor = m_evictions;
     engine.victims.clear();
     for (const auto& [model, adapters] : engine.state->loaded) {
-        if (auto victimClass = evictionClass(engine, model))
-            engine.victims.push_back({ model, memoryOf(model), m_settings.evictionTime + drainTime(m_models.at(model)), *victimClass, lastUsed(model) });
+        auto victimClass = evictionClass(engine, model);
+        if (!victimClass)
+            continue;
+        Victim victim { model, memoryOf(model), m_settings.evictionTime + drainTime(m_models.at(model)), *victimClass, lastUsed(model) };
+        if (m_uneven) {
+            // Differences below the time of an eviction matter less than the value.
+            victim.delay = stepsOf(victim.delay);
+            victim.value = valueOfPlace(engine, m_models.at(model));
+        }
+        engine.victims.push_back(victim);
     }
     std::stable_sort(engine.victims.begin(), engine.victims.end(), [](const Victim& left, const Victim& right) { return left.sortKey() < right.sortKey(); });
 }
@@ -61,6 +70,9 @@
     const Model& model = m_models.at(id);
     if (!model.traits || model.replicas() - model.evicted > model.desiredLately)
         return 0;
+    // Without this, the places of a model that has lost its callers stay until surplusAfter has passed.
+    if (m_uneven && model.replicas() - model.evicted > 1 && isCoveredWithout(engine, model))
+        return 0;
     bool used = model.demand.waiting || model.demand.running;
     if (used || m_input.now - lastUsed(id) < m_settings.idleBeforeEviction)
         return std::nullopt;
