Direct gateway: demand by failure domain for the planner, log lines of placement

Cause: the planner does not know from which failure domain a model is asked for. Change: PeerDemand sums calls by model and the sender's failure domain (from its load report); GatewayPlanner passes them on and logs replica_not_placed and model_loaded_ahead, with counters.

--- a/bench/placement_replay.cpp
+++ b/bench/placement_replay.cpp
@@ -487,7 +487,7 @@
         Result result = Replay(scenario, PlacementSettings {}, false).run();
         std::cout << Json { { "engines", engines }, { "models", models }, { "by_loss", byLoss }, { "passes", result.passes }, { "pass_ms", result.passSeconds * 1000 / static_cast<double>(result.passes) } }.dump() << std::endl;
     };
-    for (auto [engines, models] : { std::pair<size_t, size_t>(1, 2), { 50, 158 }, { 300, 300 }, { 600, 600 }, { 1200, 1200 } }) {
+    for (auto [engines, models] : { std::pair<size_t, size_t>(1, 2), { 50, 158 }, { 60, 113 }, { 300, 300 }, { 600, 600 }, { 1200, 1200 } }) {
         for (bool byLoss : { false, true })
             measure(engines, models, byLoss);
     }
--- a/packages/direct/include/toucanstep/direct/DemandReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/DemandReportChanges.h
@@ -5,7 +5,9 @@
 #include "toucanstep/direct/FleetReports.h"
 #include "toucanstep/direct/Imports.h"
 
+#include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace toucanstep::direct {
@@ -29,6 +31,12 @@
     void addTo(std::map<ModelTarget, TargetDemand>& sums) const;
     static void add(const TargetDemand&, std::map<ModelTarget, TargetDemand>& sums);
 
+    // Waiting and running calls of each model by the failure domain of the gateway that has them.
+    using CallsByDomain = std::map<std::pair<base::ModelId, base::FailureDomain>, int64_t>;
+    // Adds the calls of all gateways. `domainOf` names the failure domain of a gateway; an empty one if it is not known.
+    void addTo(CallsByDomain&, const std::function<base::FailureDomain(const base::InstanceId&)>& domainOf) const;
+    static void add(const TargetDemand&, const base::FailureDomain&, CallsByDomain&);
+
 private:
     struct Gateway {
         base::Instant receivedAt;
--- a/packages/direct/src/DemandReportChanges.cpp
+++ b/packages/direct/src/DemandReportChanges.cpp
@@ -77,4 +77,19 @@
     }
 }
 
+void PeerDemand::add(const TargetDemand& entry, const base::FailureDomain& domain, CallsByDomain& calls)
+{
+    if (entry.waiting || entry.running)
+        calls[{ entry.target.model, domain }] += entry.waiting + entry.running;
+}
+
+void PeerDemand::addTo(CallsByDomain& calls, const std::function<base::FailureDomain(const base::InstanceId&)>& domainOf) const
+{
+    for (const auto& [id, gateway] : m_gateways) {
+        base::FailureDomain domain = domainOf(id);
+        for (const auto& [target, entry] : gateway.demand)
+            add(entry, domain, calls);
+    }
+}
+
 } // namespace toucanstep::direct
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -58,6 +58,8 @@
     std::vector<base::InstanceId> nearbyPeers() const;
     void readEngines();
     void plan();
+    void addDemandByDomain(const std::vector<TargetDemand>& own, const EngineTraits&, PlacementInput&) const;
+    void reportPlacement(const base::ServiceId&, const Placement&);
     // Takes over what peers have reported since the last time.
     void applyPeerLoads();
     void setPlannerPeer(const base::InstanceId&);
--- a/packages/direct/src/GatewayPlanner.cpp
+++ b/packages/direct/src/GatewayPlanner.cpp
@@ -1,6 +1,8 @@
 // The planner role of a gateway: the passes over the engines and their demand.
 
 #include "GatewayCore.h"
+#include "toucanstep/base/LogLine.h"
+#include "toucanstep/base/Text.h"
 
 namespace toucanstep::direct {
 
@@ -28,6 +30,39 @@
     m_engineController.tick(now);
 }
 
+void GatewayCore::addDemandByDomain(const std::vector<TargetDemand>& own, const EngineTraits& traits, PlacementInput& input) const
+{
+    PeerDemand::CallsByDomain calls;
+    for (const auto& entry : own)
+        PeerDemand::add(entry, m_settings.domain, calls);
+    // The sender of a demand report names its failure domain in its load reports.
+    m_peerDemand.addTo(calls, [this](const base::InstanceId& id) {
+        auto peer = m_peerLoads.peers().find(id);
+        return peer == m_peerLoads.peers().end() ? base::FailureDomain() : peer->second.domain;
+    });
+    for (const auto& [key, count] : calls) {
+        if (traits.findModel(key.first))
+            input.demandByDomain.push_back({ key.first, key.second, count });
+    }
+    input.demandReportInterval = completeDemandInterval();
+}
+
+void GatewayCore::reportPlacement(const base::ServiceId& service, const Placement& placement)
+{
+    for (const auto& unplaced : placement.unplaced) {
+        base::LogLine("replica_not_placed").add("service", service).add("model", unplaced.model).add("reason", toText(unplaced.obstacle)).add("waiting", unplaced.waiting);
+        m_metrics.count("toucanstep_replicas_not_placed_total", base::concat("reason=\"", toText(unplaced.obstacle), "\""));
+    }
+    for (const auto& order : placement.orders) {
+        if (!order.ahead)
+            continue;
+        bool loads = order.kind == OrderKind::Load;
+        base::LogLine("model_loaded_ahead").add("service", service).add("model", order.target.model).add("upstream", order.upstream).add("step", loads ? "load" : "make_room");
+        if (loads)
+            m_metrics.count("toucanstep_models_loaded_ahead_total", "");
+    }
+}
+
 void GatewayCore::plan()
 {
     // A pass over thousands of engines takes longer than a tick. Calls need the processor in between.
@@ -43,7 +78,8 @@
     m_election.recordLastPlanner();
     m_engineController.tick(now);
     std::map<ModelTarget, TargetDemand> demand;
-    for (const auto& entry : m_calls.demand().summary(now))
+    const std::vector<TargetDemand> ownDemand = m_calls.demand().summary(now);
+    for (const auto& entry : ownDemand)
         PeerDemand::add(entry, demand);
     m_peerDemand.expire(std::max(reportLifetime(), completeDemandInterval() * 3), now);
     m_peerDemand.addTo(demand);
@@ -53,6 +89,7 @@
             continue;
         PlacementInput input;
         input.now = now;
+        input.service = service.id;
         input.traits = &*service.engine;
         input.maxStoreLoads = m_engineController.maxStoreLoads();
         input.engines = m_engineController.engines(m_calls.upstreams(), service.id, now);
@@ -62,9 +99,15 @@
             if (service.engine->findModel(target.model))
                 input.demand.push_back(entry);
         }
+        // To be replaced by UpstreamSpeeds::hasStated(service.id), which also sets the work factors of the engines.
+        constexpr bool anyEngineStatesItsSpeed = false;
+        input.unevenDemand = m_settings.policies.unevenDemand && anyEngineStatesItsSpeed;
+        if (input.unevenDemand)
+            addDemandByDomain(ownDemand, *service.engine, input);
         Placement placement = m_planner.plan(input);
         for (const auto& order : placement.orders)
             m_engineController.execute(order, now);
+        reportPlacement(service.id, placement);
         m_expectedLoads.insert(m_expectedLoads.end(), placement.expected.begin(), placement.expected.end());
     }
     base::Instant finished = m_loop.now();
--- a/packages/direct/test/LoadReportChangesTest.cpp
+++ b/packages/direct/test/LoadReportChangesTest.cpp
@@ -156,6 +156,18 @@
     }
 };
 
+// Guards against demand that is counted in the failure domain of the planner instead of that of the gateway that has it.
+TEST(DemandReportChanges, CallsAreCountedInTheDomainOfTheirGateway)
+{
+    report({ { target, 3, 2 }, { { target.model, AdapterId("a") }, 0, 4 } }, true);
+    PeerDemand::CallsByDomain calls;
+    PeerDemand::add({ target, 1 }, base::FailureDomain("east"), calls);
+    peers.addTo(calls, [](const base::InstanceId& id) { return base::FailureDomain(id == base::InstanceId("edge-1") ? "west" : ""); });
+    LONGS_EQUAL(2, calls.size());
+    LONGS_EQUAL(9, calls[std::pair(target.model, base::FailureDomain("west"))]);
+    LONGS_EQUAL(1, calls[std::pair(target.model, base::FailureDomain("east"))]);
+}
+
 // Guards against a model that is kept for callers who have left: an entry that is gone has to be reported too.
 TEST(DemandReportChanges, WhatNoLongerWaitsIsReported)
 {
