--- a/packages/planner/include/toucanstep/planner/StorePermits.h
+++ b/packages/planner/include/toucanstep/planner/StorePermits.h
@@ -24,6 +24,8 @@
     // A victim may be evicted for a load that starts at that time: a permit is expected to be free then. Memory that is freed
     // earlier would be idle until the load starts.
     bool mayDrain(base::Instant readyAt) const;
+    // Until the first running load ends, as far as that is known.
+    base::Duration untilFree() const;
     void onStarted(base::Duration loadTime);
     // No load runs, and none waits for its victim.
     bool isIdle() const { return m_runningUntil.empty() && !m_draining; }
--- a/packages/planner/src/PlanningPass.h
+++ b/packages/planner/src/PlanningPass.h
@@ -133,6 +133,8 @@
         base::Instant victimLastUsed;
         // The engine can take the order now.
         bool canStart = false;
+        // With uneven demand, compared instead of the above: small differences matter less than what follows.
+        std::optional<base::Duration> comparedTime;
         // The following are 0 without uneven demand. Calls of the engine's failure domain that no replica there has slots for.
         int64_t uncovered = 0;
         int64_t victimValue = 0;
@@ -140,7 +142,7 @@
         bool lacksPermit = false;
 
         // Among equal times, prefers a candidate that can start now, since a running order may take longer than expected.
-        auto sortKey() const { return std::tuple(timeToReady, !canStart, -uncovered, victimValue, workFactor, victimClass, victimLastUsed, engine->state->inFlight, -engine->free, engine->state->id); }
+        auto sortKey() const { return std::tuple(comparedTime.value_or(timeToReady), !canStart, -uncovered, victimValue, workFactor, victimClass, victimLastUsed, engine->state->inFlight, -engine->free, engine->state->id); }
     };
 
     void addEngine(const PlannedEngine& state);
--- a/packages/planner/src/StorePermits.cpp
+++ b/packages/planner/src/StorePermits.cpp
@@ -37,6 +37,13 @@
     return stillRunning + m_draining < m_limit;
 }
 
+base::Duration StorePermits::untilFree() const
+{
+    auto first = std::min_element(m_runningUntil.begin(), m_runningUntil.end());
+    bool known = first != m_runningUntil.end() && *first != base::Instant::max();
+    return known ? base::remaining(m_now, *first) : base::Duration::zero();
+}
+
 void StorePermits::onStarted(base::Duration loadTime)
 {
     m_runningUntil.push_back(m_now + loadTime);
--- a/packages/planner/src/UnevenDemand.cpp
+++ b/packages/planner/src/UnevenDemand.cpp
@@ -125,7 +125,7 @@
         return;
     const PlannedEngine& engine = *candidate.engine->state;
     const Model& model = m_models.at(request.model->id);
-    candidate.timeToReady = stepsOf(candidate.timeToReady);
+    candidate.comparedTime = stepsOf(candidate.timeToReady);
     candidate.workFactor = std::round(boundedWorkFactor(engine) * workFactorSteps) / workFactorSteps;
     auto ahead = model.callsAheadByDomain.find(engine.domain);
     if (ahead == model.callsAheadByDomain.end())
@@ -144,6 +144,9 @@
     bool permitted = candidate.victim ? permits.mayDrain(m_input.now + candidate.evictionDelay) : permits.mayStart(request.model->loadFromStore, reserve);
     candidate.canStart = permitted;
     candidate.lacksPermit = !permitted;
+    // Callers are told when the model can be ready, which is not before a permit is free.
+    if (!permitted)
+        candidate.timeToReady += permits.untilFree();
 }
 
 } // namespace toucanstep::planner
--- a/packages/planner/test/UnevenDemandTest.cpp
+++ b/packages/planner/test/UnevenDemandTest.cpp
@@ -131,6 +131,7 @@
     CHECK_TRUE(permits.mayStart(storeLoad));
     permits.onStarted(storeLoad);
     CHECK_FALSE(permits.mayStart(storeLoad));
+    CHECK_TRUE(permits.untilFree() == storeLoad);
     CHECK_FALSE(permits.mayDrain(start + std::chrono::seconds(1)));
     // By then both loads have ended, and one drain is under way.
     CHECK_TRUE(permits.mayDrain(start + storeLoad));
