--- a/bench/placement_replay.cpp
+++ b/bench/placement_replay.cpp
@@ -35,7 +35,6 @@
 constexpr std::array workFactors { 0.6, 1.0, 1.6 };
 constexpr int64_t gigabyte = 1'000'000'000;
 constexpr int64_t modelGigabytes = 70;
-constexpr size_t diskPlaces = 6;
 constexpr double storeSeconds = 7.8;
 constexpr double diskSeconds = 0.84;
 // Loads from the store that run at full speed.
@@ -54,6 +53,8 @@
     uint64_t seed = 1;
     int64_t slots = 16;
     int64_t engineGigabytes = 200;
+    // Models whose weights an engine's disk holds.
+    size_t diskPlaces = 6;
     // Callers leave after so many seconds.
     double abandonAfter = 2;
     // The pattern of uneven demand instead of the above, and whether the planner places by expected loss.
@@ -137,7 +138,7 @@
                 engine.workFactor = workFactors[index / domains % workFactors.size()];
             }
             engine.disk.assign(engine.loaded.begin(), engine.loaded.end());
-            while (engine.disk.size() < diskPlaces)
+            while (engine.disk.size() < scenario.diskPlaces)
                 engine.disk.push_back(anyModel(m_random));
             m_engines.push_back(std::move(engine));
         }
@@ -290,7 +291,7 @@
             engine.loaded.push_back(engine.orderModel);
             std::erase(engine.disk, engine.orderModel);
             engine.disk.push_front(engine.orderModel);
-            if (engine.disk.size() > diskPlaces)
+            if (engine.disk.size() > m_scenario.diskPlaces)
                 engine.disk.pop_back();
             if (engine.order->source == LoadSource::WeightStore)
                 m_storeLimit.onLoadEnded(engine.order->expected, std::chrono::milliseconds(static_cast<int64_t>((m_now - engine.orderSince) * 1000)), engine.storeLoadsSum / std::max((m_now - engine.orderSince) / stepSeconds, 1.0));
@@ -463,14 +464,16 @@
     scenario.slots = 32;
     scenario.engineGigabytes = 230;
     scenario.abandonAfter = 8;
-    for (bool byLoss : { false, true }) {
+    // With six, nearly every model is on some disk, and few single callers need the weight store.
+    for (auto [diskPlaces, byLoss] : { std::pair<size_t, bool>(6, false), { 6, true }, { 3, false }, { 3, true } }) {
+        scenario.diskPlaces = diskPlaces;
         scenario.byLoss = byLoss;
         std::vector<Result> results;
         for (uint64_t seed = 1; seed <= seeds; ++seed) {
             scenario.seed = seed;
             results.push_back(Replay(scenario, PlacementSettings {}, false).run());
         }
-        std::cout << toJson(byLoss ? "expected loss" : "priorities", results).dump() << std::endl;
+        std::cout << toJson(base::concat(byLoss ? "expected loss" : "priorities", ", ", diskPlaces, " models on a disk"), results).dump() << std::endl;
     }
 }
 
--- a/packages/planner/test/UnevenPlacementTest.cpp
+++ b/packages/planner/test/UnevenPlacementTest.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <cmath>
 
 using namespace toucanstep;
 using namespace toucanstep::planner;
@@ -279,3 +280,68 @@
         }
     });
 }
+
+// Replays the load of the page of requirements: demand for one model rises to four times its replica's slots within 3 s beside 30
+// models that are loaded nowhere with one waiting caller each, then moves to two others. Guards against an order of requests that
+// leaves more calls without a slot than the order of priorities, and against starvation of the single callers.
+TEST(UnevenPlacement, LeavesFewerCallsWithoutASlotThanTheOrderOfPriorities)
+{
+    constexpr int models = 158;
+    constexpr int singles = 30;
+    constexpr double seconds = 60;
+    traits.memory = base::Bytes(150 * gigabyte);
+    for (int index = 0; index < models; ++index)
+        addModel(std::to_string(index));
+    auto nameOf = [&](int index) { return traits.models[static_cast<size_t>(index)].id; };
+    auto replay = [&](bool byLoss) {
+        input.engines.clear();
+        for (int index = 0; index < 50; ++index) {
+            PlannedEngine& engine = addEngine(std::to_string(index));
+            engine.slots = 32;
+            // The last models are loaded nowhere.
+            for (int place = 0; place < 3; ++place)
+                engine.loaded[nameOf((index + place * 50) % (models - singles))];
+        }
+        input.unevenDemand = byLoss;
+        input.now = start;
+        planner = PlacementPlanner { PlacementSettings {} };
+        std::map<base::UpstreamId, double> left;
+        std::pair<double, double> lost;
+        for (double now = 0; now < seconds; now += 0.1) {
+            input.demand.clear();
+            input.demandByDomain.clear();
+            auto ask = [&](int index, double calls, double& unserved) {
+                auto replicas = std::count_if(input.engines.begin(), input.engines.end(), [&](const auto& engine) { return engine.loaded.contains(nameOf(index)); });
+                auto running = std::min<int64_t>(std::llround(calls), 32 * replicas);
+                unserved += (calls - static_cast<double>(running)) * 0.1;
+                demand(nameOf(index).value(), std::llround(calls) - running, running);
+            };
+            double risen = std::clamp((now - 10) / 3, 0.0, 1.0);
+            double moved = std::clamp((now - 40) / 3, 0.0, 1.0);
+            ask(0, 8 + 120 * (risen - moved), lost.first);
+            ask(1, 4 + 60 * moved, lost.first);
+            ask(2, 4 + 60 * moved, lost.first);
+            for (int index = models - singles; index < models && now > 9; ++index)
+                ask(index, 1, lost.second);
+            for (const auto& order : plan().orders) {
+                auto engine = std::find_if(input.engines.begin(), input.engines.end(), [&](const auto& item) { return item.id == order.upstream; });
+                engine->running = RunningOrder { order.kind, order.target.model, order.source, order.expected, input.now + order.expected };
+                left[engine->id] = order.kind == OrderKind::Load ? base::toSeconds(order.expected) : 0.2;
+            }
+            for (auto& engine : input.engines) {
+                if (!engine.running || (left[engine.id] -= 0.1) > 0)
+                    continue;
+                if (engine.running->kind == OrderKind::Load)
+                    engine.loaded[engine.running->model];
+                else
+                    engine.loaded.erase(engine.running->model);
+                engine.running.reset();
+            }
+        }
+        return lost;
+    };
+    auto [byPriority, singlesByPriority] = replay(false);
+    auto [byLoss, singlesByLoss] = replay(true);
+    CHECK_COMPARE(byLoss, <, byPriority / 2);
+    CHECK_COMPARE(singlesByLoss, <, singlesByPriority * 1.5);
+}
