--- a/packages/planner/include/toucanstep/planner/PlacementPlan.h
+++ b/packages/planner/include/toucanstep/planner/PlacementPlan.h
@@ -65,8 +65,6 @@
     std::optional<base::Instant> pausedUntil;
     // The calls per second that it takes for all its models together, if it advertises a limit.
     std::optional<double> callLimit;
-    // How long work takes there, 1 being usual, by the answers to the planner's own calls.
-    double workFactor = 1;
     size_t adaptersLoading = 0;
     // Adapters with an unload order that calls may still use.
     std::set<ModelTarget> adaptersUnloading;
