Scheduling: order of waiting calls by account, slots by fair parts, return times

Cause: where calls wait for full upstreams they went in order of arrival, and slots went to gateways in proportion to their waiting calls, so an account that floods all gateways got most of them; refused callers were told one time to come back.

Change: AccountShares (start-time fair queueing over the fleet), CallOrder, FairSlotPart (SlotShare takes it where accounts are given), ReturnSchedule, CompletionRate (falls in a stall), PriorityWatch.

--- a/packages/scheduling/src/SlotShare.cpp
+++ b/packages/scheduling/src/SlotShare.cpp
@@ -55,9 +55,38 @@
     m_peers = std::move(peers);
 }
 
-SlotShare::Credit& SlotShare::creditAt(const ModelQueue& queue, base::Instant now)
+void SlotShare::setPeerAccounts(QueuedByAccount accounts)
 {
-    auto [place, isNew] = m_credits.try_emplace(queue);
+    m_peerAccounts = std::move(accounts);
+}
+
+double SlotShare::fairShare(const ModelQueue& queue, int64_t priority, const CallsByAccount& own, int64_t equalElsewhere, double slots) const
+{
+    CallsByAccount elsewhere;
+    auto priorities = m_peerAccounts.find(queue);
+    if (priorities != m_peerAccounts.end()) {
+        auto accounts = priorities->second.find(priority);
+        if (accounts != priorities->second.end())
+            elsewhere = accounts->second;
+    }
+    int64_t unlisted = equalElsewhere;
+    for (const auto& [account, calls] : elsewhere)
+        unlisted -= calls;
+    return fairSlotPart(own, elsewhere, unlisted, slots);
+}
+
+SlotShare::PeerCalls SlotShare::peerCalls(const ModelQueue& queue, const QueueRank& rank) const
+{
+    auto peers = m_peers.find(queue);
+    if (peers == m_peers.end())
+        return {};
+    Contenders theirs = contendersOf(rank, peers->second);
+    return { theirs.before, theirs.equal };
+}
+
+SlotShare::Credit& SlotShare::creditAt(const ModelQueue& queue, int64_t priority, base::Instant now)
+{
+    auto [place, isNew] = m_credits.try_emplace(std::pair(queue, priority));
     if (isNew || now - place->second.asOf > creditLifetime)
         place->second = { initialCredit(m_self, queue, now), now };
     return place->second;
@@ -71,7 +100,7 @@
     return static_cast<double>(freeSlots) * partOfFree + static_cast<double>(running) * turnover;
 }
 
-bool SlotShare::takeSlot(const ModelQueue& queue, const QueueRank& rank, const QueuedCallsByPriority& own, double slots, base::Instant now)
+bool SlotShare::takeSlot(const ModelQueue& queue, const QueueRank& rank, const QueuedCallsByPriority& own, double slots, base::Instant now, const CallsByAccount* ownAccounts)
 {
     auto peers = m_peers.find(queue);
     if (peers == m_peers.end() || rank.queueClass == QueueClass::Resuming)
@@ -81,8 +110,11 @@
     auto ownEqual = static_cast<double>(std::max<int64_t>(contendersOf(rank, own).equal, 1));
     // Where only calls of lower rank are reported, calls of the same rank have probably arrived since.
     double share = ownEqual / (ownEqual + static_cast<double>(othersOnlyBehind ? 1 : theirs.equal));
-    double perInterval = std::max(slots - static_cast<double>(theirs.before), 0.0) * share;
-    Credit& credit = creditAt(queue, now);
+    double left = std::max(slots - static_cast<double>(theirs.before), 0.0);
+    if (ownAccounts && rank.queueClass == QueueClass::InTime && theirs.equal)
+        share = fairShare(queue, rank.priority, *ownAccounts, theirs.equal, left);
+    double perInterval = left * share;
+    Credit& credit = creditAt(queue, ownAccounts ? rank.priority : 0, now);
     double intervals = std::clamp(base::toSeconds(now - credit.asOf) / base::toSeconds(m_reportInterval), 0.0, 1.0);
     credit.slots = std::min(credit.slots + perInterval * intervals, std::max(perInterval, 1.0));
     credit.asOf = now;
