Direct gateway: fair order, refusals without a chance and spread returns under pressure

Cause: with LoadPolicies::pressure, calls that wait for full upstreams are to be served fairly between accounts, and refused as soon as they have no chance.

Change: PressureQueue applies the decisions of packages/scheduling; load reports carry waiting calls and tokens by account (left out while nothing waits or without the policy). A new call leaves a free slot to a waiting one that goes first. Codes overloaded_on_arrival, overloaded_waiting, overloaded_late; the Retry-After is scheduled.

--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -6,6 +6,8 @@
 #include "toucanstep/direct/CrashAttribution.h"
 #include "toucanstep/direct/Imports.h"
 #include "toucanstep/scheduling/AccountLimits.h"
+#include "toucanstep/scheduling/AccountShares.h"
+#include "toucanstep/scheduling/FairSlotPart.h"
 #include "toucanstep/serving/Call.h"
 #include "toucanstep/serving/Upstream.h"
 #include "toucanstep/upstreams/FleetShare.h"
@@ -57,6 +59,10 @@
     // Parts of resources that the sender asks its peers for, and those that it lends. Earlier builds do not send them.
     std::vector<PartRequest> partRequests;
     std::vector<PartLoan> partLoans;
+    // The waiting calls of `queued` that can be in time, by account, and the cost of all waiting calls. Empty without
+    // LoadPolicies::pressure; earlier builds ignore them.
+    QueuedByAccount queuedAccounts;
+    TokensByAccount waitingTokens;
     // Otherwise `use` and the charges hold only what has changed, and upstreams that are no longer used have no calls.
     bool complete = true;
 };
--- a/packages/direct/include/toucanstep/direct/LoadReportChanges.h
+++ b/packages/direct/include/toucanstep/direct/LoadReportChanges.h
@@ -39,6 +39,7 @@
         std::vector<base::Revision> directories;
         std::map<base::UpstreamId, UpstreamLoad> use;
         QueuedCallCounts queued;
+        QueuedByAccount queuedAccounts;
     };
 
     // Returns false for a report that was not applied: one without the whole state of a peer of which nothing is known.
@@ -54,6 +55,7 @@
     // Returns and forgets whether queued() has changed.
     bool takeQueuedChanged();
     QueuedCallCounts queued() const;
+    QueuedByAccount queuedAccounts() const;
 
 private:
     void set(Peer&, const base::UpstreamId&, const UpstreamLoad&);
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -26,6 +26,7 @@
     , m_settings(std::move(settings))
     , m_limits(m_settings.limits)
     , m_slotShare(m_settings.instance.value())
+    , m_pressure(m_callTimes, m_slotShare, m_metrics)
     , m_fleetShare(FleetShareSettings {}, m_settings.instance)
     , m_coldStarts(ColdStartLimitSettings {}, m_fleetShare)
     , m_retryBudget(m_settings.retries, m_fleetShare)
@@ -135,13 +136,18 @@
 
 void CallDispatcher::dequeue(ProxiedCall& call)
 {
-    if (m_waiting.erase(call.waitNumber()))
-        m_demand.onWaiting(call.target(), -1);
+    if (!m_waiting.erase(call.waitNumber()))
+        return;
+    m_demand.onWaiting(call.target(), -1);
+    if (PressureQueue* queue = pressure())
+        queue->onDequeued(call);
 }
 
 void CallDispatcher::onCallEnded(ProxiedCall& call)
 {
     dequeue(call);
+    if (PressureQueue* queue = pressure())
+        queue->onEnded(call, call.answeredInTime(), now());
     m_activeCalls.erase(call.shared_from_this());
     wakeWaiting();
 }
@@ -154,8 +160,10 @@
     m_queuePassTimer = m_loop.at(now() + queuePassDelay, [this] { processQueue(); });
 }
 
-std::vector<std::shared_ptr<ProxiedCall>> CallDispatcher::waitingInOrder() const
+std::vector<std::shared_ptr<ProxiedCall>> CallDispatcher::waitingInOrder()
 {
+    if (PressureQueue* queue = pressure())
+        return queue->beginPass(m_waiting, now());
     std::map<QueuePosition, std::shared_ptr<ProxiedCall>> positions;
     for (const auto& [number, call] : m_waiting)
         positions.emplace(QueuePosition { call->priority(), call->queueClass(), number }, call);
@@ -203,6 +211,12 @@
     QueueKey key(call.service(), call.target());
     if (call.queueClass() != QueueClass::InTime || !m_standingQueues.isStanding(key, now()))
         return false;
+    if (PressureQueue* pressureQueue = pressure()) {
+        if (!pressureQueue->hasNoChance(call, m_waiting, running, now() - m_reportInterval * 2, now()))
+            return false;
+        m_standingQueues.onRefusedOnArrival(key, now());
+        return true;
+    }
     ModelQueue queue = call.queue();
     auto own = m_queued.find(queue);
     int64_t ahead = m_slotShare.callsAhead(queue, { call.priority(), QueueClass::InTime }, own == m_queued.end() ? QueuedCallsByPriority() : own->second);
@@ -221,10 +235,57 @@
     QueuedCallsByPriority own = found == m_queued.end() ? QueuedCallsByPriority() : found->second;
     QueuedCalls& counted = own[call.priority()];
     (queueClass == QueueClass::Late ? counted.late : counted.inTime) += call.waitNumber() ? 0 : 1;
+    if (PressureQueue* pressureQueue = pressure()) {
+        CallsByAccount accounts = pressureQueue->rivals(call);
+        double offered = SlotShare::offeredSlots(selection.freeSlots, selection.inFlight, turnover(queue) * pressureQueue->partLeft(call, now()));
+        return m_slotShare.takeSlot(queue, { call.priority(), queueClass }, own, offered, now(), &accounts);
+    }
     double slots = SlotShare::offeredSlots(selection.freeSlots, selection.inFlight, turnover(queue));
     return m_slotShare.takeSlot(queue, { call.priority(), queueClass }, own, slots, now());
 }
 
+bool CallDispatcher::leavesSlotToWaiting(const ProxiedCall& call)
+{
+    PressureQueue* queue = pressure();
+    if (!queue || !queue->isBehindWaiting(call, m_waiting))
+        return false;
+    wakeWaiting();
+    return true;
+}
+
+bool CallDispatcher::refusesWaiting(const ProxiedCall& call, const QueueKey& key)
+{
+    PressureQueue* queue = pressure();
+    if (!queue || !call.neverSent() || !call.hasTarget() || call.queueClass() != QueueClass::InTime || !m_standingQueues.isStanding(key, now()))
+        return false;
+    if (!queue->hasNoChance(call, m_waiting, call.runningThere(), now() - m_reportInterval * 2, now()))
+        return false;
+    m_standingQueues.onRefusedOnArrival(key, now());
+    return true;
+}
+
+std::optional<base::Instant> CallDispatcher::nextReturn(const ProxiedCall& call, int64_t running, base::Instant deadline, std::string_view reason)
+{
+    PressureQueue* queue = pressure();
+    if (!queue)
+        return std::nullopt;
+    return queue->nextReturn(call, m_waiting, running, deadline, reason, now());
+}
+
+void CallDispatcher::describeWaitingAccounts(LoadReport& report)
+{
+    if (PressureQueue* queue = pressure(); queue && !m_waiting.empty()) {
+        report.queuedAccounts = queue->queuedAccounts();
+        report.waitingTokens = PressureQueue::waitingTokens(m_waiting);
+    }
+}
+
+void CallDispatcher::onPeerReport(const LoadReport& report)
+{
+    if (PressureQueue* queue = pressure())
+        queue->onPeerReport(report, now());
+}
+
 void CallDispatcher::processQueue()
 {
     m_queuePassPending = false;
@@ -249,7 +310,9 @@
                 blockedQueues.emplace(std::pair(key, false), blockReason);
         }
         if (late && blockReason == BlockReason::Full && m_standingQueues.shouldRefuseLate(key))
-            call->refuseLate();
+            call->refuseLate("late");
+        else if (blockReason == BlockReason::Full && refusesWaiting(*call, key))
+            call->refuseLate("waiting");
         else
             call->refuseIfUnservable(blockReason);
     }
@@ -264,6 +327,8 @@
     m_retryBudget.tick(time);
     m_availability.expire(time, [this](const base::UpstreamId& upstream) { return m_upstreams.find(upstream) != nullptr; });
     attributeConfirmedCrashes();
+    if (PressureQueue* queue = pressure())
+        queue->tick(time);
     if (!m_tokenQueue.empty())
         processTokenQueue();
     auto calls = m_activeCalls;
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "PressureQueue.h"
 #include "toucanstep/base/Metrics.h"
 #include "toucanstep/direct/CrashAttribution.h"
 #include "toucanstep/direct/CrashDetector.h"
@@ -108,6 +109,14 @@
     bool refusesOnArrival(const ProxiedCall&, int64_t running);
     // The part of the running calls that end between two load reports.
     double turnover(const ModelQueue&) const;
+    // Only where LoadPolicies::pressure is set; null otherwise.
+    PressureQueue* pressure() { return m_settings.policies.pressure ? &m_pressure : nullptr; }
+    // Whether a call that has just arrived leaves a free slot to one that waits.
+    bool leavesSlotToWaiting(const ProxiedCall&);
+    // When the caller of a call that is refused under overload is to come back; nothing without LoadPolicies::pressure.
+    std::optional<base::Instant> nextReturn(const ProxiedCall&, int64_t running, base::Instant deadline, std::string_view reason);
+    void describeWaitingAccounts(LoadReport&);
+    void onPeerReport(const LoadReport&);
     UpstreamCallLimits& callLimits() { return m_callLimits; }
     const UpstreamAvailability& availability() const { return m_availability; }
     // In force at the upstream, in calls per second over all gateways; nothing without a limit.
@@ -142,7 +151,9 @@
     void logLeaving(const base::UpstreamId&, StartId, std::string_view source);
     void logCallLimit(const base::UpstreamId&, std::optional<double> limit, std::string_view source);
     // In dispatch order.
-    std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder() const;
+    std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder();
+    // Whether the waiting call is refused since its turn would come too late.
+    bool refusesWaiting(const ProxiedCall&, const QueueKey&);
 
     io::EventLoop& m_loop;
     http1::Client& m_client;
@@ -167,6 +178,7 @@
     base::Duration m_reportInterval = minLoadReportInterval;
     SlotShare m_slotShare;
     CallTimes m_callTimes;
+    PressureQueue m_pressure;
     FleetShare m_fleetShare;
     ColdStartLimit m_coldStarts;
     FleetRetryBudget m_retryBudget;
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -55,6 +55,28 @@
     return list;
 }
 
+// Without calls that wait, the report is the same as without this entry. Of more accounts than these, the other gateways count the
+// calls as those of one account.
+Json encodeWaitingAccounts(const LoadReport& report)
+{
+    constexpr size_t maxEntries = 48;
+    Json calls = Json::array();
+    for (const auto& [queue, priorities] : report.queuedAccounts) {
+        for (const auto& [priority, accounts] : priorities) {
+            for (const auto& [account, count] : accounts) {
+                if (calls.size() < maxEntries)
+                    calls.push_back({ queue.service.value(), queue.model.value(), priority, account.value(), count });
+            }
+        }
+    }
+    Json tokens = Json::array();
+    for (const auto& [account, waiting] : report.waitingTokens) {
+        if (tokens.size() < maxEntries)
+            tokens.push_back({ account.value(), waiting.value() });
+    }
+    return Json::array({ calls, tokens });
+}
+
 Json encode(const LoadReport& report)
 {
     Json directories = Json::array();
@@ -100,7 +122,10 @@
     Json partLoans = Json::array();
     for (const auto& loan : report.partLoans)
         partLoans.push_back({ loan.resource, loan.borrower.value(), loan.sentAt.count(), loan.rank, loan.count });
-    return Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals, partRequests, partLoans });
+    Json message = Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals, partRequests, partLoans });
+    if (!report.queuedAccounts.empty() || !report.waitingTokens.empty())
+        message.push_back(encodeWaitingAccounts(report));
+    return message;
 }
 
 Json encodeState(const PlannerState& state)
@@ -262,6 +287,13 @@
         for (const Json& entry : value.at(partRequestsIndex + 1))
             report.partLoans.push_back({ entry.at(0).get<std::string>(), asText<base::InstanceId>(entry.at(1)), asClockTime(entry.at(2)), asCount(entry.at(3)), asCount(entry.at(4)) });
     }
+    constexpr size_t waitingAccountsIndex = 20;
+    if (value.size() > waitingAccountsIndex) {
+        for (const Json& entry : value.at(waitingAccountsIndex).at(0))
+            report.queuedAccounts[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))][asText<base::ClientAccountId>(entry.at(3))] = asCount(entry.at(4));
+        for (const Json& entry : value.at(waitingAccountsIndex).at(1))
+            report.waitingTokens[asText<base::ClientAccountId>(entry.at(0))] = asNumber<base::Tokens>(entry.at(1));
+    }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -63,6 +63,7 @@
     report.partLoans = m_calls.fleetShare().takeLoans();
     report.crashes = m_calls.crashes().news(m_hasNewPeers, now);
     report.queued = m_calls.queuedCalls();
+    m_calls.describeWaitingAccounts(report);
     report.callLimits = m_calls.callLimits().heardLately(now);
     report.availability = m_calls.availability().heardLately(now);
     m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
@@ -189,6 +190,7 @@
     if (!m_peerLoads.apply(report, now))
         return;
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
+    m_calls.onPeerReport(report);
     m_calls.crashes().onPeerNews(report.crashes, now);
     m_calls.refuseCrashingCalls();
     m_calls.fleetShare().onPeerRequests(report.sender.instance, report.sender.incarnation.value(), report.partRequests, now);
@@ -212,8 +214,10 @@
         m_calls.upstreams().setPeersLoad(upstream, load == m_peerLoads.loads().end() ? UpstreamLoad() : load->second);
     }
     bool queuedChanged = m_peerLoads.takeQueuedChanged();
-    if (queuedChanged)
+    if (queuedChanged) {
         m_calls.slotShare().setPeers(m_peerLoads.queued());
+        m_calls.slotShare().setPeerAccounts(m_peerLoads.queuedAccounts());
+    }
     if (queuedChanged || !changed.empty())
         m_calls.wakeWaiting();
 }
--- a/packages/direct/src/LoadReportChanges.cpp
+++ b/packages/direct/src/LoadReportChanges.cpp
@@ -71,8 +71,9 @@
     peer.incarnation = report.sender.incarnation;
     peer.receivedAt = now;
     peer.directories = report.directories;
-    m_queuedChanged |= peer.queued != report.queued;
+    m_queuedChanged |= peer.queued != report.queued || peer.queuedAccounts != report.queuedAccounts;
     peer.queued = report.queued;
+    peer.queuedAccounts = report.queuedAccounts;
     if (report.complete) {
         peer.domain = report.domain;
         std::set<base::UpstreamId> used;
@@ -132,4 +133,18 @@
     return queued;
 }
 
+QueuedByAccount PeerLoads::queuedAccounts() const
+{
+    QueuedByAccount queued;
+    for (const auto& [id, peer] : m_peers) {
+        for (const auto& [queue, priorities] : peer.queuedAccounts) {
+            for (const auto& [priority, accounts] : priorities) {
+                for (const auto& [account, calls] : accounts)
+                    queued[queue][priority][account] += calls;
+            }
+        }
+    }
+    return queued;
+}
+
 } // namespace toucanstep::direct
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -260,7 +260,7 @@
     }
     if (choice.blockReason != BlockReason::None)
         return choice.blockReason;
-    if (!m_dispatcher.takeSlot(*this, choice))
+    if (m_dispatcher.leavesSlotToWaiting(*this) || !m_dispatcher.takeSlot(*this, choice))
         return BlockReason::Full;
     if (payRetry())
         send(choice.upstream);
@@ -280,7 +280,7 @@
         return;
     bool hasTarget = m_route->latencyTarget > base::Duration::zero();
     if (!m_sends && hasTarget && blockReason == BlockReason::Full && m_dispatcher.refusesOnArrival(*this, m_runningThere)) {
-        refuseLate();
+        refuseLate("on_arrival");
         return;
     }
     m_phase = Phase::Waiting;
@@ -332,18 +332,33 @@
         refuse(statusUnavailable, "paused", execution, "the upstreams that could run the call have asked for a pause", m_acceptedFrom ? base::remaining(time, *m_acceptedFrom) : defaultRetryAfter);
         break;
     case WaitDecision::RefuseOverloaded:
-        refuse(statusUnavailable, "overloaded", execution, "no upstream can take the call in time", defaultRetryAfter);
+        refuse(statusUnavailable, "overloaded", execution, "no upstream can take the call in time", overloadRetryAfter("no_time_left", defaultRetryAfter));
         break;
     }
     return true;
 }
 
-void ProxiedCall::refuseLate()
+base::Tokens ProxiedCall::queueCost() const
+{
+    if (m_cost.value() > 0)
+        return m_cost;
+    return m_call.declaresTokens ? m_call.cost() : base::Tokens(1);
+}
+
+base::Duration ProxiedCall::overloadRetryAfter(std::string_view reason, base::Duration otherwise)
+{
+    auto at = m_dispatcher.nextReturn(*this, m_runningThere, m_deadline, reason);
+    m_returnScheduled = at.has_value();
+    return at ? base::remaining(m_dispatcher.now(), *at) : otherwise;
+}
+
+void ProxiedCall::refuseLate(std::string_view reason)
 {
     // A further replica may be on its way.
     auto expected = m_dispatcher.expectedLoad(m_call.target);
     base::Duration retryAfter = std::max<base::Duration>(expected ? base::remaining(m_dispatcher.now(), *expected) : base::Duration::zero(), defaultRetryAfter);
-    refuse(statusUnavailable, "overloaded", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "more calls come than the upstreams can run", retryAfter);
+    std::string code = m_dispatcher.pressure() ? base::concat("overloaded_", reason) : std::string("overloaded");
+    refuse(statusUnavailable, code, m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "more calls come than the upstreams can run", overloadRetryAfter(reason, retryAfter));
 }
 
 void ProxiedCall::refuseIfCrashing()
@@ -416,6 +431,8 @@
         m_firstSent = m_lastSent;
     ++m_sends;
     ++m_possibleRuns;
+    if (PressureQueue* pressure = m_dispatcher.pressure())
+        pressure->onSent(*this, m_sends == 1, m_lastSent);
     if (m_sends > 1)
         base::LogLine("call_sent_again").add("id", m_call.id).add("service", m_service).add("upstream", upstream).add("sends", m_sends).add("retries", m_retries).add("granted_ms_ago", m_retryGranted ? base::toMilliseconds(m_lastSent - *m_retryGranted) : -1);
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
@@ -431,6 +448,8 @@
     if (!m_upstreamExchange)
         return;
     m_upstreamExchange.reset();
+    if (PressureQueue* pressure = m_dispatcher.pressure())
+        pressure->onLeftUpstream(*this, m_receivedHead && !m_responseMetadata.notRun, m_dispatcher.now());
     m_dispatcher.upstreams().onEnded(m_upstream, m_receivedHead);
     m_dispatcher.demand().onEnded(m_call.target, m_receivedHead, m_dispatcher.now());
     m_dispatcher.wakeWaiting();
@@ -727,7 +746,7 @@
     if (sent || m_possibleRuns)
         refuse(statusGatewayTimeout, "deadline_exceeded", Execution::MayHaveRun, "no answer within the time limit");
     else
-        refuse(statusUnavailable, "overloaded", Execution::NotRun, "no upstream could take the call in time", defaultRetryAfter);
+        refuse(statusUnavailable, "overloaded", Execution::NotRun, "no upstream could take the call in time", overloadRetryAfter("deadline", defaultRetryAfter));
 }
 
 void ProxiedCall::onCallerGone()
@@ -765,8 +784,8 @@
     head.status = status;
     head.headers.add("Content-Type", "application/json");
     if (retryAfter) {
-        double seconds = base::toSeconds(*retryAfter) * (1 + retryJitter * jitterOf(m_call.id));
-        head.headers.add("Retry-After", base::concat(std::max(seconds, 0.05)));
+        double seconds = base::toSeconds(*retryAfter) * (m_returnScheduled ? 1 : 1 + retryJitter * jitterOf(m_call.id));
+        head.headers.add("Retry-After", base::concat(std::max(seconds, m_returnScheduled ? 0.0 : 0.05)));
     }
     nlohmann::json error { { "error", { { "code", code }, { "message", message }, { "ran", execution == Execution::NotRun ? "not_run" : "may_have_run" } } } };
     m_callerExchange->answer(std::move(head), error.dump());
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -23,8 +23,9 @@
     BlockReason tryDispatch();
     // Refuses a waiting call that can no longer be served in time. Returns whether it did.
     bool refuseIfUnservable(BlockReason);
-    // Refuses a late waiting call because calls arrive faster than the upstreams can run them.
-    void refuseLate();
+    // Refuses a call because calls arrive faster than the upstreams can run them. `reason`: whether it is late, or has no chance on
+    // arrival or while waiting; part of the refusal's code where LoadPolicies::pressure is set.
+    void refuseLate(std::string_view reason);
     // Ends a call that has a trait of calls that crash upstreams, unless its answer has started.
     void refuseIfCrashing();
     // The upstream has stopped answering: a call that may be repeated moves to another one.
@@ -42,6 +43,14 @@
 
     const base::RequestId& id() const { return m_call.id; }
     const base::ServiceId& service() const { return m_service; }
+    const base::ClientAccountId& account() const { return m_account; }
+    // What it counts for in the order of waiting calls.
+    base::Tokens queueCost() const;
+    bool hasTarget() const { return m_route->latencyTarget > base::Duration::zero(); }
+    // Whether the first byte of an answer other than an error was forwarded within the latency target.
+    bool answeredInTime() const { return m_firstByte && m_responseHead.status < 500 && (!hasTarget() || *m_firstByte <= m_arrived + m_route->latencyTarget); }
+    // Calls that ran at the upstreams with its target when it could not be sent.
+    int64_t runningThere() const { return m_runningThere; }
     const ModelTarget& target() const { return m_call.target; }
     ModelQueue queue() const { return { m_service, m_call.target.model }; }
     // Why the waiting call could not be sent.
@@ -118,6 +127,8 @@
     void refuse(int status, std::string_view code, Execution, std::string_view message, std::optional<base::Duration> retryAfter = {});
     void finish(std::string_view outcome, int status);
     base::Duration timeLeft() const;
+    // For a call that is refused under overload: the scheduled one where LoadPolicies::pressure is set, or `otherwise`.
+    base::Duration overloadRetryAfter(std::string_view reason, base::Duration otherwise);
 
     CallDispatcher& m_dispatcher;
     std::shared_ptr<http1::ServerExchange> m_callerExchange;
@@ -157,6 +168,8 @@
     int64_t m_runningThere = 0;
     // When a cold upstream takes the call, if it waits for one.
     std::optional<base::Instant> m_acceptedFrom;
+    // The Retry-After is one of a schedule, so it is sent unchanged.
+    bool m_returnScheduled = false;
     std::optional<base::Instant> m_firstSent;
     base::Instant m_lastSent;
     io::EventLoop::TimerId m_timer = 0;
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -152,6 +152,15 @@
     LONGS_EQUAL(4, loadBack.queued.begin()->second.at(1).inTime);
     LONGS_EQUAL(5, loadBack.queued.begin()->second.at(1).late);
 
+    size_t withoutAccounts = encodeReport(load).size();
+    load.queuedAccounts = { { { base::ServiceId("s"), base::ModelId("m") }, { { 1, { { base::ClientAccountId("a"), 4 } } } } } };
+    load.waitingTokens = { { base::ClientAccountId("a"), base::Tokens(900) } };
+    loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
+    CHECK_TRUE(loadBack.queuedAccounts == load.queuedAccounts && loadBack.waitingTokens == load.waitingTokens);
+    load.queuedAccounts.clear();
+    load.waitingTokens.clear();
+    LONGS_EQUAL(withoutAccounts, encodeReport(load).size());
+
     PlannerState state { { { base::UpstreamId("e"), StartId(8), OrderKind::Load, base::ModelId("m"), true, std::chrono::seconds(8), std::chrono::seconds(2) } }, 3 };
     DemandReport demand { sender, { { { base::ModelId("m"), AdapterId("a1") }, 1, 2, 300, 1500 } } };
     CHECK_FALSE(std::get<DemandReport>(*decodeReport(encodeReport(demand))).handover.has_value());
