--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -212,7 +212,7 @@
     if (call.queueClass() != QueueClass::InTime || !m_standingQueues.isStanding(key, now()))
         return false;
     if (PressureQueue* pressureQueue = pressure()) {
-        if (!pressureQueue->hasNoChance(call, m_waiting, running, now() - m_reportInterval * 2, now()))
+        if (lessUrgentSent(call) || !pressureQueue->hasNoChance(call, m_waiting, running, now()))
             return false;
         m_standingQueues.onRefusedOnArrival(key, now());
         return true;
@@ -253,12 +253,18 @@
     return true;
 }
 
+bool CallDispatcher::lessUrgentSent(const ProxiedCall& call)
+{
+    PressureQueue* queue = pressure();
+    return queue && queue->lessUrgentSent(call, now() - m_reportInterval * 2);
+}
+
 bool CallDispatcher::refusesWaiting(const ProxiedCall& call, const QueueKey& key)
 {
     PressureQueue* queue = pressure();
     if (!queue || !call.neverSent() || !call.hasTarget() || call.queueClass() != QueueClass::InTime || !m_standingQueues.isStanding(key, now()))
         return false;
-    if (!queue->hasNoChance(call, m_waiting, call.runningThere(), now() - m_reportInterval * 2, now()))
+    if (lessUrgentSent(call) || !queue->hasNoChance(call, m_waiting, call.runningThere(), now()))
         return false;
     m_standingQueues.onRefusedOnArrival(key, now());
     return true;
@@ -306,10 +312,11 @@
         bool hasOwnTime = blockReason == BlockReason::CallLimit || blockReason == BlockReason::Paused;
         if (call->neverSent() && !hasOwnTime) {
             blockedQueues.emplace(std::pair(key, true), blockReason);
-            if (!late)
+            // Under pressure the order is by priority first, so calls that follow a blocked late one are no more urgent.
+            if (!late || pressure())
                 blockedQueues.emplace(std::pair(key, false), blockReason);
         }
-        if (late && blockReason == BlockReason::Full && m_standingQueues.shouldRefuseLate(key))
+        if (late && blockReason == BlockReason::Full && m_standingQueues.shouldRefuseLate(key) && !lessUrgentSent(*call))
             call->refuseLate("late");
         else if (blockReason == BlockReason::Full && refusesWaiting(*call, key))
             call->refuseLate("waiting");
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -152,6 +152,9 @@
     void logCallLimit(const base::UpstreamId&, std::optional<double> limit, std::string_view source);
     // In dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> waitingInOrder();
+    // Whether less urgent calls were sent lately to the upstreams that could run the call, so that it is not refused: the time in
+    // which a slot that a peer has taken may still be reported free.
+    bool lessUrgentSent(const ProxiedCall&);
     // Whether the waiting call is refused since its turn would come too late.
     bool refusesWaiting(const ProxiedCall&, const QueueKey&);
 
--- a/packages/direct/src/PressureQueue.cpp
+++ b/packages/direct/src/PressureQueue.cpp
@@ -126,14 +126,17 @@
     return { callsBefore(positionOf(call, waiting), equal, peers.equal, before + peers.before), rate };
 }
 
-bool PressureQueue::hasNoChance(const ProxiedCall& call, const WaitingCalls& waiting, int64_t running, base::Instant since, base::Instant now) const
+bool PressureQueue::hasNoChance(const ProxiedCall& call, const WaitingCalls& waiting, int64_t running, base::Instant now) const
 {
-    if (m_sent.lessUrgentSent(call.queue(), call.priority(), since))
-        return false;
     Place place = placeOf(call, waiting, running, now);
     return willBecomeLate(static_cast<int64_t>(place.callsBefore), place.completionsPerSecond, base::remaining(now, call.lateFrom()));
 }
 
+bool PressureQueue::lessUrgentSent(const ProxiedCall& call, base::Instant since) const
+{
+    return m_sent.lessUrgentSent(call.queue(), call.priority(), since);
+}
+
 base::Instant PressureQueue::nextReturn(const ProxiedCall& call, const WaitingCalls& waiting, int64_t running, base::Instant deadline, std::string_view reason, base::Instant now)
 {
     Place place = placeOf(call, waiting, running, now);
--- a/packages/direct/src/PressureQueue.h
+++ b/packages/direct/src/PressureQueue.h
@@ -43,8 +43,10 @@
     double partLeft(const ProxiedCall&, base::Instant now) const;
 
     // Whether the call's turn comes after the latest time at which it can start in time. `running`: the calls at the upstreams that
-    // could run it. Never while less urgent calls were sent at or after `since`.
-    bool hasNoChance(const ProxiedCall&, const WaitingCalls&, int64_t running, base::Instant since, base::Instant now) const;
+    // could run it.
+    bool hasNoChance(const ProxiedCall&, const WaitingCalls&, int64_t running, base::Instant now) const;
+    // Whether a less urgent call of its queue was sent at or after `since`.
+    bool lessUrgentSent(const ProxiedCall&, base::Instant since) const;
     // When a refused caller is to come back. `reason` is for the log.
     base::Instant nextReturn(const ProxiedCall&, const WaitingCalls&, int64_t running, base::Instant deadline, std::string_view reason, base::Instant now);
 
--- a/packages/scheduling/test/OrderSimulation.h
+++ b/packages/scheduling/test/OrderSimulation.h
@@ -49,6 +49,7 @@
     std::vector<double> fairParts() const;
     // The lowest part of its fair part that an account has got.
     double worstShare() const;
+    // Of the calls that arrived while it was measured; a little over 1 if calls that arrived before were served then.
     double inTime(size_t priority) const;
 };
 
