Slot parts begin at what accounts have received; sums over peers are bounded

Cause: at gateways where only the large account waits, its less urgent calls got an even part of the slots although its urgent calls had received more than its fair part.

Change: FairSlotPart counts an account from its lead on, at least a tenth of an even part so that no account starves; AccountShares knows the accounts that wait in the same queues at other gateways. The waiting accounts of all peers are added up at most every 50 ms.

--- a/bench/order_slope.cpp
+++ b/bench/order_slope.cpp
@@ -62,7 +62,10 @@
     }
     AccountShares shares;
     double pass = microseconds(50, [&](int time) {
-        shares.onWaiting(waiting, start + std::chrono::milliseconds(time));
+        WaitingAccounts all = waiting;
+        addWaitingAccounts(all, peers);
+        shares.onWaiting(std::move(all), start + std::chrono::milliseconds(time));
+        shares.leads(500);
         shares.onServed(calls[dispatchOrder(calls, shares).front()].account, base::Tokens(500), start);
     });
     double report = microseconds(2000, [&](int time) {
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -103,6 +103,8 @@
     Incarnation m_incarnation;
     int64_t m_sequence = 0;
     PeerLoads m_peerLoads;
+    bool m_peerAccountsChanged = false;
+    base::Instant m_nextPeerAccounts;
     LoadReportChanges m_loadChanges;
     // The list of gateways has changed since updatePeers().
     bool m_listChanged = false;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -19,6 +19,8 @@
 // Older reports of a peer are ignored. In a large fleet they last for some intervals.
 constexpr auto minReportLifetime = std::chrono::milliseconds(1500);
 constexpr int reportLifetimeIntervals = 6;
+// The waiting accounts of all peers are added up at most this often, since that goes over all of them.
+constexpr auto peerAccountsInterval = std::chrono::milliseconds(50);
 // Exceeds twice maxCompletePlanInterval, at which the planner repeats its notices.
 constexpr auto noticeLifetime = std::chrono::milliseconds(3000);
 
@@ -214,8 +216,12 @@
         m_calls.upstreams().setPeersLoad(upstream, load == m_peerLoads.loads().end() ? UpstreamLoad() : load->second);
     }
     bool queuedChanged = m_peerLoads.takeQueuedChanged();
-    if (queuedChanged) {
+    if (queuedChanged)
         m_calls.slotShare().setPeers(m_peerLoads.queued());
+    m_peerAccountsChanged |= queuedChanged;
+    if (m_peerAccountsChanged && m_calls.pressure() && m_loop.now() >= m_nextPeerAccounts) {
+        m_peerAccountsChanged = false;
+        m_nextPeerAccounts = m_loop.now() + peerAccountsInterval;
         m_calls.slotShare().setPeerAccounts(m_peerLoads.queuedAccounts());
     }
     if (queuedChanged || !changed.empty())
--- a/packages/direct/src/PressureQueue.cpp
+++ b/packages/direct/src/PressureQueue.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace toucanstep::direct {
 
@@ -23,7 +24,7 @@
 
 } // namespace
 
-PressureQueue::PressureQueue(const CallTimes& callTimes, const SlotShare& slotShare, base::MetricsRegistry& metrics)
+PressureQueue::PressureQueue(const CallTimes& callTimes, SlotShare& slotShare, base::MetricsRegistry& metrics)
     : m_callTimes(callTimes)
     , m_slotShare(slotShare)
     , m_metrics(metrics)
@@ -45,7 +46,10 @@
         if (described.back().queueClass != QueueClass::Late)
             ++m_queued[call->queue()][call->priority()][call->account()];
     }
+    addWaitingAccounts(accounts, m_slotShare.peerAccounts());
     m_shares.onWaiting(std::move(accounts), now);
+    auto cost = std::accumulate(described.begin(), described.end(), 0.0, [](double sum, const WaitingCall& call) { return sum + static_cast<double>(call.cost.value()); });
+    m_slotShare.setLeads(m_shares.leads(cost / static_cast<double>(std::max<size_t>(described.size(), 1))));
     std::vector<std::shared_ptr<ProxiedCall>> ordered;
     m_ranks.clear();
     m_positions.clear();
--- a/packages/direct/src/PressureQueue.h
+++ b/packages/direct/src/PressureQueue.h
@@ -29,7 +29,7 @@
 
 class PressureQueue {
 public:
-    PressureQueue(const CallTimes&, const SlotShare&, base::MetricsRegistry&);
+    PressureQueue(const CallTimes&, SlotShare&, base::MetricsRegistry&);
 
     // Starts a pass over the waiting calls; returns them in dispatch order.
     std::vector<std::shared_ptr<ProxiedCall>> beginPass(const WaitingCalls&, base::Instant now);
@@ -85,7 +85,7 @@
     Place placeOf(const ProxiedCall&, const WaitingCalls&, int64_t running, base::Instant now) const;
 
     const CallTimes& m_callTimes;
-    const SlotShare& m_slotShare;
+    SlotShare& m_slotShare;
     base::MetricsRegistry& m_metrics;
     AccountShares m_shares;
     CompletionRate m_completions;
--- a/packages/scheduling/include/toucanstep/scheduling/AccountShares.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountShares.h
@@ -19,6 +19,7 @@
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
 #include "toucanstep/scheduling/AccountLimits.h"
+#include "toucanstep/scheduling/FairSlotPart.h"
 #include "toucanstep/scheduling/Imports.h"
 #include "toucanstep/serving/Demand.h"
 
@@ -30,6 +31,9 @@
 // The accounts that have calls waiting for a slot, by queue. Calls without an account count under the empty id.
 using WaitingAccounts = std::map<ModelQueue, std::set<base::ClientAccountId>>;
 
+// Adds the accounts that wait elsewhere in the same queues.
+void addWaitingAccounts(WaitingAccounts&, const QueuedByAccount&);
+
 using TokensByAccount = std::map<base::ClientAccountId, base::Tokens>;
 
 struct AccountSharesSettings {
@@ -48,10 +52,12 @@
     // `waiting`: the cost of the charged calls that wait at the peer. Returns the number of entries that were ignored since their
     // values are absurd.
     size_t onPeerServed(const base::InstanceId& peer, const LimitReport&, const TokensByAccount& waiting, base::Instant now);
-    // Replaces the accounts that wait; to be called before each pass over the waiting calls.
+    // Replaces the accounts that wait here or, as reported, at other gateways; to be called before each pass over the waiting calls.
     void onWaiting(WaitingAccounts, base::Instant now);
     // In tokens; only differences have a meaning.
     double counter(const base::ClientAccountId&) const;
+    // Of the accounts that wait: how far their counters are above the lowest one, in calls of that mean cost.
+    LeadsByAccount leads(double meanCost) const;
 
 private:
     struct Account {
--- a/packages/scheduling/include/toucanstep/scheduling/FairSlotPart.h
+++ b/packages/scheduling/include/toucanstep/scheduling/FairSlotPart.h
@@ -21,8 +21,12 @@
 // By queue and priority.
 using QueuedByAccount = std::map<ModelQueue, std::map<int64_t, CallsByAccount>>;
 
+// What accounts have received more than the one with waiting calls that has received least, in calls.
+using LeadsByAccount = std::map<base::ClientAccountId, double>;
+
 // From 0 to 1; 1 if nothing waits elsewhere. `unlisted`: calls that wait elsewhere whose account is not known; they count as calls
-// of one account.
-double fairSlotPart(const CallsByAccount& own, const CallsByAccount& elsewhere, int64_t unlisted, double slots);
+// of one account. The slots of an account begin where its lead ends, so that urgent calls of an account count for the part that
+// its less urgent calls get.
+double fairSlotPart(const CallsByAccount& own, const CallsByAccount& elsewhere, int64_t unlisted, double slots, const LeadsByAccount& leads = {});
 
 } // namespace toucanstep::scheduling
--- a/packages/scheduling/include/toucanstep/scheduling/SlotShare.h
+++ b/packages/scheduling/include/toucanstep/scheduling/SlotShare.h
@@ -38,6 +38,9 @@
     // Those of them that can be in time, by account as far as known. With these, the slots for calls in time are divided evenly among
     // accounts.
     void setPeerAccounts(QueuedByAccount);
+    const QueuedByAccount& peerAccounts() const { return m_peerAccounts; }
+    // What accounts with waiting calls have received more than others, in calls; replaces the earlier value.
+    void setLeads(LeadsByAccount leads) { m_leads = std::move(leads); }
     // The slots that upstreams offer until the next report: of the free ones as many as are not taken before that shows, and
     // those of the running calls that end meanwhile, `turnover` of them.
     static double offeredSlots(int64_t freeSlots, int64_t running, double turnover);
@@ -69,6 +72,7 @@
     base::Duration m_reportInterval = minLoadReportInterval;
     QueuedCallCounts m_peers;
     QueuedByAccount m_peerAccounts;
+    LeadsByAccount m_leads;
     // By priority where slots are divided by account: the slots that urgent calls may take would otherwise be spent on less urgent
     // ones, of which other gateways may hold more. Otherwise all priorities share the credit of priority 0.
     std::map<std::pair<ModelQueue, int64_t>, Credit> m_credits;
--- a/packages/scheduling/src/AccountShares.cpp
+++ b/packages/scheduling/src/AccountShares.cpp
@@ -18,6 +18,21 @@
 
 } // namespace
 
+void addWaitingAccounts(WaitingAccounts& waiting, const QueuedByAccount& queued)
+{
+    for (auto& [queue, own] : waiting) {
+        auto priorities = queued.find(queue);
+        if (priorities == queued.end())
+            continue;
+        for (const auto& [priority, accounts] : priorities->second) {
+            for (const auto& [account, calls] : accounts) {
+                if (calls > 0)
+                    own.insert(account);
+            }
+        }
+    }
+}
+
 AccountShares::AccountShares(AccountSharesSettings settings)
     : m_settings(settings)
 {
@@ -135,6 +150,14 @@
     return found == m_accounts.end() ? m_virtualTime : std::max(found->second.counter, m_virtualTime);
 }
 
+LeadsByAccount AccountShares::leads(double meanCost) const
+{
+    LeadsByAccount leads;
+    for (const auto& account : m_waitingAnywhere)
+        leads[account] = (counter(account) - m_virtualTime) / std::max(meanCost, 1.0);
+    return leads;
+}
+
 void AccountShares::expire(base::Instant now)
 {
     std::erase_if(m_accounts, [&](const auto& entry) {
--- a/packages/scheduling/src/SlotShare.cpp
+++ b/packages/scheduling/src/SlotShare.cpp
@@ -72,7 +72,7 @@
     int64_t unlisted = equalElsewhere;
     for (const auto& [account, calls] : elsewhere)
         unlisted -= calls;
-    return fairSlotPart(own, elsewhere, unlisted, slots);
+    return fairSlotPart(own, elsewhere, unlisted, slots, m_leads);
 }
 
 SlotShare::PeerCalls SlotShare::peerCalls(const ModelQueue& queue, const QueueRank& rank) const
--- a/packages/scheduling/test/OrderSimulation.cpp
+++ b/packages/scheduling/test/OrderSimulation.cpp
@@ -176,7 +176,9 @@
         waiting.push_back(call.waiting);
         accounts[queue].insert(call.waiting.account);
     }
+    addWaitingAccounts(accounts, gateway.share.peerAccounts());
     gateway.accounts.onWaiting(std::move(accounts), now);
+    gateway.share.setLeads(gateway.accounts.leads((minTokens + maxTokens) / 2.0));
     if (m_policy == OrderPolicy::Fair)
         return dispatchOrder(waiting, gateway.accounts);
     std::vector<size_t> indexes(waiting.size());
--- a/packages/scheduling/test/OverloadDecisionsTest.cpp
+++ b/packages/scheduling/test/OverloadDecisionsTest.cpp
@@ -114,6 +114,15 @@
     DOUBLES_EQUAL(0.5, fairSlotPart({ { other, 20 } }, {}, 2000, 10), 1e-6);
 }
 
+// Guards against an account's urgent calls not counting for what its other calls get, and against starvation by a lead.
+TEST(OverloadDecisionsTest, AnAccountWithALeadGetsATenthOfAnEvenPart)
+{
+    base::ClientAccountId leading("leading");
+    base::ClientAccountId other("other");
+    DOUBLES_EQUAL(0.05 / 1.05, fairSlotPart({ { leading, 2000 } }, { { other, 20 } }, 0, 10, { { leading, 100 } }), 1e-3);
+    DOUBLES_EQUAL(0.3, fairSlotPart({ { leading, 2000 } }, { { other, 20 } }, 0, 10, { { leading, 4 } }), 1e-3);
+}
+
 // Guards against an inversion of priorities that nobody sees, and against reports of chance differences.
 TEST(OverloadDecisionsTest, InversionsOfPrioritiesAreReportedOnce)
 {
