--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -19,6 +19,8 @@
 // Older reports of a peer are ignored. In a large fleet they last for some intervals.
 constexpr auto minReportLifetime = std::chrono::milliseconds(1500);
 constexpr int reportLifetimeIntervals = 6;
+// The waiting accounts of all peers are added up at most this often, since that goes over all of them.
+constexpr auto peerAccountsInterval = std::chrono::milliseconds(50);
 // Exceeds twice maxCompletePlanInterval, at which the planner repeats its notices.
 constexpr auto noticeLifetime = std::chrono::milliseconds(3000);
 
@@ -63,6 +65,7 @@
     report.partLoans = m_calls.fleetShare().takeLoans();
     report.crashes = m_calls.crashes().news(m_hasNewPeers, now);
     report.queued = m_calls.queuedCalls();
+    m_calls.describeWaitingAccounts(report);
     report.callLimits = m_calls.callLimits().heardLately(now);
     report.availability = m_calls.availability().heardLately(now);
     m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
@@ -189,6 +192,7 @@
     if (!m_peerLoads.apply(report, now))
         return;
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
+    m_calls.onPeerReport(report);
     m_calls.crashes().onPeerNews(report.crashes, now);
     m_calls.refuseCrashingCalls();
     m_calls.fleetShare().onPeerRequests(report.sender.instance, report.sender.incarnation.value(), report.partRequests, now);
@@ -214,6 +218,12 @@
     bool queuedChanged = m_peerLoads.takeQueuedChanged();
     if (queuedChanged)
         m_calls.slotShare().setPeers(m_peerLoads.queued());
+    m_peerAccountsChanged |= queuedChanged;
+    if (m_peerAccountsChanged && m_calls.pressure() && m_loop.now() >= m_nextPeerAccounts) {
+        m_peerAccountsChanged = false;
+        m_nextPeerAccounts = m_loop.now() + peerAccountsInterval;
+        m_calls.slotShare().setPeerAccounts(m_peerLoads.queuedAccounts());
+    }
     if (queuedChanged || !changed.empty())
         m_calls.wakeWaiting();
 }
