Planner: the mean demand of a model is looked up once for each pass

Cause: each possible victim at each engine looked it up again after each eviction. Change: PlanningPass::Model::meanCalls.

--- a/packages/planner/src/LoadAhead.cpp
+++ b/packages/planner/src/LoadAhead.cpp
@@ -21,7 +21,7 @@
     }
     const Model* busiest = nullptr;
     for (const auto& [id, model] : m_models) {
-        double calls = std::max(m_uneven->forecast.meanCalls(id), model.callsAhead);
+        double calls = std::max(model.meanCalls, model.callsAhead);
         bool isBusy = model.traits && model.ready && calls >= m_settings.busySlots * slotsOfReplica();
         // One copy beyond the replicas that it needs now.
         if (isBusy && copies[id] <= model.desired && (!busiest || model.callsAhead > busiest->callsAhead))
--- a/packages/planner/src/PlanningPass.h
+++ b/packages/planner/src/PlanningPass.h
@@ -75,6 +75,8 @@
         std::map<base::FailureDomain, double> slotsByDomain;
         // Expected calls in progress when a further replica would be ready.
         double callsAhead = 0;
+        // Average of the calls in progress over the last seconds.
+        double meanCalls = 0;
         std::map<base::FailureDomain, double> callsAheadByDomain;
 
         int64_t replicas() const { return ready + loading; }
--- a/packages/planner/src/UnevenDemand.cpp
+++ b/packages/planner/src/UnevenDemand.cpp
@@ -40,6 +40,7 @@
     }
     forecast.endPass();
     for (auto& [id, model] : m_models) {
+        model.meanCalls = forecast.meanCalls(id);
         if (model.traits && hasDemand(id))
             model.callsAhead = forecast.callsAhead(id, timeOfNextLoad(model));
     }
@@ -114,9 +115,11 @@
 
 bool PlacementPlanner::PlanningPass::isCoveredWithout(const Engine& engine, const Model& model) const
 {
-    double calls = std::max({ static_cast<double>(model.demand.waiting + model.demand.running), model.callsAhead, peakOfMean * m_uneven->forecast.meanCalls(model.traits->id) });
+    if (model.demand.waiting || !m_uneven->forecast.hasTrend())
+        return false;
+    double calls = std::max({ static_cast<double>(model.demand.waiting + model.demand.running), model.callsAhead, peakOfMean * model.meanCalls });
     double others = model.slots - effectiveSlots(*engine.state);
-    return !model.demand.waiting && m_uneven->forecast.hasTrend() && calls <= others * m_settings.slotsInUseBeforeStoreLoad;
+    return calls <= others * m_settings.slotsInUseBeforeStoreLoad;
 }
 
 void PlacementPlanner::PlanningPass::compareUneven(const ReplicaRequest& request, Candidate& candidate) const
