io, http1: answers that wait are read, held and ended on request

Cause: a gateway could not stop reading an upstream, did not learn when a caller takes bytes, and held unsent bytes in one string that was moved with each send. An answer that closes its connection was cut where its caller had not taken all of it: 3.9 of 16 MB arrived.

Change: Exchange::setReading and readPiece; ServerExchange::onTaken, unsentBytes and abort after end, dropBody, tolerateSlowCaller; Server reports requests that are being read and can refuse one. A connection that closes once it is drained lives until then.

--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -45,6 +45,11 @@
     virtual ~Exchange() = default;
     // Ends it and its connection: the server sees its caller leave. The listener hears nothing more.
     virtual void cancel() = 0;
+    // Without reading, what the server sends waits at the server once the system's buffers are full. The answer cannot become whole, and
+    // an orderly end of the connection is not noticed.
+    virtual void setReading(bool) = 0;
+    // Reads once, also without reading.
+    virtual void readPiece(size_t most) = 0;
 };
 
 // Who is called. Connections are kept by `peer` and endpoint, so that a server which got another's address is not taken for it.
@@ -70,6 +75,8 @@
     // Taken off the time that a server names: its close and a new request must not cross.
     base::Duration idleMargin = std::chrono::seconds(1);
     size_t idlePerPeer = 32;
+    // What the system keeps of an answer that is not read; 0 for the system's own choice.
+    size_t receiveBufferBytes = 0;
 };
 
 struct ClientCounters {
--- a/packages/http1/include/toucanstep/http1/Server.h
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -55,10 +55,16 @@
     virtual void begin(AnswerHead) = 0;
     virtual void write(std::string_view piece) = 0;
     virtual void end() = 0;
-    // Ends the connection so that the caller sees that the answer is not whole.
+    // Ends the connection so that the caller sees that the answer is not whole. After end() it does so for what is still unsent.
     virtual void abort() = 0;
-    // Bytes of the answer that the caller has not taken yet.
+    // Bytes of the answer that the caller has not taken yet; also after end().
     virtual size_t unsentBytes() const = 0;
+    // Called whenever the caller has taken some of them, until the answer has ended.
+    virtual void onTaken(std::function<void()>) = 0;
+    // Allows a caller that is there to take nothing for longer than a caller that may be gone.
+    virtual void tolerateSlowCaller(bool) = 0;
+    // The body of the request is no longer needed.
+    virtual void dropBody() = 0;
     // A whole answer at once.
     void answer(AnswerHead, std::string_view body);
 };
@@ -71,12 +77,26 @@
     virtual void onUnreadable(int /*status*/) { }
 };
 
+// Hears of the memory that requests take while they are read.
+class UploadListener {
+public:
+    virtual ~UploadListener() = default;
+    // The request on that connection takes this much now.
+    virtual void onUploadGrew(uint64_t connection, size_t bytes) = 0;
+    // It has been handed over, refused or given up.
+    virtual void onUploadEnded(uint64_t connection) = 0;
+};
+
 class Server {
 public:
     static base::Result<std::unique_ptr<Server>> listen(io::EventLoop&, const base::Endpoint&, RequestHandler&);
     virtual ~Server() = default;
     // Applies to what is read from now on.
     virtual void setBounds(ServerBounds) = 0;
+    // The listener must outlive the server.
+    virtual void setUploadListener(UploadListener*) = 0;
+    // Answers 503 to the request that is being read on that connection, and closes it.
+    virtual void refuseUpload(uint64_t connection) = 0;
     // Every answer from now on says that its connection closes.
     virtual void closeAfterAnswers() = 0;
     // Takes no new connections, and closes those that wait for a request.
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -34,6 +34,8 @@
         auto socket = base::valueOr(error, [&] { return io::connectTo(m_peer.endpoint); });
         // Without a socket the failure is told from the loop, so that no listener is called from within send().
         base::Instant giveUp = socket ? m_request.connectDeadline : m_loop.now();
+        if (auto pool = m_pool.lock(); socket && pool)
+            limitBuffer(*socket, *pool);
         if (socket)
             m_connection = io::Connection::start(m_loop, std::move(*socket), io::Connection::Origin::Opened, this);
         m_connectTimer = m_loop.at(giveUp, [this] { breakOff(Breakage::NotSent); });
@@ -54,6 +56,19 @@
         m_listener = nullptr;
         end();
     }
+    void setReading(uint64_t exchange, bool reading)
+    {
+        if (exchange == m_exchange && m_listener && m_connection)
+            m_connection->holdBack(!reading);
+    }
+    void readPiece(uint64_t exchange, size_t most)
+    {
+        // Reading may end the exchange and release what holds this.
+        auto self = shared_from_this();
+        auto connection = m_connection;
+        if (exchange == m_exchange && m_listener && connection)
+            connection->readPiece(most);
+    }
 
     const Peer& peer() const { return m_peer; }
     base::Instant useUntil() const { return m_useUntil; }
@@ -80,6 +95,7 @@
     }
 
 private:
+    static void limitBuffer(const io::Socket&, const Pool&);
     void transmit()
     {
         m_parser.expect(m_request.answersHead);
@@ -175,6 +191,12 @@
     std::map<Peer, std::vector<std::shared_ptr<ClientConnection>>> m_idle;
 };
 
+void Client::ClientConnection::limitBuffer(const io::Socket& socket, const Pool& pool)
+{
+    if (pool.options().receiveBufferBytes)
+        io::limitReceiveBuffer(socket, pool.options().receiveBufferBytes);
+}
+
 void Client::ClientConnection::noteIdleTime(const HeaderList& headers)
 {
     const std::string* keepAlive = headers.find("keep-alive");
@@ -244,6 +266,7 @@
     bool reusable = pool && m_keepAlive && !extraBytes && m_connection && !m_connection->unsentBytes() && use > base::Duration::zero();
     if (reusable) {
         m_useUntil = m_loop.now() + use;
+        m_connection->holdBack(false);
         pool->putIdle(shared_from_this());
     } else {
         end();
@@ -261,6 +284,8 @@
     }
     ~ClientExchange() override { m_connection->cancel(m_number); }
     void cancel() override { m_connection->cancel(m_number); }
+    void setReading(bool reading) override { m_connection->setReading(m_number, reading); }
+    void readPiece(size_t most) override { m_connection->readPiece(m_number, most); }
 
 private:
     std::shared_ptr<ClientConnection> m_connection;
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -43,10 +43,21 @@
     void end() override;
     void abort() override;
     size_t unsentBytes() const override;
+    void onTaken(std::function<void()> handler) override { m_onTaken = std::move(handler); }
+    void tolerateSlowCaller(bool) override;
+    void dropBody() override { m_body = std::string(); }
 
+    void callerTook()
+    {
+        // The handler may end the exchange, which drops it.
+        auto handler = m_onTaken;
+        if (handler)
+            handler();
+    }
     void callerLeft()
     {
         m_gone = true;
+        m_onTaken = nullptr;
         if (auto handler = std::exchange(m_onGone, nullptr))
             handler();
     }
@@ -56,6 +67,9 @@
     RequestHead m_head;
     std::string m_body;
     std::function<void()> m_onGone;
+    std::function<void()> m_onTaken;
+    // Once the answer has ended with a part of it unsent, which may outlive the caller's connection here.
+    std::shared_ptr<io::Connection> m_draining;
     bool m_gone = false;
     BodyFraming m_framing = BodyFraming::None;
     // The answer to HEAD has no body, whatever its headers say.
@@ -75,6 +89,7 @@
     void start(io::EventLoop&, io::Socket);
     void onBytes(std::string_view) override;
     void onPeerClosed(io::CloseCause) override;
+    void onTaken() override;
     void onRequestHead(RequestHead) override;
     void onRequestBody(std::string_view) override;
 
@@ -91,6 +106,10 @@
         close();
     }
     size_t unsentBytes() const { return m_connection->unsentBytes(); }
+    const std::shared_ptr<io::Connection>& transport() const { return m_connection; }
+    bool answering() const { return m_exchange != nullptr; }
+    // The request that is being read, if any.
+    void refuseUpload();
     bool idle() const { return !m_exchange && !m_parser.midMessage(); }
     // Closes it if it waits for a request, or has taken too long over one.
     void checkTime(base::Instant now);
@@ -99,6 +118,7 @@
     void consume(std::string_view);
     void dispatch();
     void refuse(int status);
+    void endUpload();
 
     ListeningServer& m_server;
     uint64_t m_id;
@@ -110,6 +130,8 @@
     std::shared_ptr<ConnectionExchange> m_exchange;
     base::Instant m_since;
     int m_unreadable = 0;
+    // The listener has heard of the body that is being read.
+    bool m_uploadKnown = false;
     bool m_consuming = false;
     bool m_closing = false;
     // The last answer was given; nothing more is read.
@@ -138,6 +160,15 @@
     }
 
     void setBounds(ServerBounds bounds) override { m_bounds = bounds; }
+    void setUploadListener(UploadListener* listener) override { m_uploads = listener; }
+    void refuseUpload(uint64_t connection) override
+    {
+        auto found = m_connections.find(connection);
+        if (found == m_connections.end())
+            return;
+        auto held = found->second;
+        held->refuseUpload();
+    }
     void closeAfterAnswers() override { m_closing = true; }
     void stop() override
     {
@@ -156,6 +187,7 @@
     bool closing() const { return m_closing; }
     io::EventLoop& loop() { return m_loop; }
     RequestHandler& handler() { return m_handler; }
+    UploadListener* uploads() { return m_uploads; }
     void remove(uint64_t id) { m_connections.erase(id); }
 
 private:
@@ -205,6 +237,7 @@
     io::Socket m_listener;
     base::Endpoint m_endpoint;
     RequestHandler& m_handler;
+    UploadListener* m_uploads = nullptr;
     ServerBounds m_bounds;
     std::unordered_map<uint64_t, std::shared_ptr<CallerConnection>> m_connections;
     io::EventLoop::TimerId m_sweepTimer = 0;
@@ -260,15 +293,25 @@
     if (!connection || m_gone || std::exchange(m_ended, true))
         return;
     m_onGone = nullptr;
+    m_onTaken = nullptr;
     if (m_framing == BodyFraming::Chunked && !m_bodiless)
         connection->send(lastChunk);
+    if (connection->unsentBytes())
+        m_draining = connection->transport();
     connection->answered();
 }
 
 void ConnectionExchange::abort()
 {
     m_onGone = nullptr;
+    m_onTaken = nullptr;
     m_gone = true;
+    if (auto draining = std::exchange(m_draining, nullptr); draining && draining->unsentBytes()) {
+        draining->resetOnClose();
+        draining->close();
+    } else if (m_ended) {
+        return;
+    }
     auto connection = m_connection.lock();
     if (!connection)
         return;
@@ -281,7 +324,22 @@
 size_t ConnectionExchange::unsentBytes() const
 {
     auto connection = m_connection.lock();
-    return connection && !m_gone ? connection->unsentBytes() : 0;
+    if (m_gone)
+        return 0;
+    if (!m_ended)
+        return connection ? connection->unsentBytes() : 0;
+    // A later answer on the same connection counts what is left of this one.
+    return m_draining && !(connection && connection->answering()) ? m_draining->unsentBytes() : 0;
+}
+
+void ConnectionExchange::tolerateSlowCaller(bool slow)
+{
+    // Zero window probes end a connection like missing acknowledgements do; a caller that announces no room for this long is given up.
+    constexpr auto slowCallerTimeout = std::chrono::seconds(20);
+    auto connection = m_connection.lock();
+    auto transport = connection ? connection->transport() : m_draining;
+    if (transport)
+        transport->setUnacknowledgedTimeout(slow ? slowCallerTimeout : io::defaultUnacknowledgedTimeout);
 }
 
 void CallerConnection::start(io::EventLoop& loop, io::Socket socket)
@@ -300,6 +358,7 @@
     auto self = shared_from_this();
     m_connection->close();
     m_server.remove(m_id);
+    endUpload();
     if (auto exchange = std::exchange(m_exchange, nullptr))
         exchange->callerLeft();
 }
@@ -309,6 +368,31 @@
     close();
 }
 
+void CallerConnection::onTaken()
+{
+    auto self = shared_from_this();
+    // Idle time begins once the caller has what was answered.
+    if (!m_parser.midMessage())
+        m_since = m_server.loop().now();
+    if (auto exchange = m_exchange)
+        exchange->callerTook();
+}
+
+void CallerConnection::refuseUpload()
+{
+    constexpr int unavailable = 503;
+    if (m_consuming)
+        m_unreadable = unavailable;
+    else if (m_uploadKnown)
+        refuse(unavailable);
+}
+
+void CallerConnection::endUpload()
+{
+    if (std::exchange(m_uploadKnown, false) && m_server.uploads())
+        m_server.uploads()->onUploadEnded(m_id);
+}
+
 void CallerConnection::onBytes(std::string_view bytes)
 {
     auto self = shared_from_this();
@@ -366,10 +450,15 @@
         m_unreadable = bodyTooLarge;
     else
         m_body.append(piece);
+    if (!m_server.uploads() || m_unreadable)
+        return;
+    m_uploadKnown = true;
+    m_server.uploads()->onUploadGrew(m_id, m_body.capacity());
 }
 
 void CallerConnection::dispatch()
 {
+    endUpload();
     m_exchange = std::make_shared<ConnectionExchange>(weak_from_this(), std::move(m_head), std::move(m_body));
     m_head = RequestHead();
     m_body = std::string();
@@ -397,6 +486,7 @@
 
 void CallerConnection::refuse(int status)
 {
+    endUpload();
     m_server.handler().onUnreadable(status);
     std::string out = base::concat("HTTP/1.1 ", status, " ", reasonPhrase(status), "\r\n");
     appendHeader(out, "Content-Length", "0");
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -248,3 +248,22 @@
     });
     LONGS_EQUAL(1, held.use_count());
 }
+
+// Guards against an answer being cut since the end of its connection is noticed while the answer is not read.
+TEST(Client, AnAnswerThatIsNotReadForAWhileComesWholeAlthoughItsServerHasClosed)
+{
+    std::string body(100000, 'x');
+    RawServer server(loop, [&](const ScriptedRequest&) { return ScriptedAnswer { base::concat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(), "\r\n\r\n", body), Then::Close }; });
+    Recorder recorder;
+    loop.runAndWait([&] {
+        OutgoingRequest request { .head = postRequest, .body = "xy", .answersHead = false, .connectDeadline = loop.now() + std::chrono::seconds(20) };
+        exchanges.push_back(client->send({ "peer", server.endpoint() }, std::move(request), &recorder));
+        exchanges.back()->setReading(false);
+    });
+    CHECK_FALSE(recorder.endings.take(std::chrono::milliseconds(300)).has_value());
+    loop.runAndWait([&] { exchanges.back()->readPiece(1000); });
+    CHECK_FALSE(recorder.endings.take(std::chrono::milliseconds(50)).has_value());
+    loop.runAndWait([&] { exchanges.back()->setReading(true); });
+    auto ending = recorder.endings.take();
+    CHECK_TRUE(ending.has_value() && !ending->breakage && ending->body == body);
+}
--- a/packages/http1/test/ServerTest.cpp
+++ b/packages/http1/test/ServerTest.cpp
@@ -259,3 +259,52 @@
     CHECK_TRUE(contains(all, "Connection: close\r\n"));
     CHECK_TRUE(contains(all, "two"));
 }
+
+// Guards against an answer that is cut where its connection closes after it and its caller has not taken all of it yet.
+TEST(Server, AnAnswerThatClosesItsConnectionArrivesWholeAtASlowCaller)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::string body(16 * 1024 * 1024, 'x');
+    auto exchange = next();
+    answer(exchange, body);
+    CHECK_TRUE(exchange->unsentBytes() > 0);
+    exchange.reset();
+    std::string all = caller.readToEnd();
+    LONGS_EQUAL(body.size(), all.size() - all.find("\r\n\r\n") - 4);
+}
+
+// Guards against unread bytes of an answer that has ended being held without a way to release them, and against its looking whole.
+TEST(Server, AnAnswerThatHasEndedIsCutWhileItIsUnread)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    auto exchange = next();
+    std::string body(16 * 1024 * 1024, 'x');
+    answer(exchange, body);
+    loop.runAndWait([&] { exchange->abort(); });
+    LONGS_EQUAL(0, exchange->unsentBytes());
+    CHECK_TRUE(caller.readToEnd().size() < body.size());
+}
+
+// Guards against uploads that are not counted while they are read, and against one that cannot be ended.
+TEST(Server, RequestsThatAreReadAreReportedAndCanBeRefused)
+{
+    struct Uploads final : UploadListener {
+        void onUploadGrew(uint64_t connection, size_t bytes) override { grown.put({ connection, bytes }); }
+        void onUploadEnded(uint64_t connection) override { ended.put(connection); }
+        Mailbox<std::pair<uint64_t, size_t>> grown;
+        Mailbox<uint64_t> ended;
+    };
+    Uploads uploads;
+    loop.runAndWait([&] { server->setUploadListener(&uploads); });
+    RawCaller caller(port());
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(1000, 'x'));
+    auto grown = uploads.grown.take();
+    CHECK_TRUE(grown.has_value() && grown->second >= 1000);
+    loop.runAndWait([&] { server->refuseUpload(grown->first); });
+    CHECK_TRUE(contains(caller.readToEnd(), "HTTP/1.1 503 "));
+    CHECK_TRUE(uploads.ended.take() == grown->first);
+    LONGS_EQUAL(503, unreadable.take().value_or(0));
+    loop.runAndWait([&] { server->setUploadListener(nullptr); });
+}
--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "toucanstep/io/EventLoop.h"
+#include "toucanstep/io/SendBuffer.h"
 #include "toucanstep/io/Socket.h"
 
 #include <memory>
-#include <string>
 #include <string_view>
 
 namespace toucanstep::io {
@@ -27,6 +27,8 @@
     virtual void onBytes(std::string_view) = 0;
     // The peer sends nothing more, or the connection broke. Comes at most once, and not after close().
     virtual void onPeerClosed(CloseCause) = 0;
+    // A part of what the system did not take at once has been handed to it.
+    virtual void onTaken() { }
     // All that was written has been handed to the system.
     virtual void onDrained() { }
 };
@@ -47,22 +49,32 @@
     void write(std::string_view);
     size_t unsentBytes() const { return m_unsent.size(); }
     bool connected() const { return m_connected; }
+    // See io::setUnacknowledgedTimeout.
+    void setUnacknowledgedTimeout(base::Duration);
 
     // Without reading, a peer that goes is still noticed.
     void setReading(bool);
+    // While held back, what the peer has sent waits, and so does its orderly end behind it; a broken connection is still noticed.
+    void holdBack(bool);
+    // Reads once while it is held back.
+    void readPiece(size_t most);
     // Ends it at once; what is unsent is dropped. The listener hears nothing more.
     void close();
     // From now on close() resets the connection, which tells the peer that bytes are missing.
     void resetOnClose();
-    // Ends it once all is handed to the system.
+    // Ends it once all is handed to the system. Until then it lives even if nobody holds it.
     void closeWhenDrained();
 
 private:
     Connection(EventLoop&, Socket, Origin, ConnectionListener*);
-    void watch();
+    enum class Owner {
+        Holders,
+        Loop,
+    };
+    void watch(Owner);
     void onEvents(uint32_t events);
     void finishConnecting();
-    void readOnce();
+    void readOnce(size_t most);
     void flush();
     void peerGone(CloseCause);
     uint32_t wantedEvents() const;
@@ -71,9 +83,10 @@
     EventLoop& m_loop;
     Socket m_socket;
     ConnectionListener* m_listener;
-    std::string m_unsent;
+    SendBuffer m_unsent;
     bool m_connected = false;
     bool m_reading = true;
+    bool m_heldBack = false;
     bool m_closing = false;
     uint32_t m_events = 0;
 };
--- a/packages/io/include/toucanstep/io/Socket.h
+++ b/packages/io/include/toucanstep/io/Socket.h
@@ -4,6 +4,7 @@
 
 #include "toucanstep/base/Endpoint.h"
 #include "toucanstep/base/Result.h"
+#include "toucanstep/base/Time.h"
 
 #include <string_view>
 #include <utility>
@@ -45,6 +46,15 @@
 // Begins to connect. The socket becomes writable once the connection stands or has failed.
 base::Result<Socket> connectTo(const base::Endpoint&);
 
+// Bounds what the system keeps of a connection's unread bytes. Otherwise it grows to megabytes, and reading a little of it does not make
+// the system announce room to the peer.
+void limitReceiveBuffer(const Socket&, size_t bytes);
+
+// How long the peer may leave bytes without acknowledging them, or announce no room for them.
+void setUnacknowledgedTimeout(const Socket&, base::Duration);
+// The time that connections have if it is not set.
+constexpr base::Duration defaultUnacknowledgedTimeout = std::chrono::seconds(4);
+
 // A datagram socket bound to the endpoint.
 base::Result<Socket> bindDatagrams(const base::Endpoint&);
 
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -1,5 +1,6 @@
 #include "toucanstep/io/Connection.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sys/epoll.h>
@@ -17,7 +18,7 @@
 std::shared_ptr<Connection> Connection::start(EventLoop& loop, Socket socket, Origin origin, ConnectionListener* listener)
 {
     std::shared_ptr<Connection> connection(new Connection(loop, std::move(socket), origin, listener));
-    connection->watch();
+    connection->watch(Owner::Holders);
     return connection;
 }
 
@@ -34,10 +35,10 @@
     close();
 }
 
-void Connection::watch()
+void Connection::watch(Owner owner)
 {
     m_events = wantedEvents();
-    m_loop.watch(m_socket.descriptor(), m_events, [weak = weak_from_this()](uint32_t events) {
+    m_loop.watch(m_socket.descriptor(), m_events, [weak = weak_from_this(), strong = owner == Owner::Loop ? shared_from_this() : nullptr](uint32_t events) {
         if (auto self = weak.lock())
             self->onEvents(events);
     });
@@ -45,10 +46,10 @@
 
 uint32_t Connection::wantedEvents() const
 {
-    uint32_t events = EPOLLRDHUP;
+    uint32_t events = m_heldBack ? 0U : EPOLLRDHUP;
     if (!m_connected || !m_unsent.empty())
         events |= EPOLLOUT;
-    if (m_connected && m_reading)
+    if (m_connected && m_reading && !m_heldBack)
         events |= EPOLLIN;
     return events;
 }
@@ -68,10 +69,24 @@
     updateEvents();
 }
 
+void Connection::holdBack(bool heldBack)
+{
+    m_heldBack = heldBack;
+    updateEvents();
+}
+
+void Connection::readPiece(size_t most)
+{
+    if (m_socket && m_connected)
+        readOnce(most);
+}
+
 void Connection::close()
 {
     if (!m_socket)
         return;
+    // The loop may be its only owner.
+    auto self = weak_from_this().lock();
     m_loop.unwatch(m_socket.descriptor());
     m_socket = Socket();
     m_listener = nullptr;
@@ -85,12 +100,24 @@
         setsockopt(m_socket.descriptor(), SOL_SOCKET, SO_LINGER, &option, sizeof(option));
 }
 
+void Connection::setUnacknowledgedTimeout(base::Duration timeout)
+{
+    if (m_socket)
+        io::setUnacknowledgedTimeout(m_socket, timeout);
+}
+
 void Connection::closeWhenDrained()
 {
     m_listener = nullptr;
     m_closing = true;
-    if (m_unsent.empty())
+    if (!m_socket)
+        return;
+    if (m_unsent.empty()) {
         close();
+        return;
+    }
+    m_loop.unwatch(m_socket.descriptor());
+    watch(Owner::Loop);
 }
 
 void Connection::write(std::string_view bytes)
@@ -116,8 +143,8 @@
     if (events & EPOLLOUT)
         flush();
     // Bytes that came before the end are read first: an answer may be followed by a close at once.
-    if (m_socket && (events & EPOLLIN) && m_reading) {
-        readOnce();
+    if (m_socket && (events & EPOLLIN) && m_reading && !m_heldBack) {
+        readOnce(readBytes);
         return;
     }
     if (m_socket && (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
@@ -140,11 +167,11 @@
         flush();
 }
 
-void Connection::readOnce()
+void Connection::readOnce(size_t most)
 {
     // Shared by all connections of the thread: a connection that waits holds no buffer.
     thread_local std::array<char, readBytes> buffer;
-    ssize_t got = recv(m_socket.descriptor(), buffer.data(), buffer.size(), 0);
+    ssize_t got = recv(m_socket.descriptor(), buffer.data(), std::min(most, buffer.size()), 0);
     if (got > 0) {
         if (m_listener)
             m_listener->onBytes(std::string_view(buffer.data(), static_cast<size_t>(got)));
@@ -158,15 +185,23 @@
 void Connection::flush()
 {
     if (!m_unsent.empty()) {
-        ssize_t sent = send(m_socket.descriptor(), m_unsent.data(), m_unsent.size(), MSG_NOSIGNAL);
-        if (sent > 0)
-            m_unsent.erase(0, static_cast<size_t>(sent));
+        std::vector<iovec> parts = m_unsent.front();
+        msghdr message {};
+        message.msg_iov = parts.data();
+        message.msg_iovlen = parts.size();
+        ssize_t sent = sendmsg(m_socket.descriptor(), &message, MSG_NOSIGNAL);
+        if (sent > 0) {
+            m_unsent.take(static_cast<size_t>(sent));
+            if (m_listener)
+                m_listener->onTaken();
+            if (!m_socket)
+                return;
+        }
     }
     if (!m_unsent.empty()) {
         updateEvents();
         return;
     }
-    std::string().swap(m_unsent);
     if (m_closing) {
         close();
         return;
--- a/packages/io/src/EventLoop.cpp
+++ b/packages/io/src/EventLoop.cpp
@@ -34,6 +34,8 @@
 EventLoop::~EventLoop()
 {
     stop();
+    // Some handlers own connections, which unwatch themselves as they go.
+    std::exchange(m_handlers, {}).clear();
     close(m_wakeup);
     close(m_epoll);
 }
--- a/packages/io/src/Socket.cpp
+++ b/packages/io/src/Socket.cpp
@@ -22,7 +22,7 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 // Bytes that a peer has not acknowledged for this long end the connection; as long as the probes take.
-constexpr unsigned userTimeoutMilliseconds = 4000;
+constexpr auto userTimeoutMilliseconds = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(defaultUnacknowledgedTimeout).count());
 
 void setOption(int socket, int level, int option, int value)
 {
@@ -104,6 +104,16 @@
     return socket;
 }
 
+void limitReceiveBuffer(const Socket& socket, size_t bytes)
+{
+    setOption(socket.descriptor(), SOL_SOCKET, SO_RCVBUF, static_cast<int>(bytes));
+}
+
+void setUnacknowledgedTimeout(const Socket& socket, base::Duration timeout)
+{
+    setOption(socket.descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(base::toMilliseconds(timeout)));
+}
+
 base::Result<Socket> bindDatagrams(const base::Endpoint& endpoint)
 {
     auto address = toAddress(endpoint);
