Memory that callers hold is bounded where the policy pressure is on

Cause: a gateway read all that upstreams sent, whatever its callers took: 16 MB for each call.

Change: CallerMemoryControl keeps CallerMemory informed of calls, unread answers and requests being read, and carries out its decisions. Upstreams whose answers are paused do not count as unresponsive, and their connections get a receive buffer of 128 KiB so that reading a piece makes room at the upstream.

--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -31,6 +31,8 @@
     , m_retryBudget(m_settings.retries, m_fleetShare)
     , m_callLimits(m_fleetShare)
 {
+    if (m_settings.policies.pressure)
+        m_callerMemory = std::make_unique<CallerMemoryControl>(loop, metrics, m_settings.policies.callerMemory);
 }
 
 CallDispatcher::~CallDispatcher()
@@ -266,6 +268,8 @@
     attributeConfirmedCrashes();
     if (!m_tokenQueue.empty())
         processTokenQueue();
+    if (m_callerMemory)
+        m_callerMemory->tick();
     auto calls = m_activeCalls;
     for (const auto& call : calls) {
         if (!call->inFlight())
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -53,6 +53,14 @@
     return calls;
 }
 
+http1::ClientOptions clientOptions(const DirectGatewaySettings& settings)
+{
+    constexpr size_t boundedReceiveBytes = 128 * 1024;
+    http1::ClientOptions options;
+    options.receiveBufferBytes = settings.policies.pressure ? boundedReceiveBytes : 0;
+    return options;
+}
+
 base::Duration watchPollDelay(const DirectGatewaySettings& settings)
 {
     return settings.changePropagationLimit * pollDelayPercent / 100;
@@ -116,7 +124,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_format(std::move(format))
-    , m_client(loop)
+    , m_client(loop, clientOptions(m_settings))
     , m_storeClient(loop)
     , m_store(makeStore(loop, m_storeClient, watchPollSettings(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
@@ -148,6 +156,10 @@
 base::Result<void> GatewayCore::start()
 {
     BOOST_LEAF_ASSIGN(m_callerServer, http1::Server::listen(m_loop, m_settings.callers, m_calls));
+    if (auto* memory = m_calls.callerMemory()) {
+        memory->setServer(m_callerServer.get());
+        m_callerServer->setUploadListener(memory);
+    }
     BOOST_LEAF_ASSIGN(m_readinessServer, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_operatorServer, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_transport, FleetTransport::open(m_loop, m_operatorServer->endpoint(), [this](const FleetReport& report) { onReport(report); }));
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -101,7 +101,9 @@
         if (auto self = weak.lock())
             self->onCallerGone();
     });
-    if (admitted)
+    if (auto* memory = m_dispatcher.callerMemory())
+        m_memoryHolder = memory->add(*this, m_callerExchange, m_call.id, m_account);
+    if (admitted && m_phase != Phase::Done)
         onAdmitted();
 }
 
@@ -424,12 +426,15 @@
     m_dispatcher.fleetShare().onUse(upstream.value(), m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
+    if (m_memoryHolder && m_dispatcher.callerMemory()->paused(*m_memoryHolder))
+        setUpstreamReading(false);
 }
 
 void ProxiedCall::releaseUpstream()
 {
     if (!m_upstreamExchange)
         return;
+    setUpstreamReading(true);
     m_upstreamExchange.reset();
     m_dispatcher.upstreams().onEnded(m_upstream, m_receivedHead);
     m_dispatcher.demand().onEnded(m_call.target, m_receivedHead, m_dispatcher.now());
@@ -464,6 +469,7 @@
     bool accepted = m_responseHead.status < firstRedirectStatus && m_responseMetadata.hasSignature && !foreign;
     if (accepted && m_responseMetadata.streaming) {
         forwardEvents(piece);
+        noteMemory();
         return;
     }
     m_bufferedBody.append(piece);
@@ -475,6 +481,7 @@
         m_callerExchange->write(m_bufferedBody);
         m_bufferedBody.clear();
     }
+    noteMemory();
 }
 
 void ProxiedCall::forwardEvents(std::string_view piece)
@@ -687,7 +694,8 @@
 
 void ProxiedCall::onUpstreamSilent()
 {
-    if (!inFlight() || !m_route->mayRepeat())
+    // A paused upstream is not silent: it waits to be read.
+    if (!inFlight() || m_upstreamPaused || !m_route->mayRepeat())
         return;
     bool resumable = m_route->resumable && !m_events.lastId().empty();
     if ((m_firstByte && !resumable) || !tryRetry("silent"))
@@ -739,6 +747,41 @@
     finish("caller_left", 0);
 }
 
+void ProxiedCall::noteMemory()
+{
+    if (m_memoryHolder)
+        m_dispatcher.callerMemory()->onBuffered(*m_memoryHolder);
+}
+
+void ProxiedCall::setUpstreamReading(bool reading)
+{
+    if (!m_upstreamExchange || m_upstreamPaused == !reading)
+        return;
+    m_upstreamPaused = !reading;
+    m_dispatcher.upstreams().onPaused(m_upstream, m_upstreamPaused, m_dispatcher.now());
+    m_upstreamExchange->setReading(reading);
+}
+
+void ProxiedCall::readUpstreamPiece(size_t most)
+{
+    if (m_upstreamExchange)
+        m_upstreamExchange->readPiece(most);
+}
+
+void ProxiedCall::endForMemory()
+{
+    auto self = shared_from_this();
+    if (m_phase == Phase::Done)
+        return;
+    releaseUpstream();
+    if (m_firstByte) {
+        m_callerExchange->abort();
+        finish("caller_memory", 0);
+        return;
+    }
+    refuse(statusUnavailable, "caller_memory", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "the gateway has no memory left for the call", defaultRetryAfter);
+}
+
 void ProxiedCall::shutDown()
 {
     auto self = shared_from_this();
@@ -781,6 +824,8 @@
     if (m_retryReserved)
         m_dispatcher.retryBudget().cancel(m_service);
     m_dispatcher.loop().cancel(m_timer);
+    if (m_memoryHolder)
+        m_dispatcher.callerMemory()->onCallEnded(*std::exchange(m_memoryHolder, std::nullopt));
     base::Instant time = m_dispatcher.now();
     base::LogLine line("call_ended");
     line.add("id", m_call.id).add("outcome", outcome).add("status", status);
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -12,7 +12,7 @@
 
 namespace toucanstep::direct {
 
-class ProxiedCall final : public http1::ExchangeListener, public std::enable_shared_from_this<ProxiedCall> {
+class ProxiedCall final : public http1::ExchangeListener, public MemoryHoldingCall, public std::enable_shared_from_this<ProxiedCall> {
 public:
     ProxiedCall(CallDispatcher&, std::shared_ptr<http1::ServerExchange>);
     ~ProxiedCall() override;
@@ -64,6 +64,11 @@
     void onWhole() override;
     void onBroken(http1::Breakage) override;
 
+    size_t bufferedAnswerBytes() const override { return m_bufferedBody.size() + m_events.partialBytes(); }
+    void setUpstreamReading(bool) override;
+    void readUpstreamPiece(size_t most) override;
+    void endForMemory() override;
+
 private:
     enum class Phase {
         Checking,
@@ -114,6 +119,8 @@
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
+    // Has the memory counted that the call holds, which may end it.
+    void noteMemory();
 
     void refuse(int status, std::string_view code, Execution, std::string_view message, std::optional<base::Duration> retryAfter = {});
     void finish(std::string_view outcome, int status);
@@ -186,6 +193,9 @@
     std::string m_bufferedBody;
     bool m_passThrough = false;
     EventSplitter m_events;
+    std::optional<scheduling::MemoryHolder> m_memoryHolder;
+    // The upstream is not read since the caller does not read.
+    bool m_upstreamPaused = false;
 };
 
 } // namespace toucanstep::direct
--- a/packages/upstreams/include/toucanstep/upstreams/UpstreamTable.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamTable.h
@@ -26,6 +26,8 @@
     // When the last byte was received, and since when calls have been waiting for one.
     base::Instant lastReceived;
     std::optional<base::Instant> awaitingSince;
+    // This gateway's calls whose answers are not read for the time being.
+    int64_t paused = 0;
     // Not used before this time, since a connection could not be opened.
     base::Instant avoidUntil;
     // Cold until this time, see ColdStartTraits.
@@ -63,10 +65,12 @@
     // A call has left the upstream; `begun` if onAnswerBegun() was called for it.
     void onEnded(const base::UpstreamId&, bool begun);
     void onBytesReceived(const base::UpstreamId&, base::Instant now);
+    // The answer to one of this gateway's calls is not read, or is read again.
+    void onPaused(const base::UpstreamId&, bool paused, base::Instant now);
     void onFailure(const base::UpstreamId&, base::Instant now);
     void onUnreachable(const base::UpstreamId&, base::Instant now);
     static double recentFailures(const UpstreamEntry&, base::Instant now);
-    // Calls have been in flight for a while without a byte received.
+    // Calls have been in flight for a while without a byte received, and answers were read.
     static bool isUnresponsive(const UpstreamEntry&, base::Instant now);
 
 private:
--- a/packages/upstreams/src/UpstreamTable.cpp
+++ b/packages/upstreams/src/UpstreamTable.cpp
@@ -23,8 +23,10 @@
     UpstreamEntry& entry = place->second;
     if (!isNew && entry.description.start != description.start) {
         UpstreamLoad stillRunning = entry.own;
+        int64_t paused = entry.paused;
         entry = UpstreamEntry();
         entry.own = stillRunning;
+        entry.paused = paused;
         m_notices.erase(description.id);
         isNew = true;
     }
@@ -173,6 +175,17 @@
         entry->awaitingSince = now;
 }
 
+void UpstreamTable::onPaused(const base::UpstreamId& id, bool paused, base::Instant now)
+{
+    UpstreamEntry* entry = find(id);
+    if (!entry)
+        return;
+    entry->paused = std::max<int64_t>(entry->paused + (paused ? 1 : -1), 0);
+    // The time in which nothing was read does not count.
+    if (!paused && entry->awaitingSince)
+        entry->awaitingSince = now;
+}
+
 void UpstreamTable::onFailure(const base::UpstreamId& id, base::Instant now)
 {
     UpstreamEntry* entry = find(id);
@@ -199,7 +212,7 @@
 
 bool UpstreamTable::isUnresponsive(const UpstreamEntry& entry, base::Instant now)
 {
-    return entry.awaitingSince && now - *entry.awaitingSince > unresponsiveAfter;
+    return entry.awaitingSince && entry.paused < entry.own.inFlight && now - *entry.awaitingSince > unresponsiveAfter;
 }
 
 } // namespace toucanstep::upstreams
