--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -155,7 +155,7 @@
         refuseCrashing();
         return false;
     }
-    if (!selectService(*m_route))
+    if (!selectService(*m_route) || refuseIfTooLarge())
         return false;
     return !account || !account->limited() || acquireTokens(*account);
 }
@@ -215,6 +215,18 @@
     return true;
 }
 
+bool ProxiedCall::refuseIfTooLarge()
+{
+    const ServiceTraits* service = m_state->findService(m_service);
+    if (!m_dispatcher.settings().policies.pressure || !m_call.declaresTokens || !service || !service->engine)
+        return false;
+    base::Tokens capacity = service->engine->tokenCapacity;
+    if (!capacity.value() || m_call.cost() <= capacity)
+        return false;
+    refuse(statusBadRequest, "too_many_tokens", Execution::NotRun, base::concat("the call's ", m_call.cost(), " tokens of prompt and output exceed the ", capacity, " that an engine of the service holds"));
+    return true;
+}
+
 UpstreamQuery ProxiedCall::upstreamQuery() const
 {
     UpstreamQuery query;
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -89,6 +89,8 @@
     bool acquireTokens(const Account&);
     void onAdmitted();
     bool selectService(const Route&);
+    // A call that is larger than the memory of the service's engines can never run. Returns whether it was refused.
+    bool refuseIfTooLarge();
     UpstreamQuery upstreamQuery() const;
     // After how long a rejected call may come back: the end of the pauses of the upstreams that could run it.
     base::Duration retryAfterRejection() const;
--- a/packages/serving/include/toucanstep/serving/DesiredState.h
+++ b/packages/serving/include/toucanstep/serving/DesiredState.h
@@ -81,6 +81,8 @@
     base::Bytes memory;
     // Maximum number of adapters on one engine.
     int64_t adapterCapacity = 0;
+    // Tokens of all calls that one engine holds at a time, prompts and outputs; zero if it is not stated.
+    base::Tokens tokenCapacity;
 
     const ModelTraits* findModel(const base::ModelId&) const;
 };
