--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -103,7 +103,9 @@
         if (auto self = weak.lock())
             self->onCallerGone();
     });
-    if (admitted)
+    if (auto* memory = m_dispatcher.callerMemory())
+        m_memoryHolder = memory->add(*this, m_callerExchange, m_call.id, m_account);
+    if (admitted && m_phase != Phase::Done)
         onAdmitted();
 }
 
@@ -155,7 +157,7 @@
         refuseCrashing();
         return false;
     }
-    if (!selectService(*m_route))
+    if (!selectService(*m_route) || refuseIfTooLarge())
         return false;
     return !account || !account->limited() || acquireTokens(*account);
 }
@@ -221,6 +223,18 @@
     return true;
 }
 
+bool ProxiedCall::refuseIfTooLarge()
+{
+    const ServiceTraits* service = m_state->findService(m_service);
+    if (!m_dispatcher.settings().policies.pressure || !m_call.declaresTokens || !service || !service->engine)
+        return false;
+    base::Tokens capacity = service->engine->tokenCapacity;
+    if (!capacity.value() || m_call.cost() <= capacity)
+        return false;
+    refuse(statusBadRequest, "too_many_tokens", Execution::NotRun, base::concat("the call's ", m_call.cost(), " tokens of prompt and output exceed the ", capacity, " that an engine of the service holds"));
+    return true;
+}
+
 UpstreamQuery ProxiedCall::upstreamQuery() const
 {
     UpstreamQuery query;
@@ -451,12 +465,15 @@
     m_dispatcher.fleetShare().onUse(upstream.value(), m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
+    if (m_memoryHolder && m_dispatcher.callerMemory()->paused(*m_memoryHolder))
+        setUpstreamReading(false);
 }
 
 void ProxiedCall::releaseUpstream()
 {
     if (!m_upstreamExchange)
         return;
+    setUpstreamReading(true);
     m_upstreamExchange.reset();
     if (PressureQueue* pressure = m_dispatcher.pressure())
         pressure->onLeftUpstream(*this, m_receivedHead && !m_responseMetadata.notRun, m_dispatcher.now());
@@ -495,6 +512,7 @@
     bool accepted = m_responseHead.status < firstRedirectStatus && m_responseMetadata.hasSignature && !foreign;
     if (accepted && m_responseMetadata.streaming) {
         forwardEvents(piece);
+        noteMemory();
         return;
     }
     m_bufferedBody.append(piece);
@@ -506,6 +524,7 @@
         m_callerExchange->write(m_bufferedBody);
         m_bufferedBody.clear();
     }
+    noteMemory();
 }
 
 void ProxiedCall::forwardEvents(std::string_view piece)
@@ -720,7 +739,8 @@
 
 void ProxiedCall::onUpstreamSilent()
 {
-    if (!inFlight() || !m_route->mayRepeat())
+    // A paused upstream is not silent: it waits to be read.
+    if (!inFlight() || m_upstreamPaused || !m_route->mayRepeat())
         return;
     bool resumable = m_route->resumable && !m_events.lastId().empty();
     if ((m_firstByte && !resumable) || !tryRetry("silent"))
@@ -772,6 +792,41 @@
     finish("caller_left", 0);
 }
 
+void ProxiedCall::noteMemory()
+{
+    if (m_memoryHolder)
+        m_dispatcher.callerMemory()->onBuffered(*m_memoryHolder);
+}
+
+void ProxiedCall::setUpstreamReading(bool reading)
+{
+    if (!m_upstreamExchange || m_upstreamPaused == !reading)
+        return;
+    m_upstreamPaused = !reading;
+    m_dispatcher.upstreams().onPaused(m_upstream, m_upstreamPaused, m_dispatcher.now());
+    m_upstreamExchange->setReading(reading);
+}
+
+void ProxiedCall::readUpstreamPiece(size_t most)
+{
+    if (m_upstreamExchange)
+        m_upstreamExchange->readPiece(most);
+}
+
+void ProxiedCall::endForMemory()
+{
+    auto self = shared_from_this();
+    if (m_phase == Phase::Done)
+        return;
+    releaseUpstream();
+    if (m_firstByte) {
+        m_callerExchange->abort();
+        finish("caller_memory", 0);
+        return;
+    }
+    refuse(statusUnavailable, "caller_memory", m_possibleRuns ? Execution::MayHaveRun : Execution::NotRun, "the gateway has no memory left for the call", defaultRetryAfter);
+}
+
 void ProxiedCall::shutDown()
 {
     auto self = shared_from_this();
@@ -814,6 +869,8 @@
     if (m_retryReserved)
         m_dispatcher.retryBudget().cancel(m_service);
     m_dispatcher.loop().cancel(m_timer);
+    if (m_memoryHolder)
+        m_dispatcher.callerMemory()->onCallEnded(*std::exchange(m_memoryHolder, std::nullopt));
     base::Instant time = m_dispatcher.now();
     base::LogLine line("call_ended");
     line.add("id", m_call.id).add("outcome", outcome).add("status", status);
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -12,7 +12,7 @@
 
 namespace toucanstep::direct {
 
-class ProxiedCall final : public http1::ExchangeListener, public std::enable_shared_from_this<ProxiedCall> {
+class ProxiedCall final : public http1::ExchangeListener, public MemoryHoldingCall, public std::enable_shared_from_this<ProxiedCall> {
 public:
     ProxiedCall(CallDispatcher&, std::shared_ptr<http1::ServerExchange>);
     ~ProxiedCall() override;
@@ -73,6 +73,11 @@
     void onWhole() override;
     void onBroken(http1::Breakage) override;
 
+    size_t bufferedAnswerBytes() const override { return m_bufferedBody.size() + m_events.partialBytes(); }
+    void setUpstreamReading(bool) override;
+    void readUpstreamPiece(size_t most) override;
+    void endForMemory() override;
+
 private:
     enum class Phase {
         Checking,
@@ -93,6 +98,8 @@
     bool acquireTokens(const Account&);
     void onAdmitted();
     bool selectService(const Route&);
+    // A call that is larger than the memory of the service's engines can never run. Returns whether it was refused.
+    bool refuseIfTooLarge();
     UpstreamQuery upstreamQuery() const;
     // After how long a rejected call may come back: the end of the pauses of the upstreams that could run it.
     base::Duration retryAfterRejection() const;
@@ -123,6 +130,8 @@
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
+    // Has the memory counted that the call holds, which may end it.
+    void noteMemory();
 
     void refuse(int status, std::string_view code, Execution, std::string_view message, std::optional<base::Duration> retryAfter = {});
     void finish(std::string_view outcome, int status);
@@ -200,6 +209,9 @@
     std::string m_bufferedBody;
     bool m_passThrough = false;
     EventSplitter m_events;
+    std::optional<scheduling::MemoryHolder> m_memoryHolder;
+    // The upstream is not read since the caller does not read.
+    bool m_upstreamPaused = false;
 };
 
 } // namespace toucanstep::direct
