--- a/packages/direct/include/toucanstep/direct/FleetReports.h
+++ b/packages/direct/include/toucanstep/direct/FleetReports.h
@@ -27,6 +27,8 @@
     Incarnation incarnation;
     // Increases with each report of one incarnation; receivers drop reports older than the last one.
     int64_t sequence = 0;
+    // The sender takes RelayedReports and forwards reports, see ReportRelay. Earlier builds do not send it, and ignore it.
+    bool relays = false;
 };
 
 struct UpstreamUse {
@@ -91,7 +93,16 @@
     base::Revision lastChange;
 };
 
-using FleetReport = std::variant<LoadReport, DemandReport, PlanReport, UpstreamListReport>;
+// Reports of other gateways on their way to another failure domain, see ReportRelay. Earlier builds drop it as an unknown kind.
+struct RelayedReports {
+    ReportSender sender;
+    // The receiver is the entry of its failure domain and hands the reports on there.
+    bool handOn = false;
+    // Encoded reports as their senders have sent them.
+    std::vector<std::string> reports;
+};
+
+using FleetReport = std::variant<LoadReport, DemandReport, PlanReport, UpstreamListReport, RelayedReports>;
 
 std::string encodeReport(const FleetReport&);
 // Returns nothing for malformed input.
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -23,6 +23,7 @@
     DemandChange = 5,
     PlanChange = 6,
     UpstreamList = 7,
+    Relayed = 8,
 };
 
 constexpr double perKilosecond = 1000;
@@ -33,7 +34,10 @@
 
 Json encodeHeader(ReportKind kind, const ReportSender& sender)
 {
-    return Json::array({ static_cast<int>(kind), sender.instance.value(), sender.incarnation.value(), sender.sequence });
+    Json header = Json::array({ static_cast<int>(kind), sender.instance.value(), sender.incarnation.value(), sender.sequence });
+    if (sender.relays)
+        header.push_back(true);
+    return header;
 }
 
 // In calls per thousand seconds; no limit is a negative number.
@@ -140,6 +144,11 @@
     return Json::array({ encodeHeader(ReportKind::UpstreamList, report.sender), report.revision.value(), report.lastChange.value() });
 }
 
+Json encode(const RelayedReports& report)
+{
+    return Json::array({ encodeHeader(ReportKind::Relayed, report.sender), report.handOn, report.reports });
+}
+
 // The JSON library throws on values of another type, which decodeReport() turns into an empty result. However, it converts
 // floating-point numbers to integers silently, which is undefined behavior for values out of range.
 int64_t asInteger(const Json& value)
@@ -324,6 +333,9 @@
 {
     const Json& header = value.at(0);
     ReportSender sender { asText<base::InstanceId>(header.at(1)), asNumber<Incarnation>(header.at(2)), asInteger(header.at(3)) };
+    constexpr size_t relaysIndex = 4;
+    if (header.size() > relaysIndex)
+        sender.relays = header.at(relaysIndex).get<bool>();
     switch (static_cast<ReportKind>(asInteger(header.at(0)))) {
     case ReportKind::Load:
         return decodeLoad(value, std::move(sender));
@@ -333,6 +345,8 @@
         return decodePlan(value, std::move(sender));
     case ReportKind::UpstreamList:
         return UpstreamListReport { std::move(sender), asNumber<base::Revision>(value.at(1)), asNumber<base::Revision>(value.at(2)) };
+    case ReportKind::Relayed:
+        return RelayedReports { std::move(sender), value.at(1).get<bool>(), value.at(2).get<std::vector<std::string>>() };
     case ReportKind::LoadChange:
         return asChange(decodeLoad(value, std::move(sender)));
     case ReportKind::DemandChange:
