DomainSpill: a call leaves its failure domain by how full the domain is

Another failure domain costs a constant 0.4 prompts, so that every small difference draws calls to another domain.

The cost now rises with the free slots of the own domain's holders, bounded by the prompts that the call can wait for at home and still be in time. It acts only if the query states how many prompts that are, which no caller does yet.

--- a/packages/upstreams/include/toucanstep/upstreams/UpstreamSelection.h
+++ b/packages/upstreams/include/toucanstep/upstreams/UpstreamSelection.h
@@ -37,6 +37,8 @@
     // Regions in which the call may run, of its route and of its account. Null or empty for all.
     const std::set<base::RegionId>* routeRegions = nullptr;
     const std::set<base::RegionId>* accountRegions = nullptr;
+    // Set if calls stay in their failure domain while it has room, see DomainSpill: the prompts that the call can wait for.
+    std::optional<double> promptsInTime;
     // Unique to the call: spreads calls among equally busy upstreams.
     std::string spreadKey;
 };
--- a/packages/upstreams/src/UpstreamSelection.cpp
+++ b/packages/upstreams/src/UpstreamSelection.cpp
@@ -1,5 +1,7 @@
 #include "toucanstep/upstreams/UpstreamSelection.h"
 
+#include "toucanstep/upstreams/DomainSpill.h"
+
 #include <algorithm>
 #include <functional>
 #include <limits>
@@ -176,6 +178,7 @@
             return affinityHash(query.promptPrefix, left->description.id) < affinityHash(query.promptPrefix, right->description.id);
         });
     }
+    double leavingCost = query.promptsInTime ? additionalLeavingCost(roomIn(query.domain, holders, now), *query.promptsInTime) : 0;
     const UpstreamEntry* best = nullptr;
     double bestCost = 0;
     BlockReason bestLimitedBy = BlockReason::None;
@@ -214,6 +217,7 @@
         }
         freeSlots += free;
         double cost = costOf(*entry, query, admission, now) + (preferred && entry != preferred ? promptPrefixWeight : 0);
+        cost += entry->description.domain != query.domain ? leavingCost : 0;
         if (!best || cost < bestCost) {
             best = entry;
             bestCost = cost;
