Reports between failure domains go through relays in fleets of 24 gateways or more

RelayedSending sends load and plan reports as ReportRelay decides; FleetTransport takes bundles apart and drops what has been applied before. Calls stay in their failure domain while it has room (DomainSpill) under the same condition: policy relay_reports, more than one zone, 24 gateways. Without it each report is sent as before.

--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -88,6 +88,9 @@
     SlotShare& slotShare() { return m_slotShare; }
     // The interval at which gateways report their loads to each other.
     void setReportInterval(base::Duration);
+    // Calls stay in their failure domain while it has room, see DomainSpill.
+    void setStaysInDomain(bool stays) { m_staysInDomain = stays; }
+    bool staysInDomain() const { return m_staysInDomain; }
     CallTimes& callTimes() { return m_callTimes; }
     FleetShare& fleetShare() { return m_fleetShare; }
     ColdStartLimit& coldStarts() { return m_coldStarts; }
@@ -165,6 +168,7 @@
     std::set<std::shared_ptr<ProxiedCall>> m_activeCalls;
     StandingQueueDetector m_standingQueues;
     base::Duration m_reportInterval = minLoadReportInterval;
+    bool m_staysInDomain = false;
     SlotShare m_slotShare;
     CallTimes m_callTimes;
     FleetShare m_fleetShare;
--- a/packages/direct/src/FleetTransport.cpp
+++ b/packages/direct/src/FleetTransport.cpp
@@ -14,13 +14,13 @@
 // Limits the work per wakeup, so that a flood of datagrams does not starve calls.
 constexpr int maxDatagramsPerWakeup = 32;
 
+} // namespace
+
 const ReportSender& senderOf(const FleetReport& report)
 {
     return std::visit([](const auto& kind) -> const ReportSender& { return kind.sender; }, report);
 }
 
-} // namespace
-
 base::Result<std::unique_ptr<FleetTransport>> FleetTransport::open(io::EventLoop& loop, const base::Endpoint& endpoint, Handler handler)
 {
     BOOST_LEAF_AUTO(socket, io::bindDatagrams(endpoint));
@@ -56,6 +56,15 @@
         io::sendDatagram(m_socket, peer->second, encodeReport(report));
 }
 
+void FleetTransport::sendEncoded(const std::vector<base::InstanceId>& receivers, std::string_view encoded)
+{
+    for (const auto& id : receivers) {
+        auto peer = m_peers.find(id);
+        if (peer != m_peers.end())
+            io::sendDatagram(m_socket, peer->second, encoded);
+    }
+}
+
 void FleetTransport::receive()
 {
     static std::array<char, maxDatagramBytes> buffer;
@@ -63,20 +72,26 @@
         ssize_t received = recv(m_socket.descriptor(), buffer.data(), buffer.size(), 0);
         if (received < 0)
             return;
-        auto report = decodeReport(std::string_view(buffer.data(), static_cast<size_t>(received)));
-        if (!report || !m_peers.contains(senderOf(*report).instance)) {
-            ++m_dropped;
-            continue;
-        }
-        const ReportSender& sender = senderOf(*report);
-        auto& last = m_lastReceived[{ sender.instance, report->index() }];
-        std::pair order(sender.incarnation, sender.sequence);
-        // Datagrams may be reordered: drop all but the newest.
-        if (order <= last)
-            continue;
-        last = order;
-        m_handler(*report);
+        accept({ std::string_view(buffer.data(), static_cast<size_t>(received)), false });
     }
 }
 
+void FleetTransport::accept(const ReceivedReport& received)
+{
+    auto report = decodeReport(received.encoded);
+    const auto* bundle = report ? std::get_if<RelayedReports>(&*report) : nullptr;
+    if (!report || !m_peers.contains(senderOf(*report).instance) || (bundle && received.relayed)) {
+        ++m_dropped;
+        return;
+    }
+    // Datagrams may be reordered: drop all but the newest. A bundle has no order, but the reports in it have.
+    if (!bundle && !m_newest.accept(senderOf(*report), report->index()))
+        return;
+    m_handler(*report, received);
+    if (!bundle)
+        return;
+    for (const auto& encoded : bundle->reports)
+        accept({ encoded, true });
+}
+
 } // namespace toucanstep::direct
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -53,6 +53,13 @@
     return calls;
 }
 
+ReportRelaySettings relaySettings(const DirectGatewaySettings& settings)
+{
+    ReportRelaySettings relay;
+    relay.enabled = settings.policies.relayReports && settings.regions.size() > 1;
+    return relay;
+}
+
 base::Duration watchPollDelay(const DirectGatewaySettings& settings)
 {
     return settings.changePropagationLimit * pollDelayPercent / 100;
@@ -150,7 +157,12 @@
     BOOST_LEAF_ASSIGN(m_callerServer, http1::Server::listen(m_loop, m_settings.callers, m_calls));
     BOOST_LEAF_ASSIGN(m_readinessServer, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_operatorServer, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
-    BOOST_LEAF_ASSIGN(m_transport, FleetTransport::open(m_loop, m_operatorServer->endpoint(), [this](const FleetReport& report) { onReport(report); }));
+    BOOST_LEAF_ASSIGN(m_transport, FleetTransport::open(m_loop, m_operatorServer->endpoint(), [this](const FleetReport& report, const ReceivedReport& received) {
+        m_relayedSending->onReceived(report, received);
+        onReport(report);
+    }));
+    m_relayedSending = std::make_unique<RelayedSending>(
+        m_loop, *m_transport, m_metrics, [this] { return nextSender(); }, ReportRelay(m_settings.instance, m_settings.domain, relaySettings(m_settings)));
     m_calls.onTargetMissing([this] { scheduleCoalesced(m_demandTimer, &GatewayCore::sendDemandNow, coalescingDelay); });
     m_mirror.start();
     tick();
@@ -379,7 +391,9 @@
     m_hasNewPeers |= !std::includes(m_transport->peers().begin(), m_transport->peers().end(), peers.begin(), peers.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     m_transport->setPeers(std::move(peers));
     m_calls.limits().setPeers(ids, m_loop.now());
-    m_calls.setReportInterval(reportInterval());
+    m_relayedSending->updatePeers(reportInterval());
+    m_calls.setReportInterval(m_relayedSending->relay().effectiveInterval());
+    m_calls.setStaysInDomain(m_relayedSending->relay().isActive());
 }
 
 std::vector<CopySource> GatewayCore::copySources() const
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -7,6 +7,7 @@
 #include "FleetTransport.h"
 #include "LeaderElection.h"
 #include "RefusalRecord.h"
+#include "RelayedSending.h"
 #include "StoreMirror.h"
 #include "toucanstep/direct/DemandReportChanges.h"
 #include "toucanstep/direct/DirectGateway.h"
@@ -96,6 +97,7 @@
     RefusalRecord m_refusalRecord;
     std::unique_ptr<OperatorHandler> m_operatorHandler;
     std::unique_ptr<FleetTransport> m_transport;
+    std::unique_ptr<RelayedSending> m_relayedSending;
     std::unique_ptr<http1::Server> m_callerServer;
     std::unique_ptr<http1::Server> m_readinessServer;
     std::unique_ptr<http1::Server> m_operatorServer;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -31,12 +31,12 @@
 
 base::Duration GatewayCore::reportLifetime() const
 {
-    return std::max<base::Duration>(minReportLifetime, reportInterval() * reportLifetimeIntervals);
+    return std::max<base::Duration>(minReportLifetime, m_relayedSending->relay().effectiveInterval() * reportLifetimeIntervals);
 }
 
 ReportSender GatewayCore::nextSender()
 {
-    return { m_settings.instance, m_incarnation, ++m_sequence };
+    return { m_settings.instance, m_incarnation, ++m_sequence, m_relayedSending->statesRelays() };
 }
 
 void GatewayCore::sendLoadReport()
@@ -65,7 +65,7 @@
     report.queued = m_calls.queuedCalls();
     report.callLimits = m_calls.callLimits().heardLately(now);
     report.availability = m_calls.availability().heardLately(now);
-    m_transport->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
+    m_relayedSending->sendToAll(m_loadChanges.next(std::move(report), std::exchange(m_hasNewPeers, false)));
 }
 
 void GatewayCore::sendDemand()
@@ -118,7 +118,7 @@
         }
         report.state = {};
     }
-    m_transport->sendToAll(report);
+    m_relayedSending->sendToAll(report);
 }
 
 void GatewayCore::onReport(const FleetReport& report)
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -4,6 +4,7 @@
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/scheduling/WaitDecision.h"
+#include "toucanstep/upstreams/DomainSpill.h"
 
 #include <nlohmann/json.hpp>
 
@@ -231,6 +232,8 @@
         query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
         query.promptPrefix = m_call.prompt.front().hash;
+    if (m_dispatcher.staysInDomain() && m_route->latencyTarget > base::Duration::zero())
+        query.promptsInTime = promptsInTime(lateFrom(), m_dispatcher.callTimes().startReserve(queue(), m_route->latencyTarget), m_dispatcher.now());
     return query;
 }
 
--- a/packages/direct/test/RelayFleet.h
+++ b/packages/direct/test/RelayFleet.h
@@ -54,12 +54,7 @@
         gateway.heardAt.clear();
         gateway.arrived.clear();
         gateway.relay = std::make_unique<ReportRelay>(gateway.id, gateway.domain, m_settings);
-        std::set<base::InstanceId> peers;
-        for (const auto& other : m_gateways) {
-            if (other.id != gateway.id)
-                peers.insert(other.id);
-        }
-        gateway.relay->setPeers(peers, interval, m_now);
+        setPeers(gateway);
     }
     void run(base::Duration duration)
     {
@@ -108,6 +103,15 @@
         std::deque<std::pair<base::Instant, std::string>> arrived;
     };
 
+    void setPeers(Gateway& gateway)
+    {
+        std::set<base::InstanceId> peers;
+        for (const auto& other : m_gateways) {
+            if (other.id != gateway.id)
+                peers.insert(other.id);
+        }
+        gateway.relay->setPeers(peers, interval, m_now);
+    }
     void send(size_t from, const base::InstanceId& to, const std::string& bytes)
     {
         constexpr int64_t headerBytes = 28;
@@ -128,6 +132,9 @@
         Gateway& gateway = m_gateways[number];
         if (!gateway.alive || m_now < gateway.suspendedUntil)
             return;
+        constexpr auto sweepInterval = std::chrono::seconds(1);
+        if ((m_now - start + gateway.phase) % sweepInterval == base::Duration::zero())
+            setPeers(gateway);
         while (!gateway.arrived.empty() && gateway.arrived.front().first <= m_now) {
             std::string bytes = std::move(gateway.arrived.front().second);
             gateway.arrived.pop_front();
