--- a/bench/relay_traffic.cpp
+++ b/bench/relay_traffic.cpp
@@ -95,6 +95,8 @@
     }
 
     std::map<std::string, Traffic> crossed;
+    // Bytes that each gateway sent, within its domain as well.
+    std::map<base::InstanceId, int64_t> sentBy;
 
 private:
     void setPeers()
@@ -135,6 +137,7 @@
 
     void send(const Gateway& from, const base::InstanceId& to, size_t bytes, const std::string& kind)
     {
+        sentBy[from.id] += static_cast<int64_t>(bytes) + headerBytes;
         if (m_gateways[m_numbers.at(to)].domain == from.domain)
             return;
         ++crossed[kind].datagrams;
@@ -196,7 +199,12 @@
     {
         for (auto& bundle : gateway.relay->takeBundles(m_now)) {
             base::InstanceId to = bundle.to;
-            send(gateway, to, encodeReport(RelayedReports { nextSender(gateway), true, std::move(bundle.reports) }).size(), "bundle");
+            RelayedReports sent { nextSender(gateway), true, std::move(bundle.reports) };
+            size_t bytes = encodeReport(sent).size();
+            send(gateway, to, bytes, "bundle");
+            Gateway& entry = m_gateways[m_numbers.at(to)];
+            for (const auto& member : entry.relay->handOnTo(sent, m_now))
+                send(entry, member, bytes, "handed_on");
         }
     }
 
@@ -214,6 +222,7 @@
         Play play({}, relays);
         play.run(std::chrono::seconds(2));
         play.crossed.clear();
+        play.sentBy.clear();
         play.run(std::chrono::seconds(seconds));
         Traffic total;
         for (const auto& [kind, traffic] : play.crossed) {
@@ -222,6 +231,10 @@
             total.bytes += traffic.bytes;
         }
         std::cout << Json { { "relays", relays }, { "kind", "total" }, { "datagrams_per_s", total.datagrams / seconds }, { "bytes_per_s", total.bytes / seconds } } << "\n";
+        int64_t most = 0;
+        for (const auto& [id, bytes] : play.sentBy)
+            most = std::max(most, bytes);
+        std::cout << Json { { "relays", relays }, { "most_bytes_per_s_of_one_gateway", most / seconds } } << "\n";
     }
 }
 
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -419,6 +419,8 @@
         m_firstSent = m_lastSent;
     ++m_sends;
     ++m_possibleRuns;
+    if (m_dispatcher.staysInDomain() && entry->description.domain != m_dispatcher.settings().domain)
+        m_dispatcher.metrics().count("toucanstep_calls_to_other_domains_total");
     if (m_sends > 1)
         base::LogLine("call_sent_again").add("id", m_call.id).add("service", m_service).add("upstream", upstream).add("sends", m_sends).add("retries", m_retries).add("granted_ms_ago", m_retryGranted ? base::toMilliseconds(m_lastSent - *m_retryGranted) : -1);
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
--- a/packages/direct/src/ReportRelay.cpp
+++ b/packages/direct/src/ReportRelay.cpp
@@ -193,6 +193,7 @@
 
 std::vector<RelayedBundle> ReportRelay::takeBundles(base::Instant now)
 {
+    noteTime(now);
     chooseNewPaths(now);
     // For the length of a report in the bundle.
     constexpr size_t bytesPerReport = 5;
