--- a/packages/direct/include/toucanstep/direct/ReportRelay.h
+++ b/packages/direct/include/toucanstep/direct/ReportRelay.h
@@ -38,7 +38,7 @@
     // Without a report for so many intervals, which is three lost ones in a row, a gateway counts as silent.
     double silentIntervals = 3.5;
     // How long a gateway that has missed relayed reports gets direct ones. The time doubles with each further miss, up to the longest.
-    base::Duration directTime = std::chrono::seconds(5);
+    base::Duration directTime = std::chrono::seconds(2);
     base::Duration longestDirectTime = std::chrono::seconds(60);
     // Gateways learn at different times that the fleet has become smaller than `minGateways`; they forward for others until then.
     base::Duration forwardingAfterwards = std::chrono::seconds(5);
