--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -4,6 +4,7 @@
 #include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/scheduling/WaitDecision.h"
+#include "toucanstep/upstreams/DomainSpill.h"
 
 #include <nlohmann/json.hpp>
 
@@ -254,6 +255,8 @@
         query.coldCallsPerSecond = service->coldStart->callsPerSecond;
     if (!m_call.prompt.empty())
         query.promptPrefix = m_call.prompt.front().hash;
+    if (m_dispatcher.staysInDomain() && m_route->latencyTarget > base::Duration::zero())
+        query.promptsInTime = promptsInTime(lateFrom(), m_dispatcher.callTimes().startReserve(queue(), m_route->latencyTarget), m_dispatcher.now());
     return query;
 }
 
@@ -457,6 +460,8 @@
     ++m_possibleRuns;
     if (PressureQueue* pressure = m_dispatcher.pressure())
         pressure->onSent(*this, m_sends == 1, m_lastSent);
+    if (m_dispatcher.staysInDomain() && entry->description.domain != m_dispatcher.settings().domain)
+        m_dispatcher.metrics().count("toucanstep_calls_to_other_domains_total");
     if (m_sends > 1)
         base::LogLine("call_sent_again").add("id", m_call.id).add("service", m_service).add("upstream", upstream).add("sends", m_sends).add("retries", m_retries).add("granted_ms_ago", m_retryGranted ? base::toMilliseconds(m_lastSent - *m_retryGranted) : -1);
     m_dispatcher.upstreams().onDispatched(upstream, m_dispatcher.now());
