--- a/packages/direct/include/toucanstep/direct/LoadPolicies.h
+++ b/packages/direct/include/toucanstep/direct/LoadPolicies.h
@@ -4,6 +4,7 @@
 
 #include "toucanstep/base/StrongTypes.h"
 
+#include <cstddef>
 #include <cstdint>
 
 namespace toucanstep::direct {
@@ -27,6 +28,8 @@
     bool unevenDemand = true;
     // Reports between failure domains go through one gateway of each.
     bool relayReports = true;
+    // In a smaller fleet the longer way costs more than the bytes that it saves.
+    size_t relayFromGateways = 24;
     CallerMemoryBounds callerMemory;
 };
 
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -65,6 +65,7 @@
 {
     ReportRelaySettings relay;
     relay.enabled = settings.policies.relayReports && settings.regions.size() > 1;
+    relay.minGateways = settings.policies.relayFromGateways;
     return relay;
 }
 
