--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -31,8 +31,9 @@
 // A call waits for its account's tokens for at most this fraction of its latency target; the rest is left for sending it and
 // for the start of the answer.
 constexpr double tokenWaitFraction = 0.3;
-// Where urgent calls go first, the others wait for longer.
+// Where urgent calls go first, the others wait for longer if their latency target leaves this time for the rest.
 constexpr double lessUrgentTokenWaitFraction = 0.6;
+constexpr auto timeAfterTokens = std::chrono::seconds(1);
 // An upstream whose events go on for this long was not crashed by the call.
 constexpr auto provenAfter = std::chrono::milliseconds(1000);
 // Of longer prompts, only the first parts are compared with those of other calls.
@@ -169,7 +170,8 @@
     bool byPriority = m_dispatcher.settings().policies.pressure;
     // An account's own priority is the same for all its calls.
     auto priority = byPriority ? std::optional(m_route->priority) : std::nullopt;
-    double fraction = priority.value_or(0) > 0 ? lessUrgentTokenWaitFraction : tokenWaitFraction;
+    bool canWait = priority.value_or(0) > 0 && m_route->latencyTarget * (1 - lessUrgentTokenWaitFraction) >= timeAfterTokens;
+    double fraction = canWait ? lessUrgentTokenWaitFraction : tokenWaitFraction;
     auto maxWaitUntil = m_arrived + std::chrono::duration_cast<base::Duration>(m_route->latencyTarget * fraction);
     TokenQueue::Decision decision = m_dispatcher.acquireTokens(shared_from_this(), { m_account, m_cost, priority, maxWaitUntil });
     switch (decision.result) {
