FleetTransport: the receive buffer belongs to the thread

Cause: gateways of one process received into one static buffer and read each other's datagrams: the thread sanitizer reports it in RelayedReports, and it explains why that test of a whole fleet failed once in three runs. A daemon has one thread that receives, so deployments did not show it.

--- a/packages/direct/src/FleetTransport.cpp
+++ b/packages/direct/src/FleetTransport.cpp
@@ -67,7 +67,7 @@
 
 void FleetTransport::receive()
 {
-    static std::array<char, maxDatagramBytes> buffer;
+    thread_local std::array<char, maxDatagramBytes> buffer;
     for (int count = 0; count < maxDatagramsPerWakeup; ++count) {
         ssize_t received = recv(m_socket.descriptor(), buffer.data(), buffer.size(), 0);
         if (received < 0)
