--- a/packages/scheduling/src/CompletionRate.cpp
+++ b/packages/scheduling/src/CompletionRate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Time constant of the sums, in seconds. A stall of the users' engines lasts about 0.6 s and has to show within it.
+// Time constant of the sums, in seconds. Short, so that a stall shows before the calls behind it are late.
 constexpr double memorySeconds = 1;
 // Calls of the mean duration that are added to the sums.
 constexpr double priorCalls = 3;
