Review: large desired states in quick succession leave gateways on an old one (CONFIG)

A watch's answer that takes longer than longestAnswer is given up and asked for again from the same revision; the gateway never lists the text instead.

Added: review/3 with its claim and script, and a stand-in of a machine's link. The stand-ins lose what only the case on QUOTA needed.

--- a/review/3/Case.cpp
+++ b/review/3/Case.cpp
@@ -1,13 +1,12 @@
-// A rolling restart of three entry machines while the store loses one answer: the leaving gateway's last write is done five seconds
-// late. Afterwards one tenant sends far more than its cap to all machines.
+// Desired states come in quick succession while the text is large and the machines have links of 10 Mbit/s.
 //
 //     case-3 PROGRAM FOLDER RECORD TROUBLE
 //
-// TROUBLE 0: the same, and the store loses nothing. Exits with 1 if QUOTA was broken, with 0 if it held, with 2 if it couldn't run.
+// TROUBLE 0: one change in place of many. Exits with 1 if CONFIG was broken, with 0 if it held, with 2 if it couldn't run.
 
 #include "../standins/Callers.h"
+#include "../standins/Link.h"
 
-#include <csignal>
 #include <fstream>
 #include <iostream>
 
@@ -17,72 +16,70 @@
 
 constexpr const char* host = "desk.example";
 constexpr const char* key = "i9n73hh2b9wu3fexd9dn";
-constexpr int costOfCall = 1000;
-constexpr int tenantRate = 28000;
-constexpr double quotaOvershoot = 0.1;
-constexpr int quotaTolerance = 11000;
-// As at the users' sites: a cap is 1.8 times of what the tenant usually sends, and a hot tenant sends 7.5 times that.
-constexpr double hotCallsPerSecond = 7.5 * tenantRate / 1.8 / costOfCall;
-constexpr auto floodTime = std::chrono::seconds(18);
-// PROTOCOL.md: "may be executed seconds later"; the bench's kind platform_lost, how late: 1 to 6 s.
-constexpr auto lateBy = std::chrono::milliseconds(5500);
-constexpr auto restartDelay = std::chrono::milliseconds(500);
-constexpr auto grace = std::chrono::seconds(8);
+// Taken away by one of the versions.
+constexpr const char* revokedKey = "n2ctnfzs989anu6wsjnb";
+constexpr int revokingVersion = 10;
+// 10 Mbit/s.
+constexpr double linkBytesPerSecond = 1'250'000;
+// Two times what a day of the site adds at once.
+constexpr int largeRoutes = 2 * 1724;
+// Three times what the site names, one after the other.
+constexpr auto stormTime = std::chrono::milliseconds(12000);
+constexpr auto stormGap = std::chrono::milliseconds(330);
+constexpr auto applyTime = std::chrono::milliseconds(3000);
+constexpr auto watchTime = std::chrono::seconds(32);
 
-std::string desiredState()
+Json routeJson(const std::string& name)
 {
-    Json route { { "name", "r-1" }, { "hostname", host }, { "prefix", "/look/" }, { "type", "idempotent" }, { "timeout_ms", 800 }, { "latency_slo_ms", 150 }, { "priority", 2 }, { "service", "desk" }, { "attempts", 2 }, { "public", false }, { "sticky", false }, { "resumable", false } };
-    Json tenant { { "name", "hule930" }, { "api_keys", { key } }, { "unit", "tokens" }, { "base_tokens", costOfCall }, { "rate_per_s", tenantRate }, { "burst", tenantRate } };
-    Json service { { "name", "desk" }, { "health_path", "/healthz" }, { "max_conns", 400 }, { "protocol", "h1" }, { "tls", false } };
-    Json limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
-    return Json { { "version", 7 }, { "routes", { route } }, { "services", { service } }, { "limits", limits }, { "tenants", { tenant } } }.dump();
-}
-
-// The gateway's own last write: it removes a key and does nothing else.
-bool isLeaving(const Json& transaction)
-{
-    return transaction.value("write", Json::array()).empty() && !transaction.value("remove", Json::array()).empty();
+    return { { "name", "r-" + name }, { "hostname", host }, { "prefix", "/" + name + "/" }, { "type", "idempotent" }, { "timeout_ms", 800 }, { "latency_slo_ms", 150 }, { "priority", 2 }, { "service", "desk" }, { "attempts", 2 }, { "public", false }, { "sticky", false }, { "resumable", false }, { "gap_target_ms", 0 } };
 }
 
-bool roll(Machine& machine, std::ofstream& record, Clock::time_point start)
+std::string desiredState(int version)
 {
-    record << secondsSince(start, Clock::now()) << " s: " << machine.name() << " gets SIGTERM\n";
-    machine.signal(SIGTERM);
-    if (!machine.awaitEnd(grace))
-        return false;
-    record << secondsSince(start, Clock::now()) << " s: " << machine.name() << " has ended\n";
-    std::this_thread::sleep_for(restartDelay);
-    machine.start(false);
-    record << secondsSince(start, Clock::now()) << " s: " << machine.name() << " starts again\n";
-    return machine.awaitReady(grace);
+    Json routes = Json::array();
+    for (int number = 0; number < largeRoutes; ++number)
+        routes.push_back(routeJson("big" + std::to_string(number)));
+    for (int number = 1; number <= version; ++number)
+        routes.push_back(routeJson("n" + std::to_string(number)));
+    Json keys = version < revokingVersion ? Json { key, revokedKey } : Json { key };
+    Json tenant { { "name", "hule930" }, { "api_keys", keys }, { "rate_per_s", 0 }, { "burst", 0 } };
+    Json service { { "name", "desk" }, { "health_path", "/healthz" }, { "max_conns", 400 } };
+    Json limits { { "max_header_bytes", 16384 }, { "max_body_bytes", 4194304 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } };
+    return Json { { "version", version }, { "routes", routes }, { "services", { service } }, { "limits", limits }, { "tenants", { tenant } } }.dump();
 }
 
 int run(const std::string& program, const std::string& folder, const std::string& recordPath, bool trouble)
 {
-    constexpr auto startTime = std::chrono::seconds(10);
-    constexpr auto settleTime = std::chrono::seconds(9);
+    constexpr auto startTime = std::chrono::seconds(20);
+    constexpr auto settleTime = std::chrono::seconds(8);
     constexpr int cannotRun = 2;
+    constexpr int notFound = 404;
+    constexpr int statusOk = 200;
     std::ofstream record(recordPath);
     auto start = Clock::now();
     Store store("127.0.0.1");
-    Site site;
-    site.program = program;
-    site.folder = folder;
-    site.store = store.address();
-    site.fencingEnforced = false;
-    site.quotaTolerance = quotaTolerance;
-    site.quotaOvershoot = quotaOvershoot;
-    std::vector<std::string> ips { "127.0.1.1", "127.0.1.2", "127.0.1.3" };
-    site.frontend = freePort(ips);
-    site.readiness = freePort(ips);
-    site.peers = freePort(ips);
-    store.put("op/config", desiredState());
-    constexpr int slots = 32;
-    constexpr auto work = std::chrono::milliseconds(10);
-    Engine first(store, "127.0.0.1", "i-1", "desk", slots, work);
-    Engine second(store, "127.0.0.1", "i-2", "desk", slots, work);
+    std::vector<std::string> ips { "127.0.5.1", "127.0.5.2", "127.0.5.3" };
+    std::vector<std::unique_ptr<Link>> links;
+    std::vector<Site> sites(ips.size());
+    uint16_t frontend = freePort(ips);
+    uint16_t readiness = freePort(ips);
+    uint16_t peers = freePort(ips);
+    store.put("op/config", desiredState(1));
+    Engine engine(store, "127.0.0.1", "i-1", "desk", 32, std::chrono::milliseconds(5));
     std::vector<std::unique_ptr<Machine>> machines;
     for (size_t number = 0; number < ips.size(); ++number) {
+        links.push_back(std::make_unique<Link>(store.address(), linkBytesPerSecond));
+        Site& site = sites[number];
+        site.program = program;
+        site.folder = folder;
+        site.frontend = frontend;
+        site.readiness = readiness;
+        site.peers = peers;
+        site.store = links.back()->address();
+        site.moreContracts = "\"health\",\"pool\",";
+        site.contactMilliseconds = 4000;
+        site.drainMilliseconds = 3000;
+        site.configApplyMilliseconds = 3000;
         machines.push_back(std::make_unique<Machine>(site, "edge-a-" + std::to_string(number + 1), "a", ips[number]));
         machines.back()->start(true);
     }
@@ -90,68 +87,81 @@
         if (!machine->awaitReady(startTime))
             return cannotRun;
     }
-    std::this_thread::sleep_for(startTime);
-
-    int losses = 0;
-    if (trouble) {
-        store.setLoss([&](const Json& transaction) -> std::optional<std::chrono::milliseconds> {
-            if (losses || !isLeaving(transaction))
-                return std::nullopt;
-            ++losses;
-            record << secondsSince(start, Clock::now()) << " s: the store doesn't answer this write and does it " << lateBy.count() << " ms later: " << transaction.dump() << std::endl;
-            return lateBy;
-        });
-    }
-    int writesBefore = store.writes();
-    for (auto& machine : machines) {
-        if (!roll(*machine, record, start))
-            return cannotRun;
-    }
-    record << "writes to the store during the roll: " << store.writes() - writesBefore << ", answers lost: " << store.lost() << "\n";
     std::this_thread::sleep_for(settleTime);
-    record << "gateways in the store's list when the tenant turns hot:";
-    for (const auto& name : store.keys("toucanstep/gateways/"))
-        record << " " << name;
-    record << "\n";
 
-    CallLog calls;
-    auto floodFrom = Clock::now();
-    {
-        CallShape shape { "GET", host, "/look/1", key, {} };
-        constexpr int threads = 8;
-        std::vector<std::unique_ptr<Callers>> callers;
-        for (auto& machine : machines)
-            callers.push_back(std::make_unique<Callers>(calls, *machine, shape, hotCallsPerSecond / static_cast<double>(machines.size()), threads));
-        std::this_thread::sleep_for(floodTime);
+    std::mutex mutex;
+    std::map<int, Clock::time_point> acked { { 1, start } };
+    std::atomic<bool> ended = false;
+    int notKnown = 0;
+    int runRevoked = 0;
+    double latest = 0;
+    auto probe = [&](const Machine& machine, bool withRevokedKey) {
+        std::unique_ptr<Connection> connection;
+        while (!ended) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+            int due = 0;
+            auto now = Clock::now();
+            double since = 0;
+            {
+                std::lock_guard lock(mutex);
+                for (const auto& [version, at] : acked)
+                    due = now - at > applyTime ? version : due;
+                if (withRevokedKey && due < revokingVersion)
+                    continue;
+                since = secondsSince(acked.at(withRevokedKey ? revokingVersion : due), now);
+            }
+            if (!connection)
+                connection = Connection::open(machine.callers(), now + std::chrono::seconds(1));
+            std::string id = newId();
+            std::optional<Response> response;
+            if (connection) {
+                connection->send("GET /n" + std::to_string(withRevokedKey ? 1 : due) + "/x HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: 800\r\nCredential: " + (withRevokedKey ? revokedKey : key) + "\r\n\r\n");
+                response = connection->readResponse(now + std::chrono::seconds(1));
+            }
+            if (!response) {
+                connection.reset();
+                continue;
+            }
+            bool old = withRevokedKey ? response->status == statusOk : response->status == notFound;
+            if (!old)
+                continue;
+            std::lock_guard lock(mutex);
+            ++(withRevokedKey ? runRevoked : notKnown);
+            latest = std::max(latest, since);
+            if (withRevokedKey)
+                record << secondsSince(start, now) << " s: " << machine.name() << " has " << id << " run with a key that version " << revokingVersion << " took away " << since << " s ago\n";
+            else
+                record << secondsSince(start, now) << " s: " << machine.name() << " answers 404 to " << id << " on a route that version " << due << " has had for " << since << " s\n";
+        }
+    };
+    std::vector<std::thread> probes;
+    for (auto& machine : machines) {
+        for (bool withRevokedKey : { false, true })
+            probes.emplace_back([&probe, &machine, withRevokedKey] { probe(*machine, withRevokedKey); });
     }
+    record << "the text has " << desiredState(2).size() << " bytes" << std::endl;
+    auto stormEnd = Clock::now() + stormTime;
+    int version = trouble ? 1 : revokingVersion - 1;
+    do {
+        store.put("op/config", desiredState(++version));
+        std::lock_guard lock(mutex);
+        acked[version] = Clock::now();
+        record << secondsSince(start, acked[version]) << " s: version " << version << " is acknowledged\n";
+        if (!trouble)
+            break;
+    } while (std::this_thread::sleep_for(stormGap), Clock::now() < stormEnd);
+    std::this_thread::sleep_for(watchTime);
+    ended = true;
+    for (auto& each : probes)
+        each.join();
     for (auto& machine : machines) {
         if (!machine->running())
             return cannotRun;
     }
-
-    std::vector<Engine::Run> runs = first.runs();
-    for (auto& more : second.runs())
-        runs.push_back(more);
-    auto sent = calls.list();
-    std::map<std::string, std::map<int, int>> answers;
-    for (const auto& call : sent)
-        ++answers[call.machine][call.status];
-    for (const auto& [machine, counts] : answers) {
-        record << machine << " answered:";
-        for (const auto& [status, count] : counts)
-            record << " " << count << " x " << status;
-        record << "\n";
-    }
-    Quota quota { tenantRate, tenantRate, 8, quotaOvershoot, quotaTolerance, costOfCall };
-    QuotaUse use = mostInWindow(quota, runs, sent, floodFrom);
-    bool broken = use.most > quota.allowed();
-    record << "the tenant sent " << sent.size() << " requests, engines ran " << runs.size() << ", each of " << costOfCall << " tokens\n"
-           << "most in a window of 8 s: " << use.most << " tokens, from " << use.from << " s on; allowed: (" << tenantRate << " x 8 + " << tenantRate << ") x 1.1 + " << quotaTolerance << " = " << quota.allowed() << "\n"
-           << (broken ? "QUOTA is broken" : "QUOTA held") << "\n";
-    for (const auto& call : sent)
-        record << secondsSince(floodFrom, call.at) << " s " << call.machine << " " << call.id << " -> " << call.status << " at " << secondsSince(floodFrom, call.answered) << " s\n";
-    for (const auto& engineRun : runs)
-        record << secondsSince(floodFrom, engineRun.arrived) << " s run " << engineRun.id << " for " << engineRun.tenant << "\n";
+    bool broken = notKnown || runRevoked;
+    record << version << " is the last version\n"
+           << notKnown << " requests answered 404 on routes that were there, " << runRevoked << " run with the key that was taken away, all sent later than 3 s after the ack, the last " << latest << " s after it\n"
+           << (broken ? "CONFIG is broken" : "CONFIG held") << "\n";
     return broken ? 1 : 0;
 }
 
--- a/review/standins/Callers.cpp
+++ b/review/standins/Callers.cpp
@@ -85,32 +85,4 @@
     m_log.add(std::move(sent));
 }
 
-QuotaUse mostInWindow(const Quota& quota, const std::vector<Engine::Run>& runs, const std::vector<Sent>& calls, Clock::time_point start)
-{
-    struct Counted {
-        double sent = 0;
-        double arrived = 0;
-    };
-    std::map<std::string, double> sentAt;
-    for (const auto& call : calls)
-        sentAt[call.id] = secondsSince(start, call.at);
-    std::vector<Counted> counted;
-    for (const auto& run : runs) {
-        auto sent = sentAt.find(run.id);
-        if (sent != sentAt.end())
-            counted.push_back({ sent->second, secondsSince(start, run.arrived) });
-    }
-    std::sort(counted.begin(), counted.end(), [](const Counted& left, const Counted& right) { return left.sent < right.sent; });
-    QuotaUse use;
-    for (size_t first = 0; first < counted.size(); ++first) {
-        double from = counted[first].sent;
-        double sum = 0;
-        for (size_t index = first; index < counted.size() && counted[index].sent <= from + quota.windowSeconds; ++index)
-            sum += counted[index].arrived <= from + quota.windowSeconds ? quota.costOfCall : 0;
-        if (sum > use.most)
-            use = { sum, from };
-    }
-    return use;
-}
-
 } // namespace review
--- a/review/standins/Callers.h
+++ b/review/standins/Callers.h
@@ -56,25 +56,6 @@
 // Another id for each call.
 std::string newId();
 
-// The rule QUOTA: in a window, what a tenant's calls cost that were both sent and arrived at an engine that ran them.
-struct Quota {
-    double perSecond = 0;
-    double burst = 0;
-    double windowSeconds = 8;
-    double overshoot = 0;
-    double tolerance = 0;
-    double costOfCall = 0;
-    double allowed() const { return (perSecond * windowSeconds + burst) * (1 + overshoot) + tolerance; }
-};
-
-struct QuotaUse {
-    double most = 0;
-    double from = 0;
-};
-
-// Seconds count from `start`.
-QuotaUse mostInWindow(const Quota&, const std::vector<Engine::Run>&, const std::vector<Sent>&, Clock::time_point start);
-
 double secondsSince(Clock::time_point start, Clock::time_point time);
 
 } // namespace review
--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -218,12 +218,6 @@
     return response;
 }
 
-void Connection::awaitEnd()
-{
-    constexpr auto longest = std::chrono::seconds(60);
-    while (readMore(Clock::now() + longest)) { }
-}
-
 void Connection::shutDown() const { shutdown(m_socket, SHUT_RDWR); }
 
 std::string responseText(int status, const Headers& headers, const std::string& body)
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -68,8 +68,6 @@
     std::optional<Request> readRequest();
     // Nothing if the connection ends or the time is over before a head was read. A body that has no end is returned as far as it came.
     std::optional<Response> readResponse(Clock::time_point until);
-    // Waits until the other side closes.
-    void awaitEnd();
     void shutDown() const;
 
 private:
--- a/review/standins/Platform.cpp
+++ b/review/standins/Platform.cpp
@@ -97,35 +97,12 @@
     m_clock.join();
 }
 
-void Store::setLoss(Loss loss)
-{
-    std::lock_guard lock(m_mutex);
-    m_loss = std::move(loss);
-}
-
 void Store::put(const std::string& key, const std::string& value)
 {
     std::lock_guard lock(m_mutex);
     write(key, value, 0);
 }
 
-void Store::remove(const std::string& key)
-{
-    std::lock_guard lock(m_mutex);
-    erase(key);
-}
-
-std::vector<std::string> Store::keys(const std::string& prefix)
-{
-    std::lock_guard lock(m_mutex);
-    std::vector<std::string> list;
-    for (const auto& [key, item] : m_items) {
-        if (key.starts_with(prefix))
-            list.push_back(key);
-    }
-    return list;
-}
-
 Json Store::itemJson(const std::string& key, const Item& item) const
 {
     return { { "key", key }, { "data", toBase64(item.value) }, { "revision", item.revision }, { "created", item.created }, { "lease", item.lease } };
@@ -152,7 +129,7 @@
     m_changed.notify_all();
 }
 
-// Ends leases and does what was put off.
+// Ends leases and drops old history.
 void Store::runClock()
 {
     constexpr auto step = std::chrono::milliseconds(5);
@@ -174,11 +151,10 @@
                 erase(key);
             lease = m_leases.erase(lease);
         }
-        auto due = std::stable_partition(m_late.begin(), m_late.end(), [&](const Late& late) { return late.at > now; });
-        std::vector<Late> late(due, m_late.end());
-        m_late.erase(due, m_late.end());
-        for (const Late& done : late)
-            commit(done.transaction);
+        // history_s of the sites.
+        constexpr auto history = std::chrono::seconds(20);
+        for (; !m_events.empty() && now - m_events.front().at > history; m_events.pop_front())
+            m_historyFrom = m_events.front().revision;
     }
 }
 
@@ -209,6 +185,9 @@
     int64_t after = std::stoll(parameter(request.target, "after"));
     auto until = Clock::now() + std::chrono::milliseconds(std::stoll(parameter(request.target, "wait_ms")));
     std::unique_lock lock(m_mutex);
+    constexpr int gone = 410;
+    if (after < m_historyFrom)
+        return { gone, Json::object() };
     Json events = Json::array();
     auto collect = [&] {
         for (const auto& event : m_events) {
@@ -262,20 +241,6 @@
 bool Store::onRequest(Connection& connection, const Request& request)
 {
     Json body = request.body.empty() ? Json::object() : Json::parse(request.body);
-    bool transaction = request.target == "/-/kv-txn";
-    m_writes += transaction || request.target == "/-/kv-lease" ? 1 : 0;
-    if (transaction) {
-        std::unique_lock lock(m_mutex);
-        auto late = m_loss ? m_loss(body) : std::nullopt;
-        if (late) {
-            ++m_lost;
-            m_late.push_back({ Clock::now() + *late, body });
-            lock.unlock();
-            // A connection on which an answer is lost returns nothing further.
-            connection.awaitEnd();
-            return false;
-        }
-    }
     std::this_thread::sleep_for(std::chrono::milliseconds(4));
     auto [status, json] = answer(request, body);
     return connection.send(responseText(status, { { "Content-Type", "application/json" } }, json.dump()));
--- a/review/standins/Platform.h
+++ b/review/standins/Platform.h
@@ -17,20 +17,11 @@
 // The platform's metadata store, as PROTOCOL.md tells it.
 class Store {
 public:
-    // What happens to a transaction's answer: nothing, or it is lost and the transaction is done that much later.
-    using Loss = std::function<std::optional<std::chrono::milliseconds>(const Json& transaction)>;
-
     explicit Store(const std::string& ip);
     ~Store();
     Address address() const { return m_server->address(); }
-    void setLoss(Loss);
     // What the operator or an engine writes.
     void put(const std::string& key, const std::string& value);
-    void remove(const std::string& key);
-    std::vector<std::string> keys(const std::string& prefix);
-    // Of all transactions and new leases; and of those whose answer was lost.
-    int writes() const { return m_writes; }
-    int lost() const { return m_lost; }
 
 private:
     struct Item {
@@ -43,15 +34,12 @@
         int64_t revision = 0;
         std::string key;
         Json json;
+        Clock::time_point at = Clock::now();
     };
     struct Lease {
         std::chrono::milliseconds life {};
         Clock::time_point until;
     };
-    struct Late {
-        Clock::time_point at;
-        Json transaction;
-    };
 
     bool onRequest(Connection&, const Request&);
     std::pair<int, Json> answer(const Request&, const Json& body);
@@ -67,12 +55,10 @@
     std::map<std::string, Item> m_items;
     std::deque<Event> m_events;
     std::map<int64_t, Lease> m_leases;
-    std::vector<Late> m_late;
     int64_t m_revision = 10;
+    // The newest change that is no longer in the history.
+    int64_t m_historyFrom = 0;
     int64_t m_lastLease = 0;
-    Loss m_loss;
-    std::atomic<int> m_writes = 0;
-    std::atomic<int> m_lost = 0;
     std::atomic<bool> m_ended = false;
     std::thread m_clock;
     std::unique_ptr<Server> m_server;
