--- a/packages/direct/include/toucanstep/direct/WireFormat.h
+++ b/packages/direct/include/toucanstep/direct/WireFormat.h
@@ -49,7 +49,8 @@
 
     virtual ControlRequest reportRequest(const base::UpstreamId&) const = 0;
     virtual std::optional<EngineReport> readReport(std::string_view body) const = 0;
-    virtual ControlRequest orderRequest(const EngineOrder&) const = 0;
+    // Returns nothing for names that the format cannot express.
+    virtual std::optional<ControlRequest> orderRequest(const EngineOrder&) const = 0;
     virtual OrderOutcome readOrderOutcome(int status) const = 0;
 };
 
--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -156,7 +156,13 @@
     base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("source", toText(planned.source)).add("expected_ms", base::toMilliseconds(planned.expected)).add("expected_orders", order.expectedOrders).add("fence", m_fence);
     if (planned.kind == OrderKind::Unload)
         m_handlers.onChange();
-    sendRequest(found->second, m_format.orderRequest(order), [this, planned](const EnginePointer& target, const base::Outcome<http1::FetchedAnswer>& answered) {
+    auto request = m_format.orderRequest(order);
+    if (!request) {
+        base::LogLine("order_not_sent").add("upstream", planned.upstream).add("reason", "the platform's format cannot express the order's names");
+        onOrderAnswered(found->second, planned, OrderOutcome::Refused);
+        return;
+    }
+    sendRequest(found->second, *request, [this, planned](const EnginePointer& target, const base::Outcome<http1::FetchedAnswer>& answered) {
         OrderOutcome outcome = OrderOutcome::Unknown;
         if (const auto* answer = std::get_if<http1::FetchedAnswer>(&answered))
             outcome = m_format.readOrderOutcome(answer->status);
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -451,7 +451,8 @@
         { "running", m_calls.running() },
         { "waiting", m_calls.waiting() },
     };
-    return status.dump() + "\n";
+    // Names of failure domains come from keys of the store, which may hold any bytes.
+    return status.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
 }
 
 } // namespace toucanstep::direct
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -864,7 +864,7 @@
         head.headers.add("Retry-After", base::concat(std::max(seconds, m_returnScheduled ? 0.0 : 0.05)));
     }
     nlohmann::json error { { "error", { { "code", code }, { "message", message }, { "ran", execution == Execution::NotRun ? "not_run" : "may_have_run" } } } };
-    m_callerExchange->answer(std::move(head), error.dump());
+    m_callerExchange->answer(std::move(head), error.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     finish(code, status);
 }
 
