Bodies that are fetched have a bound, and so has the number of interim answers

Cause: http1::fetch (reports, orders, copies from peers, the store) bounded the time of an answer and not its size. An engine that sends without end for the second that a report may take would fill a machine of 160 MB over a link of 2,000 Mbit/s. Interim answers (1xx) began the count of a head anew, so their number had no bound but time.

A body that announces more, or grows beyond it, fails at once as TooLarge. Interim answers count towards the 64 KiB of the head.

Evidence: read in the code, then shown by tests: on AFetchedBodyBeyondItsBoundIsGivenUp (announced, chunked, without a length) and InterimAnswersWithoutEndAreNoAnswer failed. Not measured with real processes.

--- a/packages/base/include/toucanstep/base/Result.h
+++ b/packages/base/include/toucanstep/base/Result.h
@@ -23,6 +23,8 @@
     Rejected,
     // The other side's answer, or the input, does not have the published form.
     Malformed,
+    // The other side's answer is larger than what the caller accepts.
+    TooLarge,
     Internal,
 };
 
--- a/packages/direct/src/StoreMirror.cpp
+++ b/packages/direct/src/StoreMirror.cpp
@@ -16,6 +16,8 @@
 constexpr auto copyIdleTimeout = std::chrono::milliseconds(900);
 // Time limit for the whole answer; the largest desired state takes less on a 1 Mbit/s link.
 constexpr auto copyTimeout = std::chrono::seconds(12);
+// Far more than the entries of a thousand upstreams and the largest value of the store.
+constexpr size_t maxCopyBytes = 16 * 1024 * 1024;
 
 // Followed by the part's number, a slash and the revision that the requesting gateway has.
 constexpr std::string_view copyTargetPrefix = "/fleet/directory/";
@@ -101,7 +103,7 @@
     Part& part = m_parts[which];
     part.copying = true;
     part.nextCopy = now + copyInterval;
-    http1::FetchBounds bounds { now + copyIdleTimeout, now + copyTimeout, copyIdleTimeout };
+    http1::FetchBounds bounds { now + copyIdleTimeout, now + copyTimeout, copyIdleTimeout, maxCopyBytes };
     std::string target = base::concat(confirmed ? changesTargetPrefix : copyTargetPrefix, which, "/", part.directory->revision());
     http1::fetch(m_loop, m_client, source, "GET", target, {}, "", bounds, [this, which, peer = source.name, confirmed](const base::Outcome<http1::FetchedAnswer>& outcome) { onCopy(which, peer, confirmed, outcome); });
 }
--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -124,7 +124,10 @@
 
 using FetchCallback = std::function<void(base::Outcome<FetchedAnswer>)>;
 
-// How long an answer is waited for.
+// The most that a body may have in bytes where the caller does not say otherwise.
+constexpr size_t defaultMaxBodyBytes = 256 * 1024;
+
+// How long an answer is waited for, and how much of it is accepted.
 struct FetchBounds {
     // It must have begun by then.
     base::Instant begin;
@@ -132,14 +135,16 @@
     base::Instant end;
     // Once it has begun it is given up where nothing of it has come for this long.
     base::Duration longestSilence;
+    // An answer that has a larger body, or announces one, is given up at once.
+    size_t maxBodyBytes = defaultMaxBodyBytes;
 };
 
 // Called with what has come so far whenever a part of an answer has come.
 using FetchProgress = std::function<void(const FetchedAnswer&)>;
 
 // Sends a request and collects its whole answer. The error is Unavailable where nothing was sent, Timeout where it may have
-// arrived and no answer came by the deadline or the connection broke, and Malformed where the answer cannot be read. Its
-// message says how many bytes of the answer's body had come.
+// arrived and no answer came by the deadline or the connection broke, Malformed where the answer cannot be read, and TooLarge
+// where its body exceeds the bound. Its message says how many bytes of the answer's body had come.
 // The callback comes once, from the loop, and never from within this call; it does not come once the client is gone.
 void fetch(io::EventLoop&, Client&, const Peer&, std::string_view method, std::string_view target, const HeaderList&, std::string_view body, base::Instant deadline, FetchCallback);
 // For answers that may be large: cut off by a deadline and asked for again, they would begin anew on a slow link each time.
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -349,10 +349,20 @@
         m_answer.began = m_loop.now();
         m_answer.status = head.status;
         m_answer.headers = std::move(head.headers);
+        const std::string* length = head.framing == BodyFraming::Length ? m_answer.headers.find("content-length") : nullptr;
+        auto bytes = length ? parseNumber(*length) : std::nullopt;
+        if (bytes && static_cast<size_t>(*bytes) > m_bounds.maxBodyBytes) {
+            failTooLarge();
+            return;
+        }
         noteProgress();
     }
     void onBody(std::string_view piece) override
     {
+        if (piece.size() > m_bounds.maxBodyBytes - m_answer.body.size()) {
+            failTooLarge();
+            return;
+        }
         m_answer.body.append(piece);
         noteProgress();
     }
@@ -403,6 +413,8 @@
             m_timer = m_loop.at(until, [this] { checkTime(); });
     }
 
+    void failTooLarge() { fail(base::ErrorKind::TooLarge, base::concat("the answer has more than ", m_bounds.maxBodyBytes, " bytes")); }
+
     void fail(base::ErrorKind kind, std::string_view what)
     {
         finish(base::Error { kind, base::concat(what, "; ", m_answer.body.size(), " bytes of it came") });
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -199,11 +199,15 @@
     int onName(const char* at, size_t size) { return take(&HeadCollector::addName, at, size); }
     int onValue(const char* at, size_t size) { return take(&HeadCollector::addValue, at, size); }
     int onStatus(const char* at, size_t size) { return take(&HeadCollector::addText, at, size); }
+    // Interim answers count towards the size of the head, so that their number has a bound.
     int onBegin()
     {
+        constexpr size_t statusLineBytes = 16;
+        size_t bytesBefore = head.bytes;
         head.clear();
+        head.bytes = bytesBefore + statusLineBytes;
         headDone = false;
-        return 0;
+        return head.bytes > maximumResponseHeadBytes ? 1 : 0;
     }
     BodyFraming framing() const
     {
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -221,6 +221,34 @@
     CHECK_TRUE(progress.take().has_value());
 }
 
+// Guards against a process that runs out of memory because of a body without end: announced, in chunks, and without a length.
+TEST(Client, AFetchedBodyBeyondItsBoundIsGivenUp)
+{
+    std::string endless(400, 'x');
+    Mailbox<base::Error> errors;
+    for (std::string answer : { base::concat("Content-Length: 1000000000000\r\n\r\n"), base::concat("Transfer-Encoding: chunked\r\n\r\nffffffff\r\n", endless), base::concat("\r\n", endless) }) {
+        RawServer server(loop, [&](const ScriptedRequest&) { return ScriptedAnswer { "HTTP/1.1 200 OK\r\n" + answer, Then::Keep }; });
+        loop.runAndWait([&] {
+            base::Instant never = loop.now() + std::chrono::hours(1);
+            FetchBounds bounds { never, never, std::chrono::hours(1), 300 };
+            fetch(loop, *client, { "engine", server.endpoint() }, "GET", "/x", {}, "", bounds, [&](base::Outcome<FetchedAnswer> outcome) { errors.put(std::get<base::Error>(outcome)); });
+        });
+        auto error = errors.take();
+        CHECK_TRUE(error && error->kind == base::ErrorKind::TooLarge);
+    }
+}
+
+// Guards against an answer that never begins: interim answers without end, each with a head of its own.
+TEST(Client, InterimAnswersWithoutEndAreNoAnswer)
+{
+    std::string interim;
+    for (int count = 0; count < 10000; ++count)
+        interim += "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+    RawServer server(loop, [&](const ScriptedRequest& request) { return ScriptedAnswer { request.connection ? "HTTP/1.1 100 Continue\r\n\r\n" + std::string(plainAnswer) : interim, Then::Keep }; });
+    CHECK_TRUE(post(server.endpoint()).breakage == Breakage::Malformed);
+    CHECK_EQUAL(200, post(server.endpoint()).status);
+}
+
 TEST(Client, AFetchThatOutlivesItsClientCallsNobody)
 {
     // A process crashed at its end: the answer to its last call to the store came after the parts that had asked were gone.
