--- a/packages/base/include/toucanstep/base/KeyValue.h
+++ b/packages/base/include/toucanstep/base/KeyValue.h
@@ -86,7 +86,8 @@
 public:
     virtual ~WatchListener() = default;
     virtual void onEvents(std::vector<WatchEvent>, Revision) = 0;
-    // The watch has ended, for example because its connection broke; nothing more arrives.
+    // The watch has ended, for example because its connection broke; nothing more arrives. TooLarge: what has changed is larger than
+    // a list of the prefix.
     virtual void onEnd(Error) = 0;
 };
 
--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -1,7 +1,7 @@
 // A local replica of the keys under one prefix of the platform's store.
 //
-// The keys are listed once and then watched. If the watch ends, because the store has compacted the history or the watch
-// was silent for too long, all keys are listed again, and those that are missing are removed. While the store is
+// The keys are listed once and then watched. If the watch ends, because the store has compacted the history, the changes are larger
+// than a list or the watch was silent for too long, all keys are listed again, and those that are missing are removed. While the store is
 // unreachable the replica stays in use and may be updated from a peer's newer copy. Entries that expired during an outage
 // of the store are kept for a grace period so that their owners can write them again.
 
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -215,7 +215,11 @@
     m_watcher->detach();
     m_watcher.reset();
     m_watch.reset();
-    retryLater();
+    // Time counts: the replica has fallen behind the store.
+    if (error.kind == base::ErrorKind::TooLarge)
+        readAll();
+    else
+        retryLater();
 }
 
 void Directory::retryLater()
