--- a/packages/direct/src/LeaderElection.cpp
+++ b/packages/direct/src/LeaderElection.cpp
@@ -46,8 +46,13 @@
 void LeaderElection::leave()
 {
     m_leaving = true;
+    // The lease ends a key whose revision is not known.
+    if (!m_registered)
+        return;
     base::Transaction transaction;
-    transaction.operations.emplace_back(base::DeleteOperation { base::concat(memberPrefix, m_settings.instance) });
+    // The store may carry the transaction out seconds later, when the next process on this machine has written the key.
+    transaction.comparisons.push_back({ memberKey(), m_memberRevision });
+    transaction.operations.emplace_back(base::DeleteOperation { memberKey() });
     m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
 }
 
@@ -120,12 +125,14 @@
 {
     m_registering = true;
     base::Transaction transaction;
-    transaction.operations.emplace_back(base::PutOperation { base::concat(memberPrefix, m_settings.instance), m_settings.peers.text(), m_lease });
+    transaction.operations.emplace_back(base::PutOperation { memberKey(), m_settings.peers.text(), m_lease });
     m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply> outcome) {
         m_registering = false;
         const auto* reply = std::get_if<base::TransactionReply>(&outcome);
         m_registered = reply && reply->committed;
-        if (!m_registered)
+        if (m_registered)
+            m_memberRevision = reply->revision;
+        else
             base::LogLine("join_failed").add("reason", reply ? "refused" : std::get<base::Error>(outcome).message);
     });
 }
@@ -136,6 +143,8 @@
     return found == m_directory.entries().end() ? nullptr : &found->second;
 }
 
+std::string LeaderElection::memberKey() const { return base::concat(memberPrefix, m_settings.instance); }
+
 LeadershipRecord LeaderElection::record() const
 {
     LeadershipRecord record;
@@ -187,8 +196,21 @@
     });
 }
 
+// A late write of an earlier process on this machine may have replaced or removed the key.
+void LeaderElection::checkMember()
+{
+    if (!m_registered || m_leaving || m_directory.revision() < m_memberRevision)
+        return;
+    const base::KeyValue* member = entryOf(memberKey());
+    if (member && member->modified == m_memberRevision)
+        return;
+    base::LogLine("member_key_lost").add("written", m_memberRevision).add("found", member ? member->modified : base::Revision());
+    m_registered = false;
+}
+
 std::optional<base::InstanceId> LeaderElection::onDirectoryUpdated()
 {
+    checkMember();
     const base::KeyValue* holder = entryOf(plannerKey);
     if (!m_leadership.isLeader()) {
         bool another = holder && holder->value != m_settings.instance.value();
--- a/packages/direct/src/LeaderElection.h
+++ b/packages/direct/src/LeaderElection.h
@@ -35,7 +35,7 @@
     std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
     // Has to be called several times a second.
     void tick();
-    // Deletes the membership key because the process is about to end. The leadership is kept until then: a successor would
+    // Deletes the membership key because the process is about to end, unless another process has written it meanwhile. The leadership is kept until then: a successor would
     // have to pause, whereas a process restarted on this machine resumes without a pause.
     void leave();
     // Handles a change of the local copy of the store. Returns the planner if it is another gateway.
@@ -46,11 +46,13 @@
 
 private:
     const base::KeyValue* entryOf(std::string_view key) const;
+    std::string memberKey() const;
     LeadershipRecord record() const;
     void grantLease();
     void renewLease();
     void registerMember();
     void campaign();
+    void checkMember();
 
     io::EventLoop& m_loop;
     base::KeyValueStore& m_store;
@@ -62,6 +64,8 @@
     base::Instant m_leaseRequestedAt;
     bool m_leaseRequestPending = false;
     bool m_registered = false;
+    // The revision at which this process last wrote its membership key.
+    base::Revision m_memberRevision;
     bool m_registering = false;
     bool m_campaigning = false;
     bool m_leaving = false;
