--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -216,7 +216,8 @@
     }
     if (m_leavingSince) {
         base::Duration since = now - *m_leavingSince;
-        bool idle = since > balancerNoticeDelay && !m_calls.running();
+        // What the gateway still holds of an answer is lost with the process.
+        bool idle = since > balancerNoticeDelay && !m_calls.running() && !m_callerServer->unsentBytes();
         m_drained = idle || since > m_settings.terminationGrace - terminationMargin;
         if (since > balancerNoticeDelay)
             m_callerServer->stop();
--- a/packages/http1/include/toucanstep/http1/Server.h
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -99,8 +99,10 @@
     virtual void refuseUpload(uint64_t connection) = 0;
     // Every answer from now on says that its connection closes.
     virtual void closeAfterAnswers() = 0;
-    // Takes no new connections, and closes those that wait for a request.
+    // Takes no new connections, and closes those that wait for a request once their callers have taken the last answer.
     virtual void stop() = 0;
+    // Bytes of answers that callers have not taken yet, also on connections that close after them.
+    virtual size_t unsentBytes() const = 0;
     virtual size_t connections() const = 0;
     virtual base::Endpoint endpoint() const = 0;
 };
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -99,6 +99,8 @@
     // After the answer that is being given.
     void closeAfterAnswer() { m_closing = true; }
     void close();
+    // Closes it once the caller has taken what is unsent.
+    void closeWhenTaken();
     // Ends a body that only the end of its connection ends: an orderly close would make it look whole.
     void reset()
     {
@@ -177,9 +179,20 @@
         auto connections = m_connections;
         for (auto& [id, connection] : connections) {
             if (connection->idle())
-                connection->close();
+                connection->closeWhenTaken();
         }
     }
+    size_t unsentBytes() const override
+    {
+        size_t bytes = 0;
+        for (const auto& [id, connection] : m_connections)
+            bytes += connection->unsentBytes();
+        for (const auto& draining : m_draining) {
+            if (auto connection = draining.lock())
+                bytes += connection->unsentBytes();
+        }
+        return bytes;
+    }
     size_t connections() const override { return m_connections.size(); }
     base::Endpoint endpoint() const override { return m_endpoint; }
 
@@ -189,6 +202,7 @@
     RequestHandler& handler() { return m_handler; }
     UploadListener* uploads() { return m_uploads; }
     void remove(uint64_t id) { m_connections.erase(id); }
+    void addDraining(const std::shared_ptr<io::Connection>& connection) { m_draining.push_back(connection); }
 
 private:
     void accept()
@@ -229,6 +243,7 @@
             auto connections = m_connections;
             for (auto& [id, connection] : connections)
                 connection->checkTime(m_loop.now());
+            std::erase_if(m_draining, [](const auto& draining) { return draining.expired(); });
             scheduleSweep();
         });
     }
@@ -240,6 +255,8 @@
     UploadListener* m_uploads = nullptr;
     ServerBounds m_bounds;
     std::unordered_map<uint64_t, std::shared_ptr<CallerConnection>> m_connections;
+    // Of connections that close once their callers have taken the last answer.
+    std::vector<std::weak_ptr<io::Connection>> m_draining;
     io::EventLoop::TimerId m_sweepTimer = 0;
     io::EventLoop::TimerId m_acceptTimer = 0;
     uint64_t m_lastId = 0;
@@ -363,6 +380,16 @@
         exchange->callerLeft();
 }
 
+void CallerConnection::closeWhenTaken()
+{
+    auto self = shared_from_this();
+    m_finished = true;
+    if (m_connection->unsentBytes())
+        m_server.addDraining(m_connection);
+    m_connection->closeWhenDrained();
+    m_server.remove(m_id);
+}
+
 void CallerConnection::onPeerClosed(io::CloseCause)
 {
     close();
@@ -472,9 +499,7 @@
     m_exchange = nullptr;
     m_since = m_server.loop().now();
     if (closes) {
-        m_finished = true;
-        m_connection->closeWhenDrained();
-        m_server.remove(m_id);
+        closeWhenTaken();
         return;
     }
     m_connection->setReading(true);
@@ -493,8 +518,7 @@
     appendHeader(out, "Connection", "close");
     out += "\r\n";
     m_connection->write(out);
-    m_connection->closeWhenDrained();
-    m_server.remove(m_id);
+    closeWhenTaken();
 }
 
 void CallerConnection::checkTime(base::Instant now)
--- a/packages/http1/test/ServerTest.cpp
+++ b/packages/http1/test/ServerTest.cpp
@@ -274,6 +274,22 @@
     LONGS_EQUAL(body.size(), all.size() - all.find("\r\n\r\n") - 4);
 }
 
+// Guards against an answer that is cut since its kept connection counts as idle while the caller is still reading.
+TEST(Server, AServerThatStopsLetsCallersReadWhatWasAnswered)
+{
+    RawCaller caller(port());
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string body(16 * 1024 * 1024, 'x');
+    answer(next(), body);
+    loop.runAndWait([&] {
+        server->stop();
+        CHECK_TRUE(server->unsentBytes() > 0);
+    });
+    std::string all = caller.readToEnd();
+    LONGS_EQUAL(body.size(), all.size() - all.find("\r\n\r\n") - 4);
+    loop.runAndWait([&] { LONGS_EQUAL(0, server->unsentBytes()); });
+}
+
 // Guards against unread bytes of an answer that has ended being held without a way to release them, and against its looking whole.
 TEST(Server, AnAnswerThatHasEndedIsCutWhileItIsUnread)
 {
