An upstream's answer without end is held within bounds

Cause: an answer that is no success, isn't signed or belongs to another call was buffered without a bound until its call's deadline. A signed answer is passed on, but where the policy `pressure` is off nothing stopped the upstream when the caller read more slowly.

Change: an answer that can't be passed on piece by piece is given up as malformed beyond 1 MiB. While a caller has left 2 MiB unread its upstream is not read, until half of that is left; with `pressure`, CallerMemoryControl decides as before.

Evidence: read in the code, then shown by tests: before the change AnAnswerThatCannotBeUsedIsNotHeldWithoutBound got 504 at the deadline (502 at once now), and AnUpstreamIsNotReadWhileItsCallerDoesNotRead never saw a pause. Resident memory was not measured.

--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -26,6 +26,10 @@
 constexpr auto connectTimeout = std::chrono::milliseconds(300);
 // Answers up to this size are buffered and delivered whole, so that a failure midway can still be reported as an error.
 constexpr size_t maxBufferedAnswerBytes = 64 * 1024;
+// Answers that are no success are buffered whole; a longer body cannot be used.
+constexpr size_t maxFailureBytes = 1024 * 1024;
+// While a caller has left this much of its answer unread, the upstream is not read; half of it lets the upstream go on.
+constexpr size_t maxUnsentAnswerBytes = 2 * 1024 * 1024;
 // How often a call may be sent, including sends that were rejected or could not connect.
 constexpr int64_t maxSends = 4;
 // A call waits for its account's tokens for at most this fraction of its latency target; the rest is left for sending it and
@@ -105,8 +109,15 @@
         if (auto self = weak.lock())
             self->onCallerGone();
     });
-    if (auto* memory = m_dispatcher.callerMemory())
+    if (auto* memory = m_dispatcher.callerMemory()) {
         m_memoryHolder = memory->add(*this, m_callerExchange, m_call.id, m_account);
+    } else {
+        m_callerExchange->onTaken([weak = weak_from_this()] {
+            auto self = weak.lock();
+            if (self && self->m_callerExchange->unsentBytes() <= maxUnsentAnswerBytes / 2)
+                self->setUpstreamReading(true);
+        });
+    }
     if (admitted && m_phase != Phase::Done)
         onAdmitted();
 }
@@ -522,6 +533,10 @@
         noteMemory();
         return;
     }
+    if (!accepted && m_bufferedBody.size() + piece.size() > maxFailureBytes) {
+        onBroken(http1::Breakage::Malformed);
+        return;
+    }
     m_bufferedBody.append(piece);
     if (accepted && !m_passThrough && m_bufferedBody.size() > maxBufferedAnswerBytes) {
         m_passThrough = true;
@@ -801,8 +816,14 @@
 
 void ProxiedCall::noteMemory()
 {
-    if (m_memoryHolder)
+    if (m_memoryHolder) {
         m_dispatcher.callerMemory()->onBuffered(*m_memoryHolder);
+        return;
+    }
+    if (m_upstreamPaused || m_callerExchange->unsentBytes() <= maxUnsentAnswerBytes)
+        return;
+    m_dispatcher.metrics().count("toucanstep_upstream_reads_paused_total");
+    setUpstreamReading(false);
 }
 
 void ProxiedCall::setUpstreamReading(bool reading)
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -130,7 +130,7 @@
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
-    // Has the memory counted that the call holds, which may end it.
+    // Bounds what the call holds for its caller: has it counted, which may end the call, or pauses the upstream.
     void noteMemory();
 
     void refuse(int status, std::string_view code, Execution, std::string_view message, std::optional<base::Duration> retryAfter = {});
