--- a/packages/direct/include/toucanstep/direct/Directory.h
+++ b/packages/direct/include/toucanstep/direct/Directory.h
@@ -58,7 +58,7 @@
     base::Duration expiryGrace = std::chrono::milliseconds(1900);
     // A gap between answers longer than this counts as an outage. Only used with leasedPrefix.
     base::Duration outageThreshold = std::chrono::milliseconds(1500);
-    // Delay between an error and the next attempt.
+    // Delay between an error, or a list that was too slow for a watch, and the next list.
     base::Duration retryDelay = std::chrono::milliseconds(200);
     // For all pages of a list request. The store's client fails sooner if no data arrives.
     base::Duration readTimeout = std::chrono::seconds(12);
@@ -97,6 +97,8 @@
     void onFirstEntries(const std::vector<base::KeyValue>&);
     void onListResult(base::Outcome<base::RangeReply>);
     void replaceAll(const base::RangeReply&);
+    // Whether a watch from the listed revision would again be sent more than a list.
+    bool isStillBehind(const base::RangeReply&) const;
     void onEvents(std::vector<base::WatchEvent>, base::Revision);
     void onWatchEnd(const base::Error&);
     void put(const base::KeyValue&);
@@ -124,6 +126,9 @@
     bool m_synced = false;
     // A peer's copy was applied and has not yet been checked against the store.
     bool m_peerCopyApplied = false;
+    // The last watch ended because the changes were larger than a list.
+    bool m_behind = false;
+    base::Instant m_listRequestedAt;
     std::optional<base::Instant> m_lastAnswer;
     std::optional<base::Instant> m_lastKnown;
     std::optional<DirectoryConfirmation> m_confirmation;
--- a/packages/direct/src/Directory.cpp
+++ b/packages/direct/src/Directory.cpp
@@ -2,6 +2,7 @@
 
 #include "toucanstep/base/LogLine.h"
 
+#include <algorithm>
 #include <set>
 
 namespace toucanstep::direct {
@@ -60,6 +61,7 @@
 void Directory::readAll()
 {
     uint64_t generation = ++*m_generation;
+    m_listRequestedAt = m_loop.now();
     auto onPart = [this, generation, current = m_generation](const std::vector<base::KeyValue>& entries) {
         if (*current == generation && !m_synced)
             onFirstEntries(entries);
@@ -89,11 +91,22 @@
         return;
     }
     recordAnswer();
-    replaceAll(std::get<base::RangeReply>(outcome));
-    startWatch();
+    const auto& reply = std::get<base::RangeReply>(outcome);
+    m_behind = m_behind && isStillBehind(reply);
+    replaceAll(reply);
+    if (m_behind)
+        retryLater();
+    else
+        startWatch();
     m_listener.onDirectoryUpdated();
 }
 
+bool Directory::isStillBehind(const base::RangeReply& reply) const
+{
+    bool slow = m_loop.now() - m_listRequestedAt > m_settings.retryDelay;
+    return slow && std::any_of(reply.entries.begin(), reply.entries.end(), [this](const base::KeyValue& entry) { return entry.modified > m_revision; });
+}
+
 void Directory::startWatch()
 {
     m_watch.reset();
@@ -215,8 +228,8 @@
     m_watcher->detach();
     m_watcher.reset();
     m_watch.reset();
-    // Time counts: the replica has fallen behind the store.
-    if (error.kind == base::ErrorKind::TooLarge)
+    m_behind = error.kind == base::ErrorKind::TooLarge;
+    if (m_behind)
         readAll();
     else
         retryLater();
--- a/packages/direct/test/DirectoryTest.cpp
+++ b/packages/direct/test/DirectoryTest.cpp
@@ -129,6 +129,21 @@
     CHECK_TRUE(keys.present == std::set<std::string> { "b" });
 }
 
+// Guards against a replica that stays behind: each watch after a slow list was sent more than a list, and was given up.
+TEST(Directory, WhileSlowListsShowChangesTheyAreRepeatedInPlaceOfAWatch)
+{
+    constexpr auto slow = std::chrono::seconds(1);
+    answerList({ entry("a", 3) }, 7);
+    onLoop([this] { store.listener->onEnd({ base::ErrorKind::TooLarge, "" }); });
+    advance(slow);
+    answerList({ entry("a", 9) }, 9);
+    LONGS_EQUAL(7, store.watchedFrom.value());
+    advance(slow);
+    advance(slow);
+    answerList({ entry("a", 9) }, 12);
+    LONGS_EQUAL(12, store.watchedFrom.value());
+}
+
 TEST(Directory, StaleEventsAreIgnored)
 {
     answerList({ entry("a", 3) }, 7);
