--- a/packages/direct/src/LeaderElection.h
+++ b/packages/direct/src/LeaderElection.h
@@ -35,8 +35,9 @@
     std::optional<base::Instant> lastAnswer() const { return m_lastAnswer; }
     // Has to be called several times a second.
     void tick();
-    // Deletes the membership key because the process is about to end, unless another process has written it meanwhile. The leadership is kept until then: a successor would
-    // have to pause, whereas a process restarted on this machine resumes without a pause.
+    // Deletes the membership key because the process is about to end, unless another process has written it meanwhile. The
+    // leadership is kept until then: a successor would have to pause, whereas a process restarted on this machine resumes
+    // without a pause.
     void leave();
     // Handles a change of the local copy of the store. Returns the planner if it is another gateway.
     std::optional<base::InstanceId> onDirectoryUpdated();
