Node: the store and the peers stay until the loops have ended

Played again with stacks, beside load, the test program failed so in one of 36 runs: ShareMover::onStock, AssignmentAgent::handOver, submit, Node::store().

Cause: Node::stop() gave up its peers and its store while both loops still ran tasks. A gateway that hands a share of a limit over just then asks the store through a null pointer; in a plain build the process ends with signal 11. The same in Sidecar::releaseReady, RecordCleaning::onRange, OnceCalls and ServiceCalls, and for the peers in the ticks of both cores.

Change: the loops stop first; peers, store and HTTP client follow.

--- a/packages/node/src/Node.cpp
+++ b/packages/node/src/Node.cpp
@@ -389,15 +389,14 @@
         m_follower.reset();
         m_poller.reset();
     });
-    m_traffic->runAndWait([this] {
-        m_server.reset();
-        m_peers.reset();
-    });
+    m_traffic->runAndWait([this] { m_server.reset(); });
+    // Tasks on the loops may use the store and the peers, so both stay until the loops have ended.
+    m_control->stop();
+    m_traffic->stop();
     // Calls that still run end here; their callbacks may still post to the loops, which drop them once stopped.
+    m_peers.reset();
     m_store.reset();
     m_http.reset();
-    m_control->stop();
-    m_traffic->stop();
 }
 
 void Node::addMethod(peers::Method method, peers::PeerServer::Handler handler)
