Memory that callers hold is bounded on every deployment

Upstreams may send bytes without end. Without the policy pressure a call paused its upstream at 2 MiB of unread answer, and nothing bounded the sum: 80 slow callers hold the 160 MB that a gateway may have, and the process ends with all that it serves.

Change: CallerMemoryControl acts always, with the receive buffer that its pauses need. The second way, a pause at 2 MiB for each call, is gone; the policy pressure keeps the order of calls.

--- a/packages/direct/include/toucanstep/direct/LoadPolicies.h
+++ b/packages/direct/include/toucanstep/direct/LoadPolicies.h
@@ -19,8 +19,7 @@
 };
 
 struct LoadPolicies {
-    // Callers compete for too little room, and callers or upstreams may read slowly: calls are ordered by client account and slack,
-    // and memory that they hold is bounded.
+    // Callers compete for too little room: calls are ordered by client account and slack.
     bool pressure = false;
     // Speeds that upstreams state in their answers are used.
     bool statedSpeed = true;
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -32,9 +32,8 @@
     , m_retryBudget(m_settings.retries, m_fleetShare)
     , m_callLimits(m_fleetShare)
     , m_speeds(m_metrics, m_settings.policies.statedSpeed)
+    , m_callerMemory(loop, metrics, m_settings.policies.callerMemory)
 {
-    if (m_settings.policies.pressure)
-        m_callerMemory = std::make_unique<CallerMemoryControl>(loop, metrics, m_settings.policies.callerMemory);
 }
 
 CallDispatcher::~CallDispatcher()
@@ -356,8 +355,7 @@
         queue->tick(time);
     if (!m_tokenQueue.empty())
         processTokenQueue();
-    if (m_callerMemory)
-        m_callerMemory->tick();
+    m_callerMemory.tick();
     auto calls = m_activeCalls;
     for (const auto& call : calls) {
         if (!call->inFlight())
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -134,8 +134,7 @@
     // The waiting calls that go before that call, of those that the same upstreams could run.
     int64_t waitingBefore(const ProxiedCall&) const;
     FleetRetryBudget& retryBudget() { return m_retryBudget; }
-    // Null where the memory of callers is not bounded.
-    CallerMemoryControl* callerMemory() { return m_callerMemory.get(); }
+    CallerMemoryControl& callerMemory() { return m_callerMemory; }
     // Reserves a retry of the call in the budget; `reason` is for the log.
     bool tryReserveRetry(const ProxiedCall&, std::string_view reason);
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
@@ -200,7 +199,7 @@
     UpstreamCallLimits m_callLimits;
     UpstreamAvailability m_availability;
     SpeedObserver m_speeds;
-    std::unique_ptr<CallerMemoryControl> m_callerMemory;
+    CallerMemoryControl m_callerMemory;
     // As of the last pass over the waiting calls.
     QueuedCallCounts m_queued;
     // By wait number, which grows with each call that starts to wait.
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -53,11 +53,10 @@
     return calls;
 }
 
-http1::ClientOptions clientOptions(const DirectGatewaySettings& settings)
+http1::ClientOptions clientOptions()
 {
-    constexpr size_t boundedReceiveBytes = 128 * 1024;
     http1::ClientOptions options;
-    options.receiveBufferBytes = settings.policies.pressure ? boundedReceiveBytes : 0;
+    options.receiveBufferBytes = 128 * 1024;
     return options;
 }
 
@@ -132,7 +131,7 @@
     : m_loop(loop)
     , m_settings(std::move(settings))
     , m_format(std::move(format))
-    , m_client(loop, clientOptions(m_settings))
+    , m_client(loop, clientOptions())
     , m_storeClient(loop)
     , m_store(makeStore(loop, m_storeClient, watchPollSettings(m_settings)))
     , m_calls(loop, m_client, *m_format, m_metrics, callSettings(m_settings))
@@ -164,10 +163,8 @@
 base::Result<void> GatewayCore::start()
 {
     BOOST_LEAF_ASSIGN(m_callerServer, http1::Server::listen(m_loop, m_settings.callers, m_calls));
-    if (auto* memory = m_calls.callerMemory()) {
-        memory->setServer(m_callerServer.get());
-        m_callerServer->setUploadListener(memory);
-    }
+    m_calls.callerMemory().setServer(m_callerServer.get());
+    m_callerServer->setUploadListener(&m_calls.callerMemory());
     BOOST_LEAF_ASSIGN(m_readinessServer, http1::Server::listen(m_loop, m_settings.readiness, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_operatorServer, http1::Server::listen(m_loop, m_settings.peers, *m_operatorHandler));
     BOOST_LEAF_ASSIGN(m_transport, FleetTransport::open(m_loop, m_operatorServer->endpoint(), [this](const FleetReport& report, const ReceivedReport& received) {
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -28,8 +28,6 @@
 constexpr size_t maxBufferedAnswerBytes = 64 * 1024;
 // Answers that are no success are buffered whole; a longer body cannot be used.
 constexpr size_t maxFailureBytes = 1024 * 1024;
-// While a caller has left this much of its answer unread, the upstream is not read; half of it lets the upstream go on.
-constexpr size_t maxUnsentAnswerBytes = 2 * 1024 * 1024;
 // How often a call may be sent, including sends that were rejected or could not connect.
 constexpr int64_t maxSends = 4;
 // A call waits for its account's tokens for at most this fraction of its latency target; the rest is left for sending it and
@@ -109,15 +107,7 @@
         if (auto self = weak.lock())
             self->onCallerGone();
     });
-    if (auto* memory = m_dispatcher.callerMemory()) {
-        m_memoryHolder = memory->add(*this, m_callerExchange, m_call.id, m_account);
-    } else {
-        m_callerExchange->onTaken([weak = weak_from_this()] {
-            auto self = weak.lock();
-            if (self && self->m_callerExchange->unsentBytes() <= maxUnsentAnswerBytes / 2)
-                self->setUpstreamReading(true);
-        });
-    }
+    m_memoryHolder = m_dispatcher.callerMemory().add(*this, m_callerExchange, m_call.id, m_account);
     if (admitted && m_phase != Phase::Done)
         onAdmitted();
 }
@@ -483,7 +473,7 @@
     m_dispatcher.fleetShare().onUse(upstream.value(), m_dispatcher.now());
     m_dispatcher.demand().onSent(m_call.target, m_dispatcher.now());
     m_upstreamExchange = m_dispatcher.client().send({ upstream.value(), entry->description.endpoint }, std::move(request), this);
-    if (m_memoryHolder && m_dispatcher.callerMemory()->paused(*m_memoryHolder))
+    if (m_memoryHolder && m_dispatcher.callerMemory().paused(*m_memoryHolder))
         setUpstreamReading(false);
 }
 
@@ -816,14 +806,8 @@
 
 void ProxiedCall::noteMemory()
 {
-    if (m_memoryHolder) {
-        m_dispatcher.callerMemory()->onBuffered(*m_memoryHolder);
-        return;
-    }
-    if (m_upstreamPaused || m_callerExchange->unsentBytes() <= maxUnsentAnswerBytes)
-        return;
-    m_dispatcher.metrics().count("toucanstep_upstream_reads_paused_total");
-    setUpstreamReading(false);
+    if (m_memoryHolder)
+        m_dispatcher.callerMemory().onBuffered(*m_memoryHolder);
 }
 
 void ProxiedCall::setUpstreamReading(bool reading)
@@ -898,7 +882,7 @@
         m_dispatcher.retryBudget().cancel(m_service);
     m_dispatcher.loop().cancel(m_timer);
     if (m_memoryHolder)
-        m_dispatcher.callerMemory()->onCallEnded(*std::exchange(m_memoryHolder, std::nullopt));
+        m_dispatcher.callerMemory().onCallEnded(*std::exchange(m_memoryHolder, std::nullopt));
     base::Instant time = m_dispatcher.now();
     base::LogLine line("call_ended");
     line.add("id", m_call.id).add("outcome", outcome).add("status", status);
