EngineController: an order that cannot be written is not logged as sent

order_sent came before order_not_sent for a name that the platform's format cannot express. The request is formed first now. Tests of direct (96) pass.

--- a/packages/direct/src/EngineController.cpp
+++ b/packages/direct/src/EngineController.cpp
@@ -153,15 +153,15 @@
     EngineOrder order = found->second->onSending(planned, now);
     order.holder = m_holder;
     order.fence = m_fence;
-    base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("source", toText(planned.source)).add("expected_ms", base::toMilliseconds(planned.expected)).add("expected_orders", order.expectedOrders).add("fence", m_fence);
-    if (planned.kind == OrderKind::Unload)
-        m_handlers.onChange();
     auto request = m_format.orderRequest(order);
     if (!request) {
         base::LogLine("order_not_sent").add("upstream", planned.upstream).add("reason", "the platform's format cannot express the order's names");
         onOrderAnswered(found->second, planned, OrderOutcome::Refused);
         return;
     }
+    base::LogLine("order_sent").add("upstream", planned.upstream).add("order", planned.kind == OrderKind::Load ? "load" : "unload").add("model", planned.target.model).add("adapter", planned.target.adapter).add("source", toText(planned.source)).add("expected_ms", base::toMilliseconds(planned.expected)).add("expected_orders", order.expectedOrders).add("fence", m_fence);
+    if (planned.kind == OrderKind::Unload)
+        m_handlers.onChange();
     sendRequest(found->second, *request, [this, planned](const EnginePointer& target, const base::Outcome<http1::FetchedAnswer>& answered) {
         OrderOutcome outcome = OrderOutcome::Unknown;
         if (const auto* answer = std::get_if<http1::FetchedAnswer>(&answered))
