--- a/packages/node/test/NodeTest.cpp
+++ b/packages/node/test/NodeTest.cpp
@@ -13,7 +13,7 @@
 constexpr base::Duration pause = std::chrono::microseconds(100);
 
 // Nothing listens there, so calls end at once.
-const base::Endpoint nobody { "127.0.0.1", 1 };
+const base::Endpoint closedPort { "127.0.0.1", 1 };
 
 config::ProcessSettings settings()
 {
@@ -27,29 +27,29 @@
     return settings;
 }
 
-// Asks the store from the control loop and a peer from the traffic loop, again and again until the loops end.
-class Asking {
+// Calls the store from the control loop and a peer from the traffic loop, every `pause` until the loops end.
+class PeriodicCalls {
 public:
-    explicit Asking(Node& node)
+    explicit PeriodicCalls(Node& node)
         : m_node(node)
     {
-        m_node.control().post([this] { askStore(); });
-        m_node.traffic().post([this] { askPeer(); });
+        m_node.control().post([this] { callStore(); });
+        m_node.traffic().post([this] { callPeer(); });
     }
 
 private:
-    void askStore()
+    void callStore()
     {
         base::Instant now = m_node.control().now();
         m_node.store().get("key", now + callTimeout, [](const base::Outcome<base::RangeReply>&) {});
-        m_node.control().at(now + pause, [this] { askStore(); });
+        m_node.control().at(now + pause, [this] { callStore(); });
     }
 
-    void askPeer()
+    void callPeer()
     {
         base::Instant now = m_node.traffic().now();
-        m_node.peers().call({ nobody, peers::Method("method"), {}, now + callTimeout }, std::make_shared<peers::SingleReply>([](const base::Outcome<std::string>&) {}));
-        m_node.traffic().at(now + pause, [this] { askPeer(); });
+        m_node.peers().call({ closedPort, peers::Method("method"), {}, now + callTimeout }, std::make_shared<peers::SingleReply>([](const base::Outcome<std::string>&) {}));
+        m_node.traffic().at(now + pause, [this] { callPeer(); });
     }
 
     Node& m_node;
@@ -59,7 +59,7 @@
 
 TEST_GROUP(Node) {};
 
-// Failure: a node that stopped gave up its store and its peers while tasks on its loops still used them, and the process crashed.
+// Guards against a process that crashes as it ends: the store and the peers were gone while tasks on the loops still used them.
 TEST(Node, TasksOnItsLoopsMayUseTheStoreAndThePeersUntilTheLoopsHaveEnded)
 {
     constexpr int rounds = 10;
@@ -70,7 +70,7 @@
             BOOST_LEAF_CHECK(node.start());
             return true;
         }));
-        Asking asking(node);
+        PeriodicCalls calls(node);
         node.stop();
     }
 }
