--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -130,7 +130,7 @@
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
-    // Bounds what the call holds for its caller: has it counted, which may end the call, or pauses the upstream.
+    // Has what the call holds counted, which may pause the upstream or end the call.
     void noteMemory();
 
     void refuse(int status, std::string_view code, Execution, std::string_view message, std::optional<base::Duration> retryAfter = {});
