--- a/apps/toucanstepd/DirectMain.cpp
+++ b/apps/toucanstepd/DirectMain.cpp
@@ -92,6 +92,8 @@
     while (!(*gateway)->drained()) {
         // A second request to stop ends the waiting; what still runs is then cut, as was asked twice.
         int signal = sigtimedwait(&signals, nullptr, &poll);
+        if (signal > 0)
+            base::LogLine("signal_while_leaving").add("signal", signal);
         if (signal == SIGTERM || signal == SIGINT)
             break;
     }
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -24,6 +24,7 @@
     , m_format(format)
     , m_metrics(metrics)
     , m_settings(std::move(settings))
+    , m_stop(m_settings.terminationGrace)
     , m_limits(m_settings.limits)
     , m_slotShare(m_settings.instance.value())
     , m_pressure(m_callTimes, m_slotShare, m_metrics)
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -10,6 +10,7 @@
 #include "toucanstep/direct/CrashAttribution.h"
 #include "toucanstep/direct/CrashDetector.h"
 #include "toucanstep/direct/LoadPolicies.h"
+#include "toucanstep/direct/StopClock.h"
 #include "toucanstep/direct/WireFormat.h"
 #include "toucanstep/http1/Client.h"
 #include "toucanstep/http1/Server.h"
@@ -45,6 +46,8 @@
     FleetRetryBudgetSettings retries;
     scheduling::AccountLimitsSettings limits;
     LoadPolicies policies;
+    // From SIGTERM to SIGKILL.
+    base::Duration terminationGrace = std::chrono::seconds(8);
 };
 
 class CallDispatcher final : public http1::RequestHandler {
@@ -88,6 +91,8 @@
     const CallDispatcherSettings& settings() const { return m_settings; }
     size_t running() const { return m_activeCalls.size(); }
     size_t waiting() const { return m_waiting.size(); }
+    StopClock& stop() { return m_stop; }
+    const StopClock& stop() const { return m_stop; }
     SlotShare& slotShare() { return m_slotShare; }
     // The interval at which gateways report their loads to each other.
     void setReportInterval(base::Duration);
@@ -173,6 +178,7 @@
     const WireFormat& m_format;
     base::MetricsRegistry& m_metrics;
     CallDispatcherSettings m_settings;
+    StopClock m_stop;
     std::shared_ptr<const DesiredState> m_state;
     base::Instant m_stateAppliedAt;
     base::Instant m_lastStoreContact;
--- a/packages/direct/src/DirectGateway.cpp
+++ b/packages/direct/src/DirectGateway.cpp
@@ -36,7 +36,8 @@
 
     void leave() override
     {
-        m_loop.runAndWait([this] { m_core->leave(); });
+        base::Instant noticed = m_loop.now();
+        m_loop.runAndWait([this, noticed] { m_core->leave(noticed); });
     }
     bool drained() const override { return m_core->drained(); }
     base::Endpoint callerEndpoint() const override { return m_core->callerEndpoint(); }
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -26,10 +26,6 @@
 constexpr auto storeSilenceThreshold = std::chrono::milliseconds(900);
 // Time without an answer, beyond the poll delay, that counts as an outage, so that expired entries get a grace period.
 constexpr auto storeOutageThreshold = std::chrono::milliseconds(1500);
-// After SIGTERM the load balancer sends new connections until two health checks, one second apart, have failed.
-constexpr auto balancerNoticeDelay = std::chrono::milliseconds(2600);
-// The process ends the remaining calls itself this long before SIGKILL, with a response where that is possible.
-constexpr auto terminationMargin = std::chrono::milliseconds(700);
 
 constexpr std::string_view metricsTarget = "/metrics";
 constexpr std::string_view statusTarget = "/status";
@@ -49,6 +45,7 @@
     calls.limits.overshoot = settings.limitOvershoot;
     calls.limits.window = settings.limitWindow;
     calls.policies = settings.policies;
+    calls.terminationGrace = settings.terminationGrace;
     calls.retries = { settings.retryRatio, settings.retrySlack, settings.retryWindow };
     return calls;
 }
@@ -183,7 +180,7 @@
 {
     // The list of upstreams may be long, and is used as it arrives.
     bool known = m_mirror.part(StorePart::DesiredState).synced() && m_mirror.part(StorePart::Fleet).synced() && !m_calls.upstreams().all().empty();
-    return known && m_calls.desiredState() && !m_leavingSince;
+    return known && m_calls.desiredState() && !m_calls.stop().begun();
 }
 
 void GatewayCore::tick()
@@ -211,14 +208,9 @@
         if (m_election.leadership().maySendOrders(now))
             m_refusalRecord.write();
     }
-    if (m_leavingSince) {
-        base::Duration since = now - *m_leavingSince;
-        // What the gateway still holds of an answer is lost with the process.
-        bool idle = since > balancerNoticeDelay && !m_calls.running() && !m_callerServer->unsentBytes();
-        m_drained = idle || since > m_settings.terminationGrace - terminationMargin;
-        if (since > balancerNoticeDelay)
-            m_callerServer->stop();
-    }
+    if (m_calls.stop().begun())
+        drain();
+    m_calls.stop().onRuns(now);
     m_tickTimer = m_loop.at(now + tickInterval, [this] { tick(); });
 }
 
@@ -254,16 +246,32 @@
     sendPlan();
 }
 
-void GatewayCore::leave()
+void GatewayCore::leave(base::Instant noticed)
 {
-    if (m_leavingSince)
+    StopClock& stop = m_calls.stop();
+    if (stop.begun())
         return;
-    base::LogLine("leaving").add("running", m_calls.running());
-    m_leavingSince = m_loop.now();
+    stop.onNoticed(noticed);
+    base::LogLine("leaving").add("running", m_calls.running()).add("waiting", m_calls.waiting()).add("connections", m_callerServer->connections()).add("noticed_after_ms", base::toMilliseconds(noticed - stop.earliestSignal())).add("acted_after_ms", base::toMilliseconds(m_loop.now() - noticed));
     m_callerServer->closeAfterAnswers();
     m_election.leave();
 }
 
+void GatewayCore::drain()
+{
+    base::Instant now = m_loop.now();
+    const StopClock& stop = m_calls.stop();
+    size_t unsent = m_callerServer->unsentBytes();
+    // What the gateway still holds of an answer is lost with the process.
+    bool idle = now > stop.intakeEnd() && !m_calls.running() && !unsent;
+    bool drained = idle || now > stop.end();
+    if (drained && !m_drained)
+        base::LogLine("drained").add("cause", idle ? "idle" : "grace").add("after_ms", base::toMilliseconds(now - stop.noticed())).add("running", m_calls.running()).add("connections", m_callerServer->connections()).add("unsent_bytes", unsent);
+    m_drained = drained;
+    if (now > stop.intakeEnd())
+        m_callerServer->stop();
+}
+
 // ---- store updates
 
 void GatewayCore::onEntry(const base::KeyValue& entry)
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -24,7 +24,8 @@
     ~GatewayCore() override;
 
     base::Result<void> start();
-    void leave();
+    // SIGTERM was noticed at that time.
+    void leave(base::Instant noticed);
     bool drained() const { return m_drained.load(); }
     base::Endpoint callerEndpoint() const { return m_callerServer->endpoint(); }
     base::Endpoint operatorEndpoint() const { return m_operatorServer->endpoint(); }
@@ -83,6 +84,8 @@
     bool ready() const;
     std::string metricsText();
     std::string statusText() const;
+    // After SIGTERM: closes what waits, and decides whether the process may end.
+    void drain();
 
     io::EventLoop& m_loop;
     DirectGatewaySettings m_settings;
@@ -137,7 +140,6 @@
     io::EventLoop::TimerId m_demandTimer = 0;
     io::EventLoop::TimerId m_planTimer = 0;
     io::EventLoop::TimerId m_planReportTimer = 0;
-    std::optional<base::Instant> m_leavingSince;
     std::atomic<bool> m_drained = false;
 };
 
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -54,7 +54,7 @@
     if (auto state = m_calls.desiredState())
         report.configuration = state->version;
     report.directories = m_mirror.revisions();
-    report.leaving = m_leavingSince.has_value();
+    report.leaving = m_calls.stop().begun();
     report.domain = m_settings.domain;
     for (const auto& [id, entry] : m_calls.upstreams().all()) {
         if (entry.own.inFlight)
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -893,6 +893,8 @@
     line.add("account", m_account).add("model", m_call.target.model).add("adapter", m_call.target.adapter).add("upstream", m_upstream).add("sends", m_sends);
     line.add("waited_for", toText(m_firstBlockReason)).add("sent_ms", m_firstSent ? base::toMilliseconds(*m_firstSent - m_arrived) : -1);
     line.add("first_ms", m_firstByte ? base::toMilliseconds(*m_firstByte - m_arrived) : -1).add("pause_ms", base::toMilliseconds(m_longestPause)).add("total_ms", base::toMilliseconds(time - m_arrived));
+    if (m_dispatcher.stop().begun())
+        line.add("stop_ms", base::toMilliseconds(m_arrived - m_dispatcher.stop().noticed())).add("last_piece_ms", m_firstByte ? base::toMilliseconds(m_lastPiece - m_arrived) : -1).add("unsent_bytes", m_callerExchange->unsentBytes());
     if (m_responseMetadata.leaving)
         line.add("upstream_leaving", "yes");
     if (m_observed.workPercent)
