--- a/apps/toucanstepd/DirectMain.cpp
+++ b/apps/toucanstepd/DirectMain.cpp
@@ -90,12 +90,10 @@
     (*gateway)->leave();
     timespec poll { 0, drainPollNanoseconds };
     while (!(*gateway)->drained()) {
-        // A second request to stop ends the waiting; what still runs is then cut, as was asked twice.
+        // A supervisor may repeat the signal; the grace period bounds the waiting.
         int signal = sigtimedwait(&signals, nullptr, &poll);
         if (signal > 0)
             base::LogLine("signal_while_leaving").add("signal", signal);
-        if (signal == SIGTERM || signal == SIGINT)
-            break;
     }
     gateway->reset();
     base::LogLine("stopped").add("lines_dropped", logs.dropped());
--- a/apps/toucanstepd/FleetMain.cpp
+++ b/apps/toucanstepd/FleetMain.cpp
@@ -66,14 +66,15 @@
     LOG(INFO) << "event=stop_requested signal=" << signal;
 }
 
-// A second signal ends the waiting; what still runs is then cut, as the operator asked twice.
+// A supervisor may repeat the signal, which changes nothing.
 template <typename Process>
 void drain(const Process& process, const sigset_t& signals)
 {
     timespec poll { 0, drainPollNanoseconds };
     while (!process.drained()) {
-        if (sigtimedwait(&signals, nullptr, &poll) > 0)
-            return;
+        int signal = sigtimedwait(&signals, nullptr, &poll);
+        if (signal > 0)
+            LOG(INFO) << "event=signal_while_leaving signal=" << signal;
     }
 }
 
