--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -325,6 +325,8 @@
         if (blockReason == BlockReason::None)
             continue;
         call->setBlockReason(blockReason);
+        if (call->inFlight())
+            continue;
         // Each of the calls that wait for a limit or the end of a pause has its own time to go.
         bool hasOwnTime = blockReason == BlockReason::CallLimit || blockReason == BlockReason::Paused;
         if (call->neverSent() && !hasOwnTime) {
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -443,6 +443,11 @@
 void ProxiedCall::send(const base::UpstreamId& upstream)
 {
     m_dispatcher.dequeue(*this);
+    if (inFlight()) {
+        base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("reason", "silent");
+        releaseUpstream();
+        m_events.dropPartial();
+    }
     UpstreamEntry* entry = m_dispatcher.upstreams().find(upstream);
     http1::OutgoingRequest request;
     request.head = requestHead(upstream);
@@ -492,6 +497,7 @@
 
 void ProxiedCall::onHead(http1::ResponseHead head)
 {
+    stayAtUpstream();
     m_dispatcher.onUpstreamHeard(m_upstream);
     if (!m_receivedHead) {
         m_dispatcher.upstreams().onAnswerBegun(m_upstream);
@@ -513,6 +519,7 @@
 
 void ProxiedCall::onBody(std::string_view piece)
 {
+    stayAtUpstream();
     m_dispatcher.onUpstreamHeard(m_upstream);
     auto self = shared_from_this();
     m_answerBytes += piece.size();
@@ -594,6 +601,7 @@
 void ProxiedCall::onWhole()
 {
     auto self = shared_from_this();
+    stayAtUpstream();
     m_endedWithinEvent = m_events.hasPartial();
     if (!m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id) {
         fail("the answer belongs to another request");
@@ -688,6 +696,10 @@
     m_paidRetry = m_dispatcher.retryBudget().pay(m_service, m_dispatcher.now());
     if (m_paidRetry)
         return true;
+    if (inFlight()) {
+        m_dispatcher.dequeue(*this);
+        return false;
+    }
     constexpr std::string_view reason = "the calls that earned its retry are too long ago";
     if (m_firstByte || m_possibleRuns)
         fail(reason);
@@ -718,6 +730,7 @@
 void ProxiedCall::onBroken(http1::Breakage breakage)
 {
     auto self = shared_from_this();
+    stayAtUpstream();
     m_endedWithinEvent = m_events.hasPartial();
     if (breakage == http1::Breakage::NotSent) {
         --m_possibleRuns;
@@ -755,11 +768,21 @@
     if (!inFlight() || m_upstreamPaused || !m_route->mayRepeat())
         return;
     bool resumable = m_route->resumable && !m_events.lastId().empty();
-    if ((m_firstByte && !resumable) || !tryRetry("silent"))
+    if ((m_firstByte && !resumable) || waitsToMove() || !tryRetry("silent"))
         return;
-    m_events.dropPartial();
-    base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("reason", "silent");
-    dispatchOrWait();
+    // The silent upstream may go on, so it is kept until another one takes the call.
+    m_blockReason = tryDispatch();
+    if (waitsToMove())
+        m_dispatcher.enqueue(shared_from_this());
+}
+
+void ProxiedCall::stayAtUpstream()
+{
+    if (!waitsToMove())
+        return;
+    m_dispatcher.dequeue(*this);
+    m_retryReserved = false;
+    m_dispatcher.retryBudget().cancel(m_service);
 }
 
 void ProxiedCall::fail(std::string_view reason)
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -28,7 +28,7 @@
     void refuseLate(std::string_view reason);
     // Ends a call that has a trait of calls that crash upstreams, unless its answer has started.
     void refuseIfCrashing();
-    // The upstream has stopped answering: a call that may be repeated moves to another one.
+    // The upstream has stopped answering: a call that may be repeated moves to another one once that takes it.
     void onUpstreamSilent();
     // Ends the call because the process ends: with an error answer, or by aborting a stream that has started.
     void shutDown();
@@ -125,8 +125,12 @@
     // `reason` is for the log.
     bool tryRetry(std::string_view reason);
     bool tryReserveRetry(std::string_view reason);
-    // Pays the retry that is about to be sent. Returns false if the call has ended because it may no longer be sent.
+    // Pays the retry that is about to be sent. Returns false if it may no longer be sent, which ends a call that has no upstream.
     bool payRetry();
+    // Its upstream is silent, and the call waits for another one.
+    bool waitsToMove() const { return inFlight() && m_retryReserved; }
+    // The silent upstream has gone on.
+    void stayAtUpstream();
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
