--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -261,15 +261,15 @@
 {
     base::Instant now = m_loop.now();
     const StopClock& stop = m_calls.stop();
+    if (now > stop.intakeEnd())
+        m_callerServer->stop();
     size_t unsent = m_callerServer->unsentBytes();
-    // What the gateway still holds of an answer is lost with the process.
-    bool idle = now > stop.intakeEnd() && !m_calls.running() && !unsent;
+    // What the gateway still holds of an answer is lost with the process, and so is a request that it has begun to read.
+    bool idle = now > stop.intakeEnd() && !m_calls.running() && !m_callerServer->connections() && !unsent;
     bool drained = idle || now > stop.end();
     if (drained && !m_drained)
         base::LogLine("drained").add("cause", idle ? "idle" : "grace").add("after_ms", base::toMilliseconds(now - stop.noticed())).add("running", m_calls.running()).add("connections", m_callerServer->connections()).add("unsent_bytes", unsent);
     m_drained = drained;
-    if (now > stop.intakeEnd())
-        m_callerServer->stop();
 }
 
 // ---- store updates
--- a/packages/http1/include/toucanstep/http1/Server.h
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -99,7 +99,8 @@
     virtual void refuseUpload(uint64_t connection) = 0;
     // Every answer from now on says that its connection closes.
     virtual void closeAfterAnswers() = 0;
-    // Takes no new connections, and closes those that wait for a request once their callers have taken the last answer.
+    // Takes no new connections, and closes those that wait for a request once their callers have taken the last answer. A request that
+    // has come by now is still handed over.
     virtual void stop() = 0;
     // Bytes of answers that callers have not taken yet, also on connections that close after them.
     virtual size_t unsentBytes() const = 0;
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -113,6 +113,9 @@
     // The request that is being read, if any.
     void refuseUpload();
     bool idle() const { return !m_exchange && !m_parser.midMessage(); }
+    bool open() const { return !m_finished && m_connection->isOpen(); }
+    // Takes at once what has come and was not read yet.
+    void readArrived() { m_connection->readPiece(pipelinedBytes); }
     // Closes it if it waits for a request, or has taken too long over one.
     void checkTime(base::Instant now);
 
@@ -175,10 +178,14 @@
     void stop() override
     {
         m_closing = true;
+        while (m_listener && acceptOne()) { }
         stopAccepting();
         auto connections = m_connections;
         for (auto& [id, connection] : connections) {
+            // A request that has come is answered.
             if (connection->idle())
+                connection->readArrived();
+            if (connection->open() && connection->idle())
                 connection->closeWhenTaken();
         }
     }
@@ -210,18 +217,25 @@
         // A few at a time, so that a rush of connections does not hold up those that are open.
         constexpr int acceptsAtOnce = 16;
         for (int count = 0; count < acceptsAtOnce; ++count) {
-            io::Socket socket = io::acceptFrom(m_listener);
-            if (!socket) {
-                if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-                    pauseAccepting();
-                return;
-            }
-            uint64_t id = ++m_lastId;
-            auto connection = std::make_shared<CallerConnection>(*this, id, m_bounds);
-            m_connections.emplace(id, connection);
-            connection->start(m_loop, std::move(socket));
+            if (acceptOne())
+                continue;
+            if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+                pauseAccepting();
+            return;
         }
     }
+    // Returns false, with errno, if there is none to be accepted.
+    bool acceptOne()
+    {
+        io::Socket socket = io::acceptFrom(m_listener);
+        if (!socket)
+            return false;
+        uint64_t id = ++m_lastId;
+        auto connection = std::make_shared<CallerConnection>(*this, id, m_bounds);
+        m_connections.emplace(id, connection);
+        connection->start(m_loop, std::move(socket));
+        return true;
+    }
     void pauseAccepting()
     {
         m_loop.modify(m_listener.descriptor(), 0);
--- a/packages/http1/test/ServerTest.cpp
+++ b/packages/http1/test/ServerTest.cpp
@@ -290,6 +290,27 @@
     loop.runAndWait([&] { LONGS_EQUAL(0, server->unsentBytes()); });
 }
 
+// Guards against a request that is reset since it had come, and was not read, when the server stopped.
+TEST(Server, AServerThatStopsAnswersWhatHasCome)
+{
+    std::unique_ptr<RawCaller> kept = std::make_unique<RawCaller>(port());
+    kept->send("GET /first HTTP/1.1\r\nHost: h\r\n\r\n");
+    answer(next(), "first");
+    kept->readUntil("first");
+    std::unique_ptr<RawCaller> fresh;
+    loop.runAndWait([&] {
+        kept->send("GET /kept HTTP/1.1\r\nHost: h\r\n\r\n");
+        fresh = std::make_unique<RawCaller>(port());
+        fresh->send("GET /fresh HTTP/1.1\r\nHost: h\r\n\r\n");
+        server->stop();
+    });
+    for (int count = 0; count < 2; ++count)
+        answer(next(), "last");
+    CHECK_TRUE(contains(kept->readToEnd(), "last"));
+    CHECK_TRUE(contains(fresh->readToEnd(), "last"));
+    loop.runAndWait([&] { LONGS_EQUAL(0, server->connections()); });
+}
+
 // Guards against unread bytes of an answer that has ended being held without a way to release them, and against its looking whole.
 TEST(Server, AnAnswerThatHasEndedIsCutWhileItIsUnread)
 {
--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -49,6 +49,8 @@
     void write(std::string_view);
     size_t unsentBytes() const { return m_unsent.size(); }
     bool connected() const { return m_connected; }
+    // Neither side has closed it.
+    bool isOpen() const { return static_cast<bool>(m_socket); }
     // See io::setUnacknowledgedTimeout.
     void setUnacknowledgedTimeout(base::Duration);
 
