--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -44,6 +44,14 @@
     m_loop.cancel(m_tokenTimer);
 }
 
+void CallDispatcher::beginStop(base::Instant noticed)
+{
+    m_stop.onNoticed(noticed);
+    auto calls = m_activeCalls;
+    for (const auto& call : calls)
+        call->refuseIfStopping();
+}
+
 void CallDispatcher::shutDownAll()
 {
     auto calls = m_activeCalls;
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -72,6 +72,8 @@
     // Moves calls away from upstreams that have stopped answering, confirms crashes and processes the queues. To be called
     // several times a second.
     void tick();
+    // SIGTERM was noticed: calls that wait and may outlast the process are refused.
+    void beginStop(base::Instant noticed);
     // Ends every call at process shutdown, with an error answer where one can still be sent. No request may be passed in
     // afterwards.
     void shutDownAll();
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -251,9 +251,11 @@
     StopClock& stop = m_calls.stop();
     if (stop.begun())
         return;
-    stop.onNoticed(noticed);
-    base::LogLine("leaving").add("running", m_calls.running()).add("waiting", m_calls.waiting()).add("connections", m_callerServer->connections()).add("noticed_after_ms", base::toMilliseconds(noticed - stop.earliestSignal())).add("acted_after_ms", base::toMilliseconds(m_loop.now() - noticed));
+    size_t running = m_calls.running();
+    size_t waiting = m_calls.waiting();
     m_callerServer->closeAfterAnswers();
+    m_calls.beginStop(noticed);
+    base::LogLine("leaving").add("running", running).add("waiting", waiting).add("refused", running - m_calls.running()).add("connections", m_callerServer->connections()).add("noticed_after_ms", base::toMilliseconds(noticed - stop.earliestSignal())).add("acted_after_ms", base::toMilliseconds(m_loop.now() - noticed));
     m_election.leave();
 }
 
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -160,7 +160,7 @@
         refuseCrashing();
         return false;
     }
-    if (!selectService(*m_route) || refuseIfTooLarge())
+    if (!selectService(*m_route) || refuseIfTooLarge() || refuseIfStopping())
         return false;
     return !account || !account->limited() || acquireTokens(*account);
 }
@@ -239,6 +239,19 @@
     return true;
 }
 
+bool ProxiedCall::refuseIfStopping()
+{
+    const StopClock& stop = m_dispatcher.stop();
+    if (m_phase == Phase::Done || !stop.begun() || m_deadline <= stop.end() || inFlight() || m_possibleRuns || m_firstByte)
+        return false;
+    auto longest = m_dispatcher.callTimes().longestExpected(queue(), m_call.maximumOutputTokens);
+    if (longest && m_dispatcher.now() + *longest <= stop.end())
+        return false;
+    // Another gateway takes the call at once.
+    refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway stops and may end before the call", base::Duration::zero());
+    return true;
+}
+
 UpstreamQuery ProxiedCall::upstreamQuery() const
 {
     UpstreamQuery query;
@@ -275,6 +288,8 @@
 
 BlockReason ProxiedCall::tryDispatch()
 {
+    if (refuseIfStopping())
+        return BlockReason::None;
     UpstreamSelection choice = selectUpstream(m_dispatcher.upstreams(), upstreamQuery(), m_dispatcher.now());
     m_runningThere = choice.inFlight;
     m_acceptedFrom = choice.acceptedFrom;
@@ -329,6 +344,8 @@
 
 bool ProxiedCall::refuseIfUnservable(BlockReason blockReason)
 {
+    if (refuseIfStopping())
+        return true;
     base::Instant time = m_dispatcher.now();
     auto expected = m_dispatcher.expectedLoad(m_call.target);
     BlockedCall blocked { blockReason, m_arrived, m_answerStartDeadline, m_firstByte.has_value(), expected, m_dispatcher.plannerActive(), m_acceptedFrom };
@@ -633,6 +650,8 @@
     if (status < firstRedirectStatus && m_responseHead.framing != http1::BodyFraming::ToEnd)
         m_dispatcher.crashes().onCleared(m_traits, m_dispatcher.now());
     m_dispatcher.callTimes().onAnswerEnded(queue(), m_dispatcher.now() - m_lastSent);
+    base::Instant started = m_firstByte.value_or(m_dispatcher.now());
+    m_dispatcher.callTimes().onCallEnded(queue(), started - m_arrived, m_dispatcher.now() - started, m_call.maximumOutputTokens);
     m_dispatcher.speeds().onEnded(m_observed, m_answerBytes, m_lastPiece);
     releaseUpstream();
     if (streamed)
@@ -868,7 +887,7 @@
     if (m_phase == Phase::Done)
         return;
     if ((m_phase == Phase::Waiting || m_phase == Phase::WaitingForTokens) && !m_possibleRuns && !m_firstByte)
-        refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway ends", defaultRetryAfter);
+        refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway ends", base::Duration::zero());
     else
         fail("the gateway ends");
 }
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -23,6 +23,8 @@
     BlockReason tryDispatch();
     // Refuses a waiting call that can no longer be served in time. Returns whether it did.
     bool refuseIfUnservable(BlockReason);
+    // Refuses a call that has not been sent and may outlast a gateway that stops. Returns whether it did.
+    bool refuseIfStopping();
     // Refuses a call because calls arrive faster than the upstreams can run them. `reason`: whether it is late, or has no chance on
     // arrival or while waiting; part of the refusal's code where LoadPolicies::pressure is set.
     void refuseLate(std::string_view reason);
--- a/packages/direct/test/StopClockTest.cpp
+++ b/packages/direct/test/StopClockTest.cpp
@@ -47,6 +47,16 @@
     CHECK_TRUE(clock.earliestSignal() == lastRun);
 }
 
+// Guards against calls that are taken on because the process counts its grace period from a late notice.
+TEST(StopClock, TheEndIsCountedFromTheEarliestSignal)
+{
+    runFor(std::chrono::seconds(1));
+    base::Instant lastRun = now - tick;
+    now += std::chrono::seconds(3);
+    clock.onNoticed(now);
+    CHECK_TRUE(clock.end() < lastRun + grace);
+}
+
 TEST(StopClock, AnEarlierHoldUpDoesNotCount)
 {
     runFor(std::chrono::seconds(1));
--- a/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
+++ b/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
@@ -1,5 +1,7 @@
 // Learns from recent calls how long upstreams take to start and to end an answer.
 //
+// Averages tell whether a queued call can still be in time. Where a call must not be cut, the longest of the recent calls count.
+//
 // A queued call is in time only if its answer can still start within the latency target after it is sent. Without the
 // estimate, overloaded gateways send calls that have waited for almost their whole target, and every answer starts late.
 
@@ -19,6 +21,28 @@
 public:
     void onAnswerStarted(const ModelQueue& queue, base::Duration sinceSent) { add(m_starts, queue, sinceSent); }
     void onAnswerEnded(const ModelQueue& queue, base::Duration sinceSent) { add(m_ends, queue, sinceSent); }
+    // A whole answer: the time from its arrival to its first byte and from there to its end. `output` is what the call allowed, 0 if
+    // it stated nothing.
+    void onCallEnded(const ModelQueue& queue, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
+    {
+        add(m_longest.try_emplace(queue).first->second, untilStart, sinceStart, output);
+        add(m_longestByService.try_emplace(queue.service).first->second, untilStart, sinceStart, output);
+    }
+
+    // How long a call takes that is as slow as the slowest recent ones of its model, or of its service if the model had none. Nothing
+    // if there were none of the service either.
+    std::optional<base::Duration> longestExpected(const ModelQueue& queue, base::Tokens output) const
+    {
+        const Longest* longest = nullptr;
+        if (auto found = m_longest.find(queue); found != m_longest.end())
+            longest = &found->second;
+        else if (auto other = m_longestByService.find(queue.service); other != m_longestByService.end())
+            longest = &other->second;
+        if (!longest)
+            return std::nullopt;
+        double seconds = (longest->start + longest->perToken * tokensOf(output)) * spreadFactor;
+        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    }
 
     // The time to keep free for the start of an answer; never more than half of the latency target, so that a slow upstream
     // does not make every call late on arrival.
@@ -41,6 +65,20 @@
     }
 
 private:
+    // In seconds.
+    struct Longest {
+        double start = 0;
+        double perToken = 0;
+    };
+
+    static double tokensOf(base::Tokens output) { return static_cast<double>(std::max<int64_t>(output.value(), 1)); }
+
+    static void add(Longest& longest, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
+    {
+        longest.start = std::max(base::toSeconds(untilStart), longest.start * keptOfLongest);
+        longest.perToken = std::max(base::toSeconds(sinceStart) / tokensOf(output), longest.perToken * keptOfLongest);
+    }
+
     // Exponential moving averages, in seconds.
     using Averages = std::map<ModelQueue, double>;
 
@@ -55,8 +93,13 @@
     // Covers most answers, which start later than the average now and then.
     static constexpr double spreadFactor = 1.5;
 
+    // An unusually long call is forgotten over some hundred others.
+    static constexpr double keptOfLongest = 0.99;
+
     Averages m_starts;
     Averages m_ends;
+    std::map<ModelQueue, Longest> m_longest;
+    std::map<base::ServiceId, Longest> m_longestByService;
 };
 
 } // namespace toucanstep::scheduling
--- /dev/null
+++ b/packages/scheduling/test/LongestCallsTest.cpp
@@ -0,0 +1,47 @@
+#include "toucanstep/scheduling/CallTimes.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace toucanstep;
+using namespace toucanstep::scheduling;
+using std::chrono::milliseconds;
+
+TEST_GROUP(LongestCalls)
+{
+    CallTimes times;
+    ModelQueue queue { base::ServiceId("engines"), base::ModelId("m") };
+};
+
+TEST(LongestCalls, NothingIsExpectedOfAServiceThatEndedNoCall)
+{
+    CHECK_FALSE(times.longestExpected(queue, base::Tokens(10)).has_value());
+}
+
+TEST(LongestCalls, TheLongestGrowsWithTheOutput)
+{
+    times.onCallEnded(queue, milliseconds(100), milliseconds(1000), base::Tokens(100));
+    auto shortCall = *times.longestExpected(queue, base::Tokens(10));
+    auto longCall = *times.longestExpected(queue, base::Tokens(1000));
+    CHECK_TRUE(shortCall >= milliseconds(200));
+    CHECK_TRUE(shortCall < milliseconds(1000));
+    CHECK_TRUE(longCall >= milliseconds(10'100));
+}
+
+// Guards against a stop that cuts the slowest calls: their average would be shorter than the time left.
+TEST(LongestCalls, TheSlowestOfTheRecentCallsCounts)
+{
+    times.onCallEnded(queue, milliseconds(100), milliseconds(5000), base::Tokens(100));
+    for (int count = 0; count < 10; ++count)
+        times.onCallEnded(queue, milliseconds(100), milliseconds(500), base::Tokens(100));
+    CHECK_TRUE(*times.longestExpected(queue, base::Tokens(100)) >= milliseconds(5100));
+    for (int count = 0; count < 1000; ++count)
+        times.onCallEnded(queue, milliseconds(100), milliseconds(500), base::Tokens(100));
+    CHECK_TRUE(*times.longestExpected(queue, base::Tokens(100)) < milliseconds(1500));
+}
+
+TEST(LongestCalls, AModelWithoutCallsIsExpectedToBeAsSlowAsItsService)
+{
+    times.onCallEnded(queue, milliseconds(100), milliseconds(1000), base::Tokens(100));
+    ModelQueue other { queue.service, base::ModelId("other") };
+    CHECK_TRUE(times.longestExpected(other, base::Tokens(100)) == times.longestExpected(queue, base::Tokens(100)));
+}
