--- a/packages/direct/src/StopClock.cpp
+++ b/packages/direct/src/StopClock.cpp
@@ -13,7 +13,7 @@
 // After SIGTERM the load balancer sends new connections until two health checks, one second apart, have failed.
 constexpr auto balancerNoticeDelay = std::chrono::milliseconds(2600);
 // The process ends the remaining calls itself this long before SIGKILL, with a response where that is possible.
-constexpr auto terminationMargin = std::chrono::milliseconds(700);
+constexpr auto terminationMargin = std::chrono::milliseconds(400);
 
 } // namespace
 
--- a/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
+++ b/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
@@ -29,18 +29,17 @@
         add(m_longestByService.try_emplace(queue.service).first->second, untilStart, sinceStart, output);
     }
 
-    // How long a call takes that is as slow as the slowest recent ones of its model, or of its service if the model had none. Nothing
+    // How long a call takes that is as slow as the slowest recent ones of its model, or of its service if the model had few. Nothing
     // if there were none of the service either.
     std::optional<base::Duration> longestExpected(const ModelQueue& queue, base::Tokens output) const
     {
-        const Longest* longest = nullptr;
-        if (auto found = m_longest.find(queue); found != m_longest.end())
-            longest = &found->second;
-        else if (auto other = m_longestByService.find(queue.service); other != m_longestByService.end())
-            longest = &other->second;
-        if (!longest)
+        auto found = m_longest.find(queue);
+        auto ofService = m_longestByService.find(queue.service);
+        if (ofService == m_longestByService.end())
             return std::nullopt;
-        double seconds = (longest->start + longest->perToken * tokensOf(output)) * spreadFactor;
+        bool knowsModel = found != m_longest.end() && found->second.calls >= callsToKnowModel;
+        const Longest& longest = knowsModel ? found->second : ofService->second;
+        double seconds = (longest.start + longest.perToken * tokensOf(output)) * growth;
         return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
     }
 
@@ -65,8 +64,9 @@
     }
 
 private:
-    // In seconds.
+    // Times in seconds.
     struct Longest {
+        int64_t calls = 0;
         double start = 0;
         double perToken = 0;
     };
@@ -75,6 +75,7 @@
 
     static void add(Longest& longest, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
     {
+        ++longest.calls;
         longest.start = std::max(base::toSeconds(untilStart), longest.start * keptOfLongest);
         longest.perToken = std::max(base::toSeconds(sinceStart) / tokensOf(output), longest.perToken * keptOfLongest);
     }
@@ -93,6 +94,9 @@
     // Covers most answers, which start later than the average now and then.
     static constexpr double spreadFactor = 1.5;
 
+    static constexpr int64_t callsToKnowModel = 30;
+    // Calls take longer where more of them run at a time than before.
+    static constexpr double growth = 1.2;
     // An unusually long call is forgotten over some hundred others.
     static constexpr double keptOfLongest = 0.99;
 
