--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -242,13 +242,13 @@
 bool ProxiedCall::refuseIfStopping()
 {
     const StopClock& stop = m_dispatcher.stop();
-    if (m_phase == Phase::Done || !stop.begun() || m_deadline <= stop.end() || inFlight() || m_possibleRuns || m_firstByte)
+    if (m_phase == Phase::Done || !stop.begun() || m_deadline <= stop.earliestEnd() || inFlight() || m_possibleRuns || m_firstByte)
         return false;
     auto longest = m_dispatcher.callTimes().longestExpected(queue(), m_call.maximumOutputTokens);
     base::Instant begin = m_dispatcher.now();
     if (auto loaded = m_dispatcher.expectedLoad(m_call.target); loaded && m_blockReason == BlockReason::NotLoaded)
         begin = std::max(begin, *loaded);
-    if (longest && begin + *longest <= stop.end())
+    if (longest && begin + *longest <= stop.earliestEnd())
         return false;
     // Another gateway takes the call at once.
     refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway stops and may end before the call", base::Duration::zero());
--- a/packages/direct/test/StopClockTest.cpp
+++ b/packages/direct/test/StopClockTest.cpp
@@ -48,13 +48,24 @@
 }
 
 // Guards against calls that are taken on because the process counts its grace period from a late notice.
-TEST(StopClock, TheEndIsCountedFromTheEarliestSignal)
+TEST(StopClock, TheTimeForNewCallsIsCountedFromTheEarliestSignal)
 {
     runFor(std::chrono::seconds(1));
     base::Instant lastRun = now - tick;
     now += std::chrono::seconds(3);
     clock.onNoticed(now);
-    CHECK_TRUE(clock.end() < lastRun + grace);
+    CHECK_TRUE(clock.earliestEnd() < lastRun + grace);
+}
+
+// Guards against a process that ends at once, and cuts what runs, since it takes a signal for older than it is.
+TEST(StopClock, AHoldUpDoesNotEndWhatRuns)
+{
+    runFor(std::chrono::seconds(1));
+    now += grace;
+    clock.onRuns(now);
+    clock.onNoticed(now);
+    CHECK_TRUE(clock.earliestEnd() < now);
+    CHECK_TRUE(clock.end() > now + grace / 2);
 }
 
 TEST(StopClock, AnEarlierHoldUpDoesNotCount)
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -16,6 +16,8 @@
 
 // What a caller may send ahead of its next request while one is being answered; beyond it reading pauses.
 constexpr size_t pipelinedBytes = 64 * 1024;
+// Of connections that wait for being accepted when the server stops.
+constexpr int acceptsAtStop = 1024;
 // Between two looks at connections whose time is over.
 constexpr auto sweepInterval = std::chrono::milliseconds(500);
 // After a failed accept, for example without free descriptors: connections that end meanwhile make room.
@@ -178,7 +180,7 @@
     void stop() override
     {
         m_closing = true;
-        while (m_listener && acceptOne()) { }
+        for (int count = 0; m_listener && count < acceptsAtStop && acceptOne(); ++count) { }
         stopAccepting();
         auto connections = m_connections;
         for (auto& [id, connection] : connections) {
