--- a/packages/http1/test/ServerTest.cpp
+++ b/packages/http1/test/ServerTest.cpp
@@ -19,9 +19,12 @@
 // A caller that speaks bytes.
 class RawCaller {
 public:
-    explicit RawCaller(uint16_t port)
+    // The system keeps about `receiveBuffer` bytes that are not read; 0 for its own choice.
+    explicit RawCaller(uint16_t port, int receiveBuffer = 0)
         : m_socket(socket(AF_INET, SOCK_STREAM, 0))
     {
+        if (receiveBuffer)
+            setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_port = htons(port);
@@ -311,6 +314,22 @@
     loop.runAndWait([&] { LONGS_EQUAL(0, server->connections()); });
 }
 
+// Guards against an answer whose end is lost with the connection: its caller had sent more, so that closing reset it.
+TEST(Server, AnAnswerIsWholeThoughItsCallerHasSentMore)
+{
+    constexpr int smallBuffer = 2304;
+    RawCaller caller(port(), smallBuffer);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    std::string body(30'000, 'x');
+    answer(next(), body);
+    bool handedToSystem = false;
+    while (!handedToSystem)
+        loop.runAndWait([&] { handedToSystem = !server->connections() && !server->unsentBytes(); });
+    caller.send("GET /more HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string all = caller.readToEnd();
+    LONGS_EQUAL(body.size(), all.size() - all.find("\r\n\r\n") - 4);
+}
+
 // Guards against unread bytes of an answer that has ended being held without a way to release them, and against its looking whole.
 TEST(Server, AnAnswerThatHasEndedIsCutWhileItIsUnread)
 {
--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -64,7 +64,8 @@
     void close();
     // From now on close() resets the connection, which tells the peer that bytes are missing.
     void resetOnClose();
-    // Ends it once all is handed to the system. Until then it lives even if nobody holds it.
+    // Ends this side once all is handed to the system, and the connection once the peer has ended its own or has acknowledged all. Until
+    // then it lives even if nobody holds it, and what the peer sends is dropped.
     void closeWhenDrained();
 
 private:
@@ -79,6 +80,8 @@
     void readOnce(size_t most);
     void flush();
     void peerGone(CloseCause);
+    void endSending();
+    void awaitPeer();
     uint32_t wantedEvents() const;
     void updateEvents();
 
@@ -91,6 +94,7 @@
     bool m_heldBack = false;
     bool m_closing = false;
     uint32_t m_events = 0;
+    EventLoop::TimerId m_peerTimer = 0;
 };
 
 } // namespace toucanstep::io
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace toucanstep::io {
@@ -12,6 +14,15 @@
 
 // One read takes at most this much, so that one fast peer does not hold up the others of the loop.
 constexpr size_t readBytes = 32 * 1024;
+// A peer that has been told of the end has this long to end its side, and longer while it has not acknowledged all.
+constexpr auto peerEndTimeout = std::chrono::seconds(1);
+
+// What the system has not had acknowledged; zero where it does not say.
+int unacknowledgedBytes(const Socket& socket)
+{
+    int bytes = 0;
+    return ioctl(socket.descriptor(), SIOCOUTQ, &bytes) ? 0 : bytes;
+}
 
 } // namespace
 
@@ -87,6 +98,7 @@
         return;
     // The loop may be its only owner.
     auto self = weak_from_this().lock();
+    m_loop.cancel(m_peerTimer);
     m_loop.unwatch(m_socket.descriptor());
     m_socket = Socket();
     m_listener = nullptr;
@@ -110,14 +122,38 @@
 {
     m_listener = nullptr;
     m_closing = true;
+    m_reading = true;
+    m_heldBack = false;
     if (!m_socket)
         return;
-    if (m_unsent.empty()) {
+    m_loop.unwatch(m_socket.descriptor());
+    watch(Owner::Loop);
+    if (m_unsent.empty())
+        endSending();
+}
+
+// Closing a socket with unread bytes, or one that bytes still come to, resets the connection, and the peer loses what it has not read.
+void Connection::endSending()
+{
+    if (shutdown(m_socket.descriptor(), SHUT_WR)) {
         close();
         return;
     }
-    m_loop.unwatch(m_socket.descriptor());
-    watch(Owner::Loop);
+    updateEvents();
+    awaitPeer();
+}
+
+void Connection::awaitPeer()
+{
+    m_peerTimer = m_loop.at(m_loop.now() + peerEndTimeout, [weak = weak_from_this()] {
+        auto self = weak.lock();
+        if (!self || !self->m_socket)
+            return;
+        if (unacknowledgedBytes(self->m_socket))
+            self->awaitPeer();
+        else
+            self->close();
+    });
 }
 
 void Connection::write(std::string_view bytes)
@@ -203,7 +239,7 @@
         return;
     }
     if (m_closing) {
-        close();
+        endSending();
         return;
     }
     updateEvents();
