--- a/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
+++ b/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
@@ -39,7 +39,8 @@
             return std::nullopt;
         bool knowsModel = found != m_longest.end() && found->second.calls >= callsToKnowModel;
         const Longest& longest = knowsModel ? found->second : ofService->second;
-        double seconds = (longest.start + longest.perToken * tokensOf(output)) * growth;
+        // Callers may state any number of tokens.
+        double seconds = std::min((longest.start + longest.perToken * tokensOf(output)) * growth, mostSeconds);
         return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
     }
 
@@ -95,6 +96,7 @@
     static constexpr double spreadFactor = 1.5;
 
     static constexpr int64_t callsToKnowModel = 30;
+    static constexpr double mostSeconds = 86'400;
     // Calls take longer where more of them run at a time than before.
     static constexpr double growth = 1.2;
     // An unusually long call is forgotten over some hundred others.
--- a/packages/scheduling/test/LongestCallsTest.cpp
+++ b/packages/scheduling/test/LongestCallsTest.cpp
@@ -1,6 +1,7 @@
 #include "toucanstep/scheduling/CallTimes.h"
 
 #include <CppUTest/TestHarness.h>
+#include <limits>
 
 using namespace toucanstep;
 using namespace toucanstep::scheduling;
@@ -39,6 +40,13 @@
     CHECK_TRUE(*times.longestExpected(queue, base::Tokens(100)) < milliseconds(1500));
 }
 
+// Guards against an overflow by a caller that states an absurd number of tokens.
+TEST(LongestCalls, AnAbsurdOutputIsExpectedToTakeLong)
+{
+    times.onCallEnded(queue, milliseconds(100), milliseconds(1000), base::Tokens(1));
+    CHECK_TRUE(*times.longestExpected(queue, base::Tokens(std::numeric_limits<int64_t>::max())) >= std::chrono::hours(1));
+}
+
 // Guards against a stream that is cut since the one call before it, of a model that is seldom asked for, was short.
 TEST(LongestCalls, AModelWithFewCallsIsExpectedToBeAsSlowAsItsService)
 {
