--- a/packages/direct/include/toucanstep/direct/StopClock.h
+++ b/packages/direct/include/toucanstep/direct/StopClock.h
@@ -31,6 +31,8 @@
     base::Instant earliestSignal() const { return m_earliestSignal; }
     // Until then the load balancer may send new connections.
     base::Instant intakeEnd() const;
+    // The same for a signal that came as early as it can have come.
+    base::Instant earliestIntakeEnd() const;
     // The process may be killed from this moment on: only calls that end before it are taken.
     base::Instant earliestEnd() const;
     // What runs then is ended by the process itself.
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -244,11 +244,14 @@
     const StopClock& stop = m_dispatcher.stop();
     if (m_phase == Phase::Done || !stop.begun() || m_deadline <= stop.earliestEnd() || inFlight() || m_possibleRuns || m_firstByte)
         return false;
-    auto longest = m_dispatcher.callTimes().longestExpected(queue(), m_call.maximumOutputTokens);
+    const CallTimes& times = m_dispatcher.callTimes();
+    // A caller that is refused may be sent to another gateway that stops, so a small risk is taken during the intake.
+    bool early = m_dispatcher.now() <= stop.earliestIntakeEnd();
+    auto expected = early ? times.expected(queue(), m_call.maximumOutputTokens) : times.longestExpected(queue(), m_call.maximumOutputTokens);
     base::Instant begin = m_dispatcher.now();
     if (auto loaded = m_dispatcher.expectedLoad(m_call.target); loaded && m_blockReason == BlockReason::NotLoaded)
         begin = std::max(begin, *loaded);
-    if (longest && begin + *longest <= stop.earliestEnd())
+    if (expected && begin + *expected <= stop.earliestEnd())
         return false;
     // Another gateway takes the call at once.
     refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway stops and may end before the call", base::Duration::zero());
--- a/packages/direct/src/StopClock.cpp
+++ b/packages/direct/src/StopClock.cpp
@@ -37,6 +37,8 @@
 
 base::Instant StopClock::intakeEnd() const { return noticed() + balancerNoticeDelay; }
 
+base::Instant StopClock::earliestIntakeEnd() const { return m_earliestSignal + balancerNoticeDelay; }
+
 base::Instant StopClock::earliestEnd() const { return m_earliestSignal + m_grace - terminationMargin; }
 
 base::Instant StopClock::end() const { return noticed() + m_grace - terminationMargin; }
--- a/packages/direct/test/StopClockTest.cpp
+++ b/packages/direct/test/StopClockTest.cpp
@@ -57,6 +57,16 @@
     CHECK_TRUE(clock.earliestEnd() < lastRun + grace);
 }
 
+// Guards against calls that are sent too late to be excused and may be cut: the intake is counted from a late notice.
+TEST(StopClock, AfterAHoldUpTheIntakeMayBeOver)
+{
+    runFor(std::chrono::seconds(1));
+    now += std::chrono::seconds(3);
+    clock.onNoticed(now);
+    CHECK_TRUE(clock.earliestIntakeEnd() < now);
+    CHECK_TRUE(clock.intakeEnd() > now);
+}
+
 // Guards against a process that ends at once, and cuts what runs, since it takes a signal for older than it is.
 TEST(StopClock, AHoldUpDoesNotEndWhatRuns)
 {
--- a/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
+++ b/packages/scheduling/include/toucanstep/scheduling/CallTimes.h
@@ -25,23 +25,22 @@
     // it stated nothing.
     void onCallEnded(const ModelQueue& queue, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
     {
-        add(m_longest.try_emplace(queue).first->second, untilStart, sinceStart, output);
-        add(m_longestByService.try_emplace(queue.service).first->second, untilStart, sinceStart, output);
+        add(m_pastCalls.try_emplace(queue).first->second, untilStart, sinceStart, output);
+        add(m_pastCallsOfServices.try_emplace(queue.service).first->second, untilStart, sinceStart, output);
     }
 
-    // How long a call takes that is as slow as the slowest recent ones of its model, or of its service if the model had few. Nothing
-    // if there were none of the service either.
+    // How long a call takes that is like the recent ones of its model, or of its service if the model had few. Nothing if there were
+    // none of the service either.
+    std::optional<base::Duration> expected(const ModelQueue& queue, base::Tokens output) const
+    {
+        const PastCalls* calls = pastCalls(queue);
+        return calls ? std::optional(toDuration(calls->usual, output)) : std::nullopt;
+    }
+    // The same for a call that is as slow as the slowest recent ones.
     std::optional<base::Duration> longestExpected(const ModelQueue& queue, base::Tokens output) const
     {
-        auto found = m_longest.find(queue);
-        auto ofService = m_longestByService.find(queue.service);
-        if (ofService == m_longestByService.end())
-            return std::nullopt;
-        bool knowsModel = found != m_longest.end() && found->second.calls >= callsToKnowModel;
-        const Longest& longest = knowsModel ? found->second : ofService->second;
-        // Callers may state any number of tokens.
-        double seconds = std::min((longest.start + longest.perToken * tokensOf(output)) * growth, mostSeconds);
-        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+        const PastCalls* calls = pastCalls(queue);
+        return calls ? std::optional(toDuration(calls->longest, output)) : std::nullopt;
     }
 
     // The time to keep free for the start of an answer; never more than half of the latency target, so that a slow upstream
@@ -65,20 +64,44 @@
     }
 
 private:
-    // Times in seconds.
-    struct Longest {
-        int64_t calls = 0;
+    // In seconds.
+    struct Pace {
         double start = 0;
         double perToken = 0;
     };
+    struct PastCalls {
+        int64_t count = 0;
+        Pace usual;
+        Pace longest;
+    };
+
+    const PastCalls* pastCalls(const ModelQueue& queue) const
+    {
+        auto ofModel = m_pastCalls.find(queue);
+        if (ofModel != m_pastCalls.end() && ofModel->second.count >= callsToKnowModel)
+            return &ofModel->second;
+        auto ofService = m_pastCallsOfServices.find(queue.service);
+        return ofService == m_pastCallsOfServices.end() ? nullptr : &ofService->second;
+    }
+
+    static base::Duration toDuration(const Pace& pace, base::Tokens output)
+    {
+        // Callers may state any number of tokens.
+        double seconds = std::min((pace.start + pace.perToken * tokensOf(output)) * growth, mostSeconds);
+        return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    }
 
     static double tokensOf(base::Tokens output) { return static_cast<double>(std::max<int64_t>(output.value(), 1)); }
 
-    static void add(Longest& longest, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
+    static void add(PastCalls& calls, base::Duration untilStart, base::Duration sinceStart, base::Tokens output)
     {
-        ++longest.calls;
-        longest.start = std::max(base::toSeconds(untilStart), longest.start * keptOfLongest);
-        longest.perToken = std::max(base::toSeconds(sinceStart) / tokensOf(output), longest.perToken * keptOfLongest);
+        double start = base::toSeconds(untilStart);
+        double perToken = base::toSeconds(sinceStart) / tokensOf(output);
+        double weight = calls.count++ ? weightOfNewest : 1;
+        calls.usual.start += weight * (start - calls.usual.start);
+        calls.usual.perToken += weight * (perToken - calls.usual.perToken);
+        calls.longest.start = std::max(start, calls.longest.start * keptOfLongest);
+        calls.longest.perToken = std::max(perToken, calls.longest.perToken * keptOfLongest);
     }
 
     // Exponential moving averages, in seconds.
@@ -104,8 +127,8 @@
 
     Averages m_starts;
     Averages m_ends;
-    std::map<ModelQueue, Longest> m_longest;
-    std::map<base::ServiceId, Longest> m_longestByService;
+    std::map<ModelQueue, PastCalls> m_pastCalls;
+    std::map<base::ServiceId, PastCalls> m_pastCallsOfServices;
 };
 
 } // namespace toucanstep::scheduling
--- a/packages/scheduling/test/LongestCallsTest.cpp
+++ b/packages/scheduling/test/LongestCallsTest.cpp
@@ -40,6 +40,16 @@
     CHECK_TRUE(*times.longestExpected(queue, base::Tokens(100)) < milliseconds(1500));
 }
 
+// Guards against a stop that refuses far more calls than it would cut.
+TEST(LongestCalls, OneSlowCallSaysLittleOfTheUsualOnes)
+{
+    for (int count = 0; count < 50; ++count)
+        times.onCallEnded(queue, milliseconds(100), milliseconds(500), base::Tokens(100));
+    times.onCallEnded(queue, milliseconds(100), milliseconds(5000), base::Tokens(100));
+    CHECK_TRUE(*times.expected(queue, base::Tokens(100)) < milliseconds(1500));
+    CHECK_TRUE(*times.longestExpected(queue, base::Tokens(100)) > milliseconds(5000));
+}
+
 // Guards against an overflow by a caller that states an absurd number of tokens.
 TEST(LongestCalls, AnAbsurdOutputIsExpectedToTakeLong)
 {
