--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -65,7 +65,7 @@
     // From now on close() resets the connection, which tells the peer that bytes are missing.
     void resetOnClose();
     // Ends this side once all is handed to the system, and the connection once the peer has ended its own or has acknowledged all. Until
-    // then it lives even if nobody holds it, and what the peer sends is dropped.
+    // then it lives even if nobody holds it. What the peer sends is not read.
     void closeWhenDrained();
 
 private:
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -15,7 +15,7 @@
 // One read takes at most this much, so that one fast peer does not hold up the others of the loop.
 constexpr size_t readBytes = 32 * 1024;
 // A peer that has been told of the end has this long to end its side, and longer while it has not acknowledged all.
-constexpr auto peerEndTimeout = std::chrono::seconds(1);
+constexpr auto peerEndTimeout = std::chrono::milliseconds(200);
 
 // What the system has not had acknowledged; zero where it does not say.
 int unacknowledgedBytes(const Socket& socket)
@@ -122,7 +122,8 @@
 {
     m_listener = nullptr;
     m_closing = true;
-    m_reading = true;
+    // A request that comes now stays unread, so that its sender may repeat it.
+    m_reading = false;
     m_heldBack = false;
     if (!m_socket)
         return;
@@ -132,7 +133,7 @@
         endSending();
 }
 
-// Closing a socket with unread bytes, or one that bytes still come to, resets the connection, and the peer loses what it has not read.
+// Closing a socket with unread bytes, or one that bytes still come to, resets the connection, which drops what is not acknowledged.
 void Connection::endSending()
 {
     if (shutdown(m_socket.descriptor(), SHUT_WR)) {
