--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -64,8 +64,8 @@
     void close();
     // From now on close() resets the connection, which tells the peer that bytes are missing.
     void resetOnClose();
-    // Ends this side once all is handed to the system, and the connection once the peer has ended its own or has acknowledged all. Until
-    // then it lives even if nobody holds it. What the peer sends is not read.
+    // Ends this side once all is handed to the system, and the connection once the peer has acknowledged all. Until then it lives even if
+    // nobody holds it. What the peer sends is not read.
     void closeWhenDrained();
 
 private:
@@ -81,7 +81,7 @@
     void flush();
     void peerGone(CloseCause);
     void endSending();
-    void awaitPeer();
+    void closeOnceAcknowledged();
     uint32_t wantedEvents() const;
     void updateEvents();
 
@@ -94,7 +94,7 @@
     bool m_heldBack = false;
     bool m_closing = false;
     uint32_t m_events = 0;
-    EventLoop::TimerId m_peerTimer = 0;
+    EventLoop::TimerId m_acknowledgementTimer = 0;
 };
 
 } // namespace toucanstep::io
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -14,14 +14,16 @@
 
 // One read takes at most this much, so that one fast peer does not hold up the others of the loop.
 constexpr size_t readBytes = 32 * 1024;
-// A peer that has been told of the end has this long to end its side, and longer while it has not acknowledged all.
-constexpr auto peerEndTimeout = std::chrono::milliseconds(200);
+// Between two looks at whether a peer has acknowledged all.
+constexpr auto acknowledgementPoll = std::chrono::milliseconds(20);
 
-// What the system has not had acknowledged; zero where it does not say.
-int unacknowledgedBytes(const Socket& socket)
+// Whether the peer has all that was sent; also where the system does not say.
+bool hasAcknowledgedAll(const Socket& socket)
 {
+    // The end of the stream counts as a byte.
+    constexpr int endBytes = 1;
     int bytes = 0;
-    return ioctl(socket.descriptor(), SIOCOUTQ, &bytes) ? 0 : bytes;
+    return ioctl(socket.descriptor(), SIOCOUTQ, &bytes) || bytes <= endBytes;
 }
 
 } // namespace
@@ -98,7 +100,7 @@
         return;
     // The loop may be its only owner.
     auto self = weak_from_this().lock();
-    m_loop.cancel(m_peerTimer);
+    m_loop.cancel(m_acknowledgementTimer);
     m_loop.unwatch(m_socket.descriptor());
     m_socket = Socket();
     m_listener = nullptr;
@@ -141,19 +143,19 @@
         return;
     }
     updateEvents();
-    awaitPeer();
+    closeOnceAcknowledged();
 }
 
-void Connection::awaitPeer()
+void Connection::closeOnceAcknowledged()
 {
-    m_peerTimer = m_loop.at(m_loop.now() + peerEndTimeout, [weak = weak_from_this()] {
+    if (hasAcknowledgedAll(m_socket)) {
+        close();
+        return;
+    }
+    m_acknowledgementTimer = m_loop.at(m_loop.now() + acknowledgementPoll, [weak = weak_from_this()] {
         auto self = weak.lock();
-        if (!self || !self->m_socket)
-            return;
-        if (unacknowledgedBytes(self->m_socket))
-            self->awaitPeer();
-        else
-            self->close();
+        if (self && self->m_socket)
+            self->closeOnceAcknowledged();
     });
 }
 
