--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -24,6 +24,10 @@
 
 // Connections within a region are established in milliseconds; an upstream that needs this long is down or unreachable.
 constexpr auto connectTimeout = std::chrono::milliseconds(300);
+// A silent upstream is kept for this long after the call was sent to another one. Two must not work on a call for 400 ms.
+constexpr auto silentUpstreamHold = std::chrono::milliseconds(150);
+// A connection that is not there by then is given up while the silent upstream is still kept.
+constexpr auto moveConnectTimeout = std::chrono::milliseconds(120);
 // Answers up to this size are buffered and delivered whole, so that a failure midway can still be reported as an error.
 constexpr size_t maxBufferedAnswerBytes = 64 * 1024;
 // Answers that are no success are buffered whole; a longer body cannot be used.
@@ -81,6 +85,7 @@
 ProxiedCall::~ProxiedCall()
 {
     m_dispatcher.loop().cancel(m_timer);
+    m_dispatcher.loop().cancel(m_silentTimer);
 }
 
 std::string ProxiedCall::promptText() const
@@ -468,15 +473,14 @@
     m_dispatcher.dequeue(*this);
     if (inFlight()) {
         base::LogLine("call_moved").add("id", m_call.id).add("from", m_upstream).add("reason", "silent");
-        releaseUpstream();
-        m_events.dropPartial();
+        keepSilentUpstream();
     }
     UpstreamEntry* entry = m_dispatcher.upstreams().find(upstream);
     http1::OutgoingRequest request;
     request.head = requestHead(upstream);
     request.body = m_callerExchange->body();
     request.answersHead = m_callerExchange->head().method == "HEAD";
-    request.connectDeadline = m_dispatcher.now() + connectTimeout;
+    request.connectDeadline = m_dispatcher.now() + (m_silentUpstream ? moveConnectTimeout : connectTimeout);
     m_phase = m_firstByte ? Phase::Delivering : Phase::Sent;
     m_receivedHead = false;
     m_upstream = upstream;
@@ -506,18 +510,85 @@
 }
 
 void ProxiedCall::releaseUpstream()
+{
+    releaseSilentUpstream();
+    leaveUpstream();
+}
+
+void ProxiedCall::leaveUpstream()
 {
     if (!m_upstreamExchange)
         return;
     setUpstreamReading(true);
     m_upstreamExchange.reset();
+    countUpstreamEnded(m_upstream, m_receivedHead, m_responseMetadata);
+}
+
+void ProxiedCall::countUpstreamEnded(const base::UpstreamId& upstream, bool receivedHead, const ResponseMetadata& metadata)
+{
     if (PressureQueue* pressure = m_dispatcher.pressure())
-        pressure->onLeftUpstream(*this, m_receivedHead && !m_responseMetadata.notRun, m_dispatcher.now());
-    m_dispatcher.upstreams().onEnded(m_upstream, m_receivedHead);
-    m_dispatcher.demand().onEnded(m_call.target, m_receivedHead, m_dispatcher.now());
+        pressure->onLeftUpstream(*this, receivedHead && !metadata.notRun, m_dispatcher.now());
+    m_dispatcher.upstreams().onEnded(upstream, receivedHead);
+    m_dispatcher.demand().onEnded(m_call.target, receivedHead, m_dispatcher.now());
     m_dispatcher.wakeWaiting();
 }
 
+void ProxiedCall::keepSilentUpstream()
+{
+    releaseSilentUpstream();
+    setUpstreamReading(true);
+    UpstreamProgress progress { m_upstream, m_upstreamStart, m_lastSent, m_observed, m_firstEventHere, m_responseHead, m_responseMetadata, m_receivedHead, m_answerBytes, std::exchange(m_bufferedBody, {}), m_events };
+    m_events.dropPartial();
+    m_silentUpstream = std::make_unique<SilentUpstream>(std::move(m_upstreamExchange), std::move(progress), [this] { releaseSilentUpstream(); });
+    m_silentTimer = m_dispatcher.loop().at(m_dispatcher.now() + silentUpstreamHold, [weak = weak_from_this()] {
+        if (auto self = weak.lock())
+            self->releaseSilentUpstream();
+    });
+}
+
+void ProxiedCall::releaseSilentUpstream()
+{
+    m_dispatcher.loop().cancel(m_silentTimer);
+    if (auto silent = std::move(m_silentUpstream))
+        countUpstreamEnded(silent->progress().upstream, silent->progress().receivedHead, silent->progress().metadata);
+}
+
+bool ProxiedCall::returnToSilentUpstream()
+{
+    if (!m_silentUpstream)
+        return false;
+    m_dispatcher.loop().cancel(m_silentTimer);
+    leaveUpstream();
+    auto silent = std::move(m_silentUpstream);
+    UpstreamProgress progress = silent->takeProgress();
+    base::LogLine("call_returned").add("id", m_call.id).add("from", m_upstream).add("to", progress.upstream);
+    m_upstream = progress.upstream;
+    m_upstreamStart = progress.start;
+    m_lastSent = progress.sent;
+    m_observed = progress.observed;
+    m_firstEventHere = progress.firstEvent;
+    m_responseHead = std::move(progress.head);
+    m_responseMetadata = std::move(progress.metadata);
+    m_receivedHead = progress.receivedHead;
+    m_answerBytes = progress.answerBytes;
+    m_bufferedBody = std::move(progress.bufferedBody);
+    m_events = std::move(progress.events);
+    m_passThrough = false;
+    m_phase = m_firstByte ? Phase::Delivering : Phase::Sent;
+    m_upstreamExchange = silent->takeExchange(this);
+    if (m_memoryHolder && m_dispatcher.callerMemory().paused(*m_memoryHolder))
+        setUpstreamReading(false);
+    return true;
+}
+
+bool ProxiedCall::answerIsUsable() const
+{
+    bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
+    if (foreign || m_responseMetadata.notRun || m_responseHead.status >= firstServerErrorStatus || m_responseHead.status == statusTooManyRequests)
+        return false;
+    return m_responseHead.status < firstRedirectStatus ? m_responseMetadata.hasSignature : !m_firstByte;
+}
+
 void ProxiedCall::onHead(http1::ResponseHead head)
 {
     stayAtUpstream();
@@ -538,6 +609,8 @@
     m_bufferedBody.clear();
     m_passThrough = false;
     m_answerBytes = 0;
+    if (answerIsUsable())
+        releaseSilentUpstream();
 }
 
 void ProxiedCall::onBody(std::string_view piece)
@@ -627,7 +700,7 @@
     stayAtUpstream();
     m_endedWithinEvent = m_events.hasPartial();
     if (!m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id) {
-        fail("the answer belongs to another request");
+        failAtUpstream("the answer belongs to another request");
         return;
     }
     if (m_responseMetadata.notRun) {
@@ -639,12 +712,12 @@
         return;
     }
     if (m_responseHead.status < firstRedirectStatus && !m_responseMetadata.hasSignature) {
-        fail("the upstream does not vouch for its answer");
+        failAtUpstream("the upstream does not vouch for its answer");
         return;
     }
     bool streamed = m_phase == Phase::Delivering;
     if (streamed && m_responseHead.status >= firstRedirectStatus) {
-        fail("the upstream that was to go on with the stream refused");
+        failAtUpstream("the upstream that was to go on with the stream refused");
         return;
     }
     if (m_responseHead.status < firstRedirectStatus && m_responseMetadata.streaming && streamEndedEarly()) {
@@ -682,6 +755,8 @@
     // It may take the call once its pause has ended.
     if (m_responseMetadata.retryAfter)
         m_triedUpstreams.erase(m_upstream);
+    if (returnToSilentUpstream())
+        return;
     // The target is no longer loaded there, or not yet, so another attempt is worthwhile.
     if (m_sends < maxSends && timeLeft() > minRunTime && tryReserveRetry("rejected")) {
         dispatchOrWait();
@@ -736,6 +811,8 @@
 void ProxiedCall::onServerError()
 {
     m_dispatcher.upstreams().onFailure(m_upstream, m_dispatcher.now());
+    if (returnToSilentUpstream())
+        return;
     if (m_phase != Phase::Delivering && tryRetry("failed")) {
         dispatchOrWait();
         return;
@@ -766,6 +843,10 @@
         }
         m_dispatcher.upstreams().onUnreachable(m_upstream, m_dispatcher.now());
         base::LogLine("upstream_unreachable").add("id", m_call.id).add("upstream", m_upstream);
+        if (returnToSilentUpstream()) {
+            cancelReservedRetry();
+            return;
+        }
         if (m_sends < maxSends && timeLeft() > minRunTime)
             dispatchOrWait();
         else
@@ -775,6 +856,8 @@
     m_dispatcher.upstreams().onFailure(m_upstream, m_dispatcher.now());
     if (breakage == http1::Breakage::Broken)
         m_dispatcher.reportSuspectedCrash(*this, suspectedTraits());
+    if (returnToSilentUpstream())
+        return;
     m_events.dropPartial();
     bool resumable = m_route->resumable && m_responseMetadata.streaming && !m_events.lastId().empty();
     // It may have crashed this upstream, like an earlier one.
@@ -806,8 +889,19 @@
     if (!waitsToMove())
         return;
     m_dispatcher.dequeue(*this);
-    m_retryReserved = false;
-    m_dispatcher.retryBudget().cancel(m_service);
+    cancelReservedRetry();
+}
+
+void ProxiedCall::cancelReservedRetry()
+{
+    if (std::exchange(m_retryReserved, false))
+        m_dispatcher.retryBudget().cancel(m_service);
+}
+
+void ProxiedCall::failAtUpstream(std::string_view reason)
+{
+    if (!returnToSilentUpstream())
+        fail(reason);
 }
 
 void ProxiedCall::fail(std::string_view reason)
@@ -926,8 +1020,7 @@
     m_phase = Phase::Done;
     if (m_tokenQueueNumber)
         m_dispatcher.leaveTokenQueue(*m_tokenQueueNumber);
-    if (m_retryReserved)
-        m_dispatcher.retryBudget().cancel(m_service);
+    cancelReservedRetry();
     m_dispatcher.loop().cancel(m_timer);
     if (m_memoryHolder)
         m_dispatcher.callerMemory().onCallEnded(*std::exchange(m_memoryHolder, std::nullopt));
--- a/packages/direct/src/ProxiedCall.h
+++ b/packages/direct/src/ProxiedCall.h
@@ -9,6 +9,7 @@
 
 #include "CallDispatcher.h"
 #include "EventSplitter.h"
+#include "SilentUpstream.h"
 
 namespace toucanstep::direct {
 
@@ -108,7 +109,17 @@
     void send(const base::UpstreamId&);
     std::string requestHead(const base::UpstreamId&) const;
     void releaseUpstream();
+    // Ends the exchange with the current upstream alone.
+    void leaveUpstream();
+    void countUpstreamEnded(const base::UpstreamId&, bool receivedHead, const ResponseMetadata&);
     void dispatchOrWait();
+    // The call is about to be offered to another upstream, and may return to the current one for a while.
+    void keepSilentUpstream();
+    void releaseSilentUpstream();
+    // The upstream that the call was offered to does not take it. Returns whether the call went back to the silent one.
+    bool returnToSilentUpstream();
+    // The current upstream's answer, which has begun, is one that can go to the caller.
+    bool answerIsUsable() const;
 
     void onRejected();
     void onServerError();
@@ -133,6 +144,9 @@
     bool waitsToMove() const { return inFlight() && m_retryReserved; }
     // The silent upstream has gone on.
     void stayAtUpstream();
+    void cancelReservedRetry();
+    // Goes back to the silent upstream, or fails.
+    void failAtUpstream(std::string_view reason);
     void fail(std::string_view reason);
     void onDeadline();
     void onCallerGone();
@@ -194,6 +208,8 @@
     StartId m_upstreamStart;
     ObservedCall m_observed;
     std::unique_ptr<http1::Exchange> m_upstreamExchange;
+    std::unique_ptr<SilentUpstream> m_silentUpstream;
+    io::EventLoop::TimerId m_silentTimer = 0;
     int64_t m_sends = 0;
     // Upstreams on which the call has run or may have run.
     int64_t m_possibleRuns = 0;
--- a/packages/http1/include/toucanstep/http1/Client.h
+++ b/packages/http1/include/toucanstep/http1/Client.h
@@ -50,6 +50,8 @@
     virtual void setReading(bool) = 0;
     // Reads once, also without reading.
     virtual void readPiece(size_t most) = 0;
+    // What comes from now on is told to this one.
+    virtual void setListener(ExchangeListener*) = 0;
 };
 
 // Who is called. Connections are kept by `peer` and endpoint, so that a server which got another's address is not taken for it.
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -69,6 +69,11 @@
         if (exchange == m_exchange && m_listener && connection)
             connection->readPiece(most);
     }
+    void setListener(uint64_t exchange, ExchangeListener* listener)
+    {
+        if (exchange == m_exchange && m_listener)
+            m_listener = listener;
+    }
 
     const Peer& peer() const { return m_peer; }
     base::Instant useUntil() const { return m_useUntil; }
@@ -286,6 +291,7 @@
     void cancel() override { m_connection->cancel(m_number); }
     void setReading(bool reading) override { m_connection->setReading(m_number, reading); }
     void readPiece(size_t most) override { m_connection->readPiece(m_number, most); }
+    void setListener(ExchangeListener* listener) override { m_connection->setListener(m_number, listener); }
 
 private:
     std::shared_ptr<ClientConnection> m_connection;
