--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -266,11 +266,11 @@
     if (now > stop.intakeEnd())
         m_callerServer->stop();
     size_t unsent = m_callerServer->unsentBytes();
-    // What the gateway still holds of an answer is lost with the process, and so is a request that it has begun to read.
-    bool idle = now > stop.intakeEnd() && !m_calls.running() && !m_callerServer->connections() && !unsent;
+    // What is not acknowledged of an answer may be lost with the process, and so is a request that it has begun to read.
+    bool idle = now > stop.intakeEnd() && !m_calls.running() && !m_callerServer->connections() && !m_callerServer->closingConnections() && !unsent;
     bool drained = idle || now > stop.end();
     if (drained && !m_drained)
-        base::LogLine("drained").add("cause", idle ? "idle" : "grace").add("after_ms", base::toMilliseconds(now - stop.noticed())).add("running", m_calls.running()).add("connections", m_callerServer->connections()).add("unsent_bytes", unsent);
+        base::LogLine("drained").add("cause", idle ? "idle" : "grace").add("after_ms", base::toMilliseconds(now - stop.noticed())).add("running", m_calls.running()).add("connections", m_callerServer->connections()).add("closing", m_callerServer->closingConnections()).add("unsent_bytes", unsent);
     m_drained = drained;
 }
 
--- a/packages/http1/include/toucanstep/http1/Server.h
+++ b/packages/http1/include/toucanstep/http1/Server.h
@@ -105,6 +105,8 @@
     // Bytes of answers that callers have not taken yet, also on connections that close after them.
     virtual size_t unsentBytes() const = 0;
     virtual size_t connections() const = 0;
+    // Connections that close once their callers have acknowledged the last answer; not among connections().
+    virtual size_t closingConnections() const = 0;
     virtual base::Endpoint endpoint() const = 0;
 };
 
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -4,6 +4,7 @@
 #include "toucanstep/http1/Parser.h"
 #include "toucanstep/io/Connection.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/epoll.h>
@@ -203,6 +204,13 @@
         return bytes;
     }
     size_t connections() const override { return m_connections.size(); }
+    size_t closingConnections() const override
+    {
+        return static_cast<size_t>(std::count_if(m_draining.begin(), m_draining.end(), [](const auto& draining) {
+            auto connection = draining.lock();
+            return connection && connection->isOpen();
+        }));
+    }
     base::Endpoint endpoint() const override { return m_endpoint; }
 
     const ServerBounds& bounds() const { return m_bounds; }
@@ -400,9 +408,9 @@
 {
     auto self = shared_from_this();
     m_finished = true;
-    if (m_connection->unsentBytes())
-        m_server.addDraining(m_connection);
     m_connection->closeWhenDrained();
+    if (m_connection->isOpen())
+        m_server.addDraining(m_connection);
     m_server.remove(m_id);
 }
 
