--- a/packages/io/src/EventLoop.cpp
+++ b/packages/io/src/EventLoop.cpp
@@ -127,12 +127,15 @@
     std::array<epoll_event, eventsPerWait> events {};
     while (true) {
         runPosted();
-        runDueTimers();
         {
             std::lock_guard lock(m_mutex);
             if (m_stopping && m_posted.empty())
                 return;
+            // Timers may post further tasks without end.
+            if (m_stopping)
+                continue;
         }
+        runDueTimers();
         int count = epoll_wait(m_epoll, events.data(), eventsPerWait, millisecondsToNextTimer());
         PCHECK(count >= 0 || errno == EINTR);
         for (int index = 0; index < count; ++index) {
