--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -136,6 +136,7 @@
     void forEachPossibleCause(base::Instant now, Visitor) const;
     static bool explainsBetter(const Candidate&, const Candidate&);
     static std::optional<CallTrait> verdict(const std::vector<Candidate>&);
+    static void logUndecided(const std::vector<Candidate>&);
     bool hasRefusedTrait(const CallTraits&, base::Instant now) const;
     bool isStruck(CallTrait trait) const { return m_strikes.contains(trait.value()); }
     void countStrikes(const CallTraits&, int64_t change);
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -1,6 +1,7 @@
 #include "toucanstep/direct/CrashAttribution.h"
 
 #include "toucanstep/base/Digest.h"
+#include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
@@ -116,7 +117,8 @@
 void CrashAttribution::clear(CallTrait trait, base::Instant now)
 {
     remember(trait, now);
-    m_refusals.erase(trait);
+    if (m_refusals.erase(trait))
+        base::LogLine("refusal_cleared").add("trait", trait).add("source", "answer");
     m_clearingsTold.try_emplace(trait, now + tellingTime);
 }
 
@@ -346,14 +348,29 @@
         if (isRevisable(current->second, now))
             revised.insert(m_refusals.extract(current));
     }
-    while (auto trait = verdict(candidates(now))) {
+    std::vector<Candidate> undecided = candidates(now);
+    while (auto trait = verdict(undecided)) {
         if (auto known = revised.find(*trait); known != revised.end())
             m_refusals.insert(revised.extract(known));
         else
             refuse(*trait, now + refusalTime, now, now);
+        undecided = candidates(now);
     }
-    for (const auto& [trait, refusal] : revised)
+    for (const auto& [trait, refusal] : revised) {
         m_withdrawn[trait] = now + withdrawalMemory;
+        base::LogLine("refusal_withdrawn").add("trait", trait);
+    }
+    if (!undecided.empty())
+        logUndecided(undecided);
+}
+
+void CrashAttribution::logUndecided(const std::vector<Candidate>& candidates)
+{
+    constexpr size_t maxLogged = 8;
+    std::string traits;
+    for (size_t index = 0; index < std::min(candidates.size(), maxLogged); ++index)
+        traits += base::concat(index ? "," : "", candidates[index].trait);
+    base::LogLine("crashes_undecided").add("candidates", candidates.size()).add("independent", candidates.front().independentCrashes).add("traits", traits);
 }
 
 CrashNews CrashAttribution::news(bool everything, base::Instant now)
@@ -395,7 +412,8 @@
     for (CallTrait trait : news.cleared) {
         changed |= !isCleared(trait);
         remember(trait, now);
-        m_refusals.erase(trait);
+        if (m_refusals.erase(trait))
+            base::LogLine("refusal_cleared").add("trait", trait).add("source", "peer");
     }
     for (const CrashReport& report : news.crashes) {
         if (!addSuspects(report.crash, now - report.age, report.suspects, false, now))
--- a/packages/direct/src/CrashDetector.cpp
+++ b/packages/direct/src/CrashDetector.cpp
@@ -1,5 +1,7 @@
 #include "toucanstep/direct/CrashDetector.h"
 
+#include "toucanstep/base/LogLine.h"
+
 #include <algorithm>
 
 namespace toucanstep::direct {
@@ -17,7 +19,12 @@
 {
     if (m_suspected.empty())
         return;
-    std::erase_if(m_suspected, [&](const SuspectedCrash& suspected) { return suspected.upstream == upstream && now - suspected.disconnectedAt > inTransitTime; });
+    std::erase_if(m_suspected, [&](const SuspectedCrash& suspected) {
+        bool alive = suspected.upstream == upstream && now - suspected.disconnectedAt > inTransitTime;
+        if (alive)
+            base::LogLine("crash_disproved").add("upstream", upstream).add("request", suspected.call.request).add("after_ms", base::toMilliseconds(now - suspected.disconnectedAt));
+        return alive;
+    });
 }
 
 std::vector<SuspectedCrash> CrashDetector::takeConfirmed(base::Instant now)
