--- a/packages/direct/test/CrashAttributionTest.cpp
+++ b/packages/direct/test/CrashAttributionTest.cpp
@@ -74,6 +74,42 @@
     CHECK_FALSE(refuses(neighbour));
 }
 
+// Guards against a request that goes on crashing upstreams since a call that was beside it each time is blamed in its place.
+TEST(CrashAttribution, OfRequestsThatWereInTheSameThreeCrashesNoneIsSpared)
+{
+    CallTraits first = callWith(1, {});
+    CallTraits last = callWith(2, {});
+    for (int number = 1; number <= 3; ++number)
+        crash({ first, last });
+    CHECK_TRUE(refuses(first));
+    CHECK_TRUE(refuses(last));
+}
+
+// Guards against a request that is served again after three crashes, since one that was beside it was in a fourth.
+TEST(CrashAttribution, ARequestThatWasInThreeCrashesStaysRefused)
+{
+    CallTraits crashingRequest = callWith(1, {});
+    CallTraits neighbour = callWith(2, {});
+    for (int number = 1; number <= 3; ++number)
+        crash({ crashingRequest, neighbour });
+    crash({ neighbour });
+    CHECK_TRUE(refuses(crashingRequest));
+}
+
+// Guards against a request that crashes an upstream every minute and is never refused.
+TEST(CrashAttribution, CrashesOfOneRequestCountForMinutes)
+{
+    CallTraits repeated = callWith(1, {});
+    base::Instant time = start;
+    for (int number = 1; number <= 3; ++number) {
+        CHECK_FALSE(attribution.refuses(repeated, time) && number < 2);
+        attribution.onCrash(crashId(number), time, { repeated }, time);
+        time += 61 * second;
+        attribution.expire(time);
+    }
+    CHECK_TRUE(attribution.refuses(repeated, time));
+}
+
 // Guards against the refusal of a harmless part that calls have had at each crash by chance.
 TEST(CrashAttribution, AnAnswerClearsThePartsOfItsCall)
 {
