--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -7,7 +7,8 @@
 // enough crashes have it in common.
 //
 // A crash that a refused trait explains is no evidence against the other calls that ran there. Crashes that happen at the same time count
-// as one, since a common cause, such as a lost network link, is more likely than several calls.
+// as one, since a common cause, such as a lost network link, is more likely than several calls. That does not hold for a request that was
+// sent again after the first of them.
 //
 // The verdict depends only on the crashes and clearings that a gateway has heard of. Their merging is commutative and idempotent, so
 // gateways that have heard the same refuse the same.
@@ -41,13 +42,19 @@
     std::vector<CallTrait> parts;
 };
 
+// A call that ran at an upstream when it crashed.
+struct CrashSuspect {
+    CallTraits traits;
+    // From its sending to the crash; nothing if that is not known.
+    std::optional<base::Duration> inFlight;
+};
+
 // What gateways tell each other.
 struct CrashReport {
     routing::CrashId crash;
     // Since the crash.
     base::Duration age {};
-    // The calls that ran at the upstream.
-    std::vector<CallTraits> suspects;
+    std::vector<CrashSuspect> suspects;
 };
 
 struct TraitRefusal {
@@ -64,7 +71,7 @@
 class CrashAttribution {
 public:
     // The upstream has crashed while these calls of this gateway were in flight.
-    void onCrash(const routing::CrashId&, base::Instant crashedAt, const std::vector<CallTraits>&, base::Instant now);
+    void onCrash(const routing::CrashId&, base::Instant crashedAt, const std::vector<CrashSuspect>&, base::Instant now);
     // An answer has shown that the call's traits crash nothing.
     void onCleared(const CallTraits&, base::Instant now);
     // Whether a call with these traits is refused. Refusals that still happen keep the trait refused.
@@ -95,7 +102,7 @@
     struct Crash {
         base::Instant crashedAt;
         // By request.
-        std::map<CallTrait, CallTraits> suspects;
+        std::map<CallTrait, CrashSuspect> suspects;
         // Of this gateway's own calls.
         std::set<CallTrait> own;
         base::Instant toldUntil;
@@ -119,7 +126,16 @@
         std::set<CallTrait> requests;
     };
 
-    bool addSuspects(const routing::CrashId&, base::Instant crashedAt, const std::vector<CallTraits>&, bool own, base::Instant now);
+    // When and after which sending a request was in a crash.
+    struct Occurrence {
+        base::Instant crashedAt;
+        std::optional<base::Instant> sentAt;
+    };
+
+    bool addSuspects(const routing::CrashId&, base::Instant crashedAt, const std::vector<CrashSuspect>&, bool own, base::Instant now);
+    static Occurrence occurrenceOf(const Crash&, const CrashSuspect&);
+    // Crashes that no common cause can explain: they lie apart in time, or the request was sent again after the crash before.
+    static int64_t countIndependent(std::vector<Occurrence>&);
     void clear(CallTrait, base::Instant now);
     void remember(CallTrait, base::Instant now);
     void refuse(CallTrait, base::Instant until, std::optional<base::Instant> judgedAt, base::Instant now);
--- a/packages/direct/include/toucanstep/direct/CrashDetector.h
+++ b/packages/direct/include/toucanstep/direct/CrashDetector.h
@@ -21,6 +21,7 @@
     base::UpstreamId upstream;
     StartId start;
     CallTraits call;
+    base::Instant sentAt;
     base::Instant disconnectedAt;
 };
 
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -16,6 +16,9 @@
 constexpr auto queuePassDelay = std::chrono::milliseconds(2);
 // The planner reports several times a second; without a report for this long it counts as absent.
 constexpr auto plannerReportLifetime = std::chrono::milliseconds(1500);
+// That a call had been sent still longer before a crash makes no difference.
+constexpr auto maxTimeInFlight = std::chrono::hours(1);
+
 } // namespace
 
 CallDispatcher::CallDispatcher(io::EventLoop& loop, http1::Client& client, const WireFormat& format, base::MetricsRegistry& metrics, CallDispatcherSettings settings)
@@ -472,7 +475,7 @@
     base::LogLine line("crash_suspected");
     line.add("upstream", call.upstream()).add("id", call.id()).add("sent_ms_ago", base::toMilliseconds(now() - call.lastSent())).add("events_for_ms", call.firstByte() ? base::toMilliseconds(now() - *call.firstByte()) : -1);
     line.add("request", suspect.request).add("prompt", call.promptText()).add("traits", absl::StrJoin(suspect.parts, ",", absl::StreamFormatter()));
-    m_crashDetector.onConnectionLost({ call.upstream(), entry ? entry->description.start : StartId(), std::move(suspect), now() });
+    m_crashDetector.onConnectionLost({ call.upstream(), entry ? entry->description.start : StartId(), std::move(suspect), call.lastSent(), now() });
 }
 
 void CallDispatcher::attributeConfirmedCrashes()
@@ -481,12 +484,14 @@
     for (auto& crashed : m_crashDetector.takeConfirmed(now()))
         confirmed[routing::CrashId(base::concat(crashed.upstream, "/", crashed.start))].push_back(std::move(crashed));
     for (const auto& [crash, suspected] : confirmed) {
-        std::vector<CallTraits> calls;
+        std::vector<CrashSuspect> calls;
+        // Of several calls that broke off one after the other, the first tells the time of the crash.
+        base::Instant crashedAt = suspected.front().disconnectedAt;
         for (const auto& each : suspected)
-            calls.push_back(each.call);
+            calls.push_back({ each.call, std::clamp<base::Duration>(crashedAt - each.sentAt, base::Duration::zero(), maxTimeInFlight) });
         base::LogLine("crash_confirmed").add("crash", crash).add("calls", calls.size());
         m_metrics.count("toucanstep_upstream_crashes_total");
-        m_crashes.onCrash(crash, suspected.front().disconnectedAt, calls, now());
+        m_crashes.onCrash(crash, crashedAt, calls, now());
     }
     refuseCrashingCalls();
 }
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -19,6 +19,8 @@
 constexpr size_t minRequestsOfPart = 2;
 // Crashes that follow each other within this time may have a common cause other than a call.
 constexpr auto sameCauseTime = std::chrono::milliseconds(50);
+// What peers tell is rounded to milliseconds, and their reports take some time to arrive.
+constexpr auto toldTimeError = std::chrono::milliseconds(5);
 constexpr auto crashMemory = std::chrono::seconds(60);
 // After the last call that was refused.
 constexpr auto refusalTime = std::chrono::minutes(10);
@@ -47,26 +49,32 @@
     return CallTrait(static_cast<int64_t>(std::strtoull(digest.c_str(), nullptr, hexadecimal)));
 }
 
-int64_t countIndependent(std::vector<base::Instant>& crashTimes)
+} // namespace
+
+CallTrait requestTrait(const routing::RequestFingerprint& fingerprint) { return digestOf(base::concat("request\n", fingerprint)); }
+CallTrait partTrait(std::string_view hash) { return digestOf(base::concat("part\n", hash)); }
+
+CrashAttribution::Occurrence CrashAttribution::occurrenceOf(const Crash& crash, const CrashSuspect& suspect)
+{
+    return { crash.crashedAt, suspect.inFlight ? std::optional(crash.crashedAt - *suspect.inFlight) : std::nullopt };
+}
+
+int64_t CrashAttribution::countIndependent(std::vector<Occurrence>& occurrences)
 {
-    std::sort(crashTimes.begin(), crashTimes.end());
+    std::sort(occurrences.begin(), occurrences.end(), [](const auto& left, const auto& right) { return left.crashedAt < right.crashedAt; });
     int64_t count = 0;
-    std::optional<base::Instant> last;
-    for (base::Instant time : crashTimes) {
-        if (last && time - *last < sameCauseTime)
+    base::Instant last;
+    for (const Occurrence& occurrence : occurrences) {
+        bool sentAgain = occurrence.sentAt && *occurrence.sentAt + toldTimeError >= last;
+        if (count && occurrence.crashedAt - last < sameCauseTime && !sentAgain)
             continue;
         ++count;
-        last = time;
+        last = occurrence.crashedAt;
     }
     return count;
 }
 
-} // namespace
-
-CallTrait requestTrait(const routing::RequestFingerprint& fingerprint) { return digestOf(base::concat("request\n", fingerprint)); }
-CallTrait partTrait(std::string_view hash) { return digestOf(base::concat("part\n", hash)); }
-
-void CrashAttribution::onCrash(const routing::CrashId& crash, base::Instant crashedAt, const std::vector<CallTraits>& suspects, base::Instant now)
+void CrashAttribution::onCrash(const routing::CrashId& crash, base::Instant crashedAt, const std::vector<CrashSuspect>& suspects, base::Instant now)
 {
     if (addSuspects(crash, crashedAt, suspects, true, now))
         judge(now);
@@ -74,7 +82,7 @@
         known->second.toldUntil = now + tellingTime;
 }
 
-bool CrashAttribution::addSuspects(const routing::CrashId& id, base::Instant crashedAt, const std::vector<CallTraits>& suspects, bool own, base::Instant now)
+bool CrashAttribution::addSuspects(const routing::CrashId& id, base::Instant crashedAt, const std::vector<CrashSuspect>& suspects, bool own, base::Instant now)
 {
     if (crashedAt + crashMemory <= now)
         return false;
@@ -82,15 +90,22 @@
     Crash& crash = place->second;
     crash.crashedAt = isNew ? crashedAt : std::min(crash.crashedAt, crashedAt);
     bool changed = false;
-    for (const CallTraits& suspect : suspects) {
-        if (crash.suspects.size() >= maxSuspectsPerCrash)
+    for (const CrashSuspect& suspect : suspects) {
+        CallTrait request = suspect.traits.request;
+        auto known = crash.suspects.find(request);
+        if (known == crash.suspects.end() && crash.suspects.size() >= maxSuspectsPerCrash)
             break;
         if (own)
-            crash.own.insert(suspect.request);
-        if (!crash.suspects.emplace(suspect.request, suspect).second)
-            continue;
-        countStrikes(suspect, 1);
-        changed = true;
+            crash.own.insert(request);
+        if (known == crash.suspects.end()) {
+            crash.suspects.emplace(request, suspect);
+            countStrikes(suspect.traits, 1);
+            changed = true;
+        } else if (suspect.inFlight && (!known->second.inFlight || *suspect.inFlight < *known->second.inFlight)) {
+            // Of several calls that are alike, the one that was sent last.
+            known->second.inFlight = suspect.inFlight;
+            changed = true;
+        }
     }
     if (m_crashes.size() > maxCrashes) {
         forget(std::min_element(m_crashes.begin(), m_crashes.end(), [](const auto& left, const auto& right) { return left.second.crashedAt < right.second.crashedAt; }));
@@ -152,7 +167,7 @@
 std::map<routing::CrashId, CrashAttribution::Crash>::iterator CrashAttribution::forget(std::map<routing::CrashId, Crash>::iterator crash)
 {
     for (const auto& [request, suspect] : crash->second.suspects)
-        countStrikes(suspect, -1);
+        countStrikes(suspect.traits, -1);
     return m_crashes.erase(crash);
 }
 
@@ -244,7 +259,7 @@
 void CrashAttribution::forEachPossibleCause(base::Instant now, Visitor visit) const
 {
     auto hasRefusedPart = [&](const auto& suspect) {
-        const auto& parts = suspect.second.parts;
+        const auto& parts = suspect.second.traits.parts;
         return std::any_of(parts.begin(), parts.end(), [&](CallTrait part) { return isRefused(part, now); });
     };
     auto isRefusedRequest = [&](const auto& suspect) { return isRefused(suspect.first, now); };
@@ -262,21 +277,22 @@
 
 std::vector<CrashAttribution::Candidate> CrashAttribution::candidates(base::Instant now) const
 {
-    absl::flat_hash_map<int64_t, std::vector<base::Instant>> crashTimes;
-    forEachPossibleCause(now, [&](const Crash& crash, const CallTraits& traits) {
-        auto add = [&](CallTrait trait) {
+    absl::flat_hash_map<int64_t, std::vector<Occurrence>> occurrences;
+    forEachPossibleCause(now, [&](const Crash& crash, const CrashSuspect& suspect) {
+        auto add = [&](CallTrait trait, const Occurrence& occurrence) {
             if (!isCleared(trait) && !isRefused(trait, now))
-                crashTimes[trait.value()].push_back(crash.crashedAt);
+                occurrences[trait.value()].push_back(occurrence);
         };
-        add(traits.request);
-        for (CallTrait part : traits.parts)
-            add(part);
+        add(suspect.traits.request, occurrenceOf(crash, suspect));
+        // Some call with a part that many calls share is always sent between two crashes.
+        for (CallTrait part : suspect.traits.parts)
+            add(part, { crash.crashedAt, std::nullopt });
     });
 
     int64_t most = minCrashesOfRequest;
     std::map<CallTrait, Candidate> found;
-    for (auto& [trait, times] : crashTimes) {
-        int64_t independent = countIndependent(times);
+    for (auto& [trait, crashes] : occurrences) {
+        int64_t independent = countIndependent(crashes);
         if (independent < most)
             continue;
         if (independent > most)
@@ -299,7 +315,8 @@
         candidate.crashTimes.insert(crash.crashedAt);
         candidate.requests.insert(request);
     };
-    forEachPossibleCause(now, [&](const Crash& crash, const CallTraits& traits) {
+    forEachPossibleCause(now, [&](const Crash& crash, const CrashSuspect& suspect) {
+        const CallTraits& traits = suspect.traits;
         describe(traits.request, false, 0, crash, traits.request);
         for (size_t index = 0; index < traits.parts.size(); ++index)
             describe(traits.parts[index], true, index, crash, traits.request);
@@ -384,9 +401,10 @@
         for (const auto& [request, suspect] : crash.suspects) {
             if (!everything && !crash.own.contains(request))
                 continue;
-            CallTraits told { request, {} };
-            std::copy_if(suspect.parts.begin(), suspect.parts.end(), std::back_inserter(told.parts), [&](CallTrait part) { return !isCleared(part); });
-            traits += 1 + told.parts.size();
+            CrashSuspect told { { request, {} }, suspect.inFlight };
+            const auto& parts = suspect.traits.parts;
+            std::copy_if(parts.begin(), parts.end(), std::back_inserter(told.traits.parts), [&](CallTrait part) { return !isCleared(part); });
+            traits += 1 + told.traits.parts.size();
             if (traits > maxTraitsTold)
                 break;
             report.suspects.push_back(std::move(told));
@@ -419,8 +437,8 @@
         if (!addSuspects(report.crash, now - report.age, report.suspects, false, now))
             continue;
         changed = true;
-        for (const CallTraits& suspect : report.suspects) {
-            for (CallTrait part : suspect.parts) {
+        for (const CrashSuspect& suspect : report.suspects) {
+            for (CallTrait part : suspect.traits.parts) {
                 if (isCleared(part))
                     m_clearingsTold.try_emplace(part, now + tellingTime);
             }
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -47,18 +47,27 @@
 }
 
 // Each with its request and its parts.
-Json encode(const std::vector<CallTraits>& suspects)
+Json encodeTraits(const std::vector<CrashSuspect>& suspects)
 {
     Json list = Json::array();
     for (const auto& suspect : suspects) {
-        Json entry = Json::array({ suspect.request.value() });
-        for (const auto& part : suspect.parts)
+        Json entry = Json::array({ suspect.traits.request.value() });
+        for (const auto& part : suspect.traits.parts)
             entry.push_back(part.value());
         list.push_back(std::move(entry));
     }
     return list;
 }
 
+// In the same order; an unknown time is a negative number.
+Json encodeInFlight(const std::vector<CrashSuspect>& suspects)
+{
+    Json list = Json::array();
+    for (const auto& suspect : suspects)
+        list.push_back(suspect.inFlight ? inMilliseconds(*suspect.inFlight) : -1);
+    return list;
+}
+
 // Without calls that wait, the report is the same as without this entry. Of more accounts than these, the other gateways count the
 // calls as those of one account.
 Json encodeWaitingAccounts(const LoadReport& report)
@@ -113,7 +122,7 @@
         availability.push_back({ heard.upstream.value(), heard.start.value(), heard.leaving, inMilliseconds(heard.pauseLeft) });
     Json crashes = Json::array();
     for (const auto& crash : report.crashes.crashes)
-        crashes.push_back({ crash.crash.value(), inMilliseconds(crash.age), encode(crash.suspects) });
+        crashes.push_back({ crash.crash.value(), inMilliseconds(crash.age), encodeTraits(crash.suspects), encodeInFlight(crash.suspects) });
     Json cleared = Json::array();
     for (const auto& trait : report.crashes.cleared)
         cleared.push_back(trait.value());
@@ -232,11 +241,20 @@
 {
     CrashReport crash { asText<routing::CrashId>(value.at(0)), asDuration(value.at(1)), {} };
     for (const Json& entry : value.at(2)) {
-        CallTraits suspect { asNumber<CallTrait>(entry.at(0)), {} };
+        CrashSuspect suspect { { asNumber<CallTrait>(entry.at(0)), {} }, {} };
         for (size_t index = 1; index < entry.size(); ++index)
-            suspect.parts.push_back(asNumber<CallTrait>(entry.at(index)));
+            suspect.traits.parts.push_back(asNumber<CallTrait>(entry.at(index)));
         crash.suspects.push_back(std::move(suspect));
     }
+    // Earlier builds do not send it.
+    constexpr size_t inFlightIndex = 3;
+    if (value.size() <= inFlightIndex)
+        return crash;
+    const Json& inFlight = value.at(inFlightIndex);
+    for (size_t index = 0; index < crash.suspects.size(); ++index) {
+        if (asInteger(inFlight.at(index)) >= 0)
+            crash.suspects[index].inFlight = asDuration(inFlight.at(index));
+    }
     return crash;
 }
 
--- a/packages/direct/test/CrashAttributionTest.cpp
+++ b/packages/direct/test/CrashAttributionTest.cpp
@@ -20,6 +20,13 @@
 constexpr CallTrait crashing(3);
 
 CallTraits callWith(int64_t request, std::vector<CallTrait> parts) { return { CallTrait(1000 + request), std::move(parts) }; }
+std::vector<CrashSuspect> asSuspects(const std::vector<CallTraits>& calls, std::optional<base::Duration> inFlight = {})
+{
+    std::vector<CrashSuspect> suspects;
+    for (const CallTraits& call : calls)
+        suspects.push_back({ call, inFlight });
+    return suspects;
+}
 routing::CrashId crashId(int number) { return routing::CrashId("i-" + std::to_string(number) + "/1"); }
 
 } // namespace
@@ -33,7 +40,7 @@
     void crash(const std::vector<CallTraits>& calls, CrashAttribution* at = nullptr)
     {
         base::Instant crashedAt = now();
-        (at ? at : &attribution)->onCrash(crashId(++crashes), crashedAt, calls, crashedAt);
+        (at ? at : &attribution)->onCrash(crashId(++crashes), crashedAt, asSuspects(calls), crashedAt);
     }
     base::Instant now() const { return start + crashes * second; }
     bool refuses(const CallTraits& call) { return attribution.refuses(call, now()); }
@@ -103,7 +110,7 @@
     base::Instant time = start;
     for (int number = 1; number <= 3; ++number) {
         CHECK_FALSE(attribution.refuses(repeated, time) && number < 2);
-        attribution.onCrash(crashId(number), time, { repeated }, time);
+        attribution.onCrash(crashId(number), time, asSuspects({ repeated }), time);
         time += 61 * second;
         attribution.expire(time);
     }
@@ -140,16 +147,32 @@
 TEST(CrashAttribution, ConnectionsThatBreakTogetherCountAsOneCrash)
 {
     for (int number = 1; number <= 10; ++number)
-        attribution.onCrash(crashId(number), start + number * 5 * millisecond, { callWith(number, { document }), callWith(50, {}) }, start + second);
+        attribution.onCrash(crashId(number), start + number * 5 * millisecond, asSuspects({ callWith(number, { document }), callWith(50, {}) }, second), start + second);
     CHECK_FALSE(attribution.refuses(callWith(99, { document }), start + second));
     CHECK_FALSE(attribution.refuses(callWith(50, {}), start + second));
 }
 
+// Guards against a request that the gateway itself sends again at once, so that its crashes seem to have a common cause.
+TEST(CrashAttribution, ACrashOfARequestThatWasSentAgainIsIndependentOfTheOneBefore)
+{
+    CallTraits repeated = callWith(1, {});
+    CallTraits neighbour = callWith(2, {});
+    std::vector<CrashAttribution> gateways(2);
+    base::Instant sentAt = start;
+    for (auto crashedAt : { start + 35 * millisecond, start + 72 * millisecond, start + 229 * millisecond }) {
+        gateways[0].onCrash(crashId(++crashes), crashedAt, asSuspects({ repeated, neighbour }, crashedAt - sentAt), start + second);
+        sentAt = crashedAt;
+    }
+    gateways[1].onPeerNews(gateways[0].news(false, start + second), start + second + 3 * millisecond);
+    for (auto& gateway : gateways)
+        CHECK_TRUE(gateway.refuses(repeated, start + 2 * second));
+}
+
 // Guards against a gateway that sends the next call to the next upstream, and so on, faster than crashes are told apart by time.
 TEST(CrashAttribution, CrashesOfCallsThatWereSentOneAfterTheOtherAreIndependent)
 {
     for (int number = 1; number <= 3; ++number)
-        attribution.onCrash(crashId(number), start + number * 100 * millisecond, { callWith(number, { crashing }) }, start + second);
+        attribution.onCrash(crashId(number), start + number * 100 * millisecond, asSuspects({ callWith(number, { crashing }) }), start + second);
     CHECK_TRUE(attribution.refuses(callWith(99, { crashing }), start + second));
 }
 
@@ -252,9 +275,9 @@
     for (int number = 1; number <= 3; ++number)
         crash({ callWith(number, { crashing }) });
     for (int number = 0; number < 300; ++number) {
-        std::vector<CallTraits> suspects;
+        std::vector<CrashSuspect> suspects;
         for (int call = 0; call < 300; ++call)
-            suspects.push_back(callWith(number * 300 + call, { CallTrait(number * 300 + call) }));
+            suspects.push_back({ callWith(number * 300 + call, { CallTrait(number * 300 + call) }), {} });
         attribution.onCrash(crashId(100 + number), now(), suspects, now());
         attribution.onCleared(callWith(number, { CallTrait(5'000'000 + number) }), now());
     }
@@ -264,7 +287,7 @@
     size_t traits = 0;
     for (const auto& report : news.crashes) {
         for (const auto& told : report.suspects)
-            traits += 1 + told.parts.size();
+            traits += 1 + told.traits.parts.size();
     }
     CHECK_TRUE(traits <= 1024);
 }
@@ -338,7 +361,7 @@
         size_t gateway = 0;
         routing::CrashId crash;
         base::Instant at;
-        std::vector<CallTraits> suspects;
+        std::vector<CrashSuspect> suspects;
     };
 
     size_t below(size_t bound) { return std::uniform_int_distribution<size_t>(0, bound - 1)(m_random); }
@@ -419,12 +442,12 @@
     void crash(Engine& engine)
     {
         routing::CrashId id("i-" + std::to_string(&engine - m_engines.data()) + "/" + std::to_string(++engine.starts));
-        std::map<size_t, std::vector<CallTraits>> suspects;
+        std::map<size_t, std::vector<CrashSuspect>> suspects;
         for (Call& call : engine.calls) {
             CallTraits told = call.traits;
             if (call.proven)
                 told.parts.clear();
-            suspects[call.gateway].push_back(std::move(told));
+            suspects[call.gateway].push_back({ std::move(told), m_now - call.sentAt });
         }
         for (auto& [gateway, calls] : suspects)
             m_confirmations.push_back({ m_now + (500 + below(200)) * millisecond, gateway, id, m_now, std::move(calls) });
--- a/packages/direct/test/CrashDetectorTest.cpp
+++ b/packages/direct/test/CrashDetectorTest.cpp
@@ -9,9 +9,10 @@
 
 constexpr base::Instant start { std::chrono::hours(1) };
 constexpr auto millisecond = std::chrono::milliseconds(1);
+constexpr auto second = std::chrono::seconds(1);
 const base::UpstreamId engine("e");
 
-SuspectedCrash suspectedCrash() { return { engine, StartId(1), { CallTrait(1), {} }, start }; }
+SuspectedCrash suspectedCrash() { return { engine, StartId(1), { CallTrait(1), {} }, start - second, start }; }
 
 } // namespace
 
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -101,7 +101,7 @@
     ReportSender sender { base::InstanceId("g"), Incarnation(5), 9 };
     LoadReport load { sender, ConfigurationVersion(3), { base::Revision(40), base::Revision(39), base::Revision(41) }, true, { { base::UpstreamId("e"), { 2, 1 } } } };
     load.limits = { sender.incarnation, { { base::ClientAccountId("c"), base::Tokens(7) } }, { base::InstanceId("h") }, 77, { { base::ClientAccountId("c"), base::Tokens(-8) } } };
-    load.crashes.crashes = { { routing::CrashId("x"), std::chrono::seconds(4), { { CallTrait(-5), { CallTrait(6), CallTrait(7) } } } } };
+    load.crashes.crashes = { { routing::CrashId("x"), std::chrono::seconds(4), { { { CallTrait(-5), { CallTrait(6), CallTrait(7) } }, std::chrono::milliseconds(37) }, { { CallTrait(-6), {} }, {} } } } };
     load.crashes.cleared = { CallTrait(8) };
     load.crashes.refusals = { { CallTrait(9), std::chrono::seconds(3) } };
     auto loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
@@ -116,9 +116,11 @@
     const CrashReport& crash = loadBack.crashes.crashes.at(0);
     STRCMP_EQUAL("x", crash.crash.value().c_str());
     LONGS_EQUAL(4000, base::toMilliseconds(crash.age));
-    LONGS_EQUAL(-5, crash.suspects.at(0).request.value());
-    LONGS_EQUAL(2, crash.suspects.at(0).parts.size());
-    LONGS_EQUAL(7, crash.suspects.at(0).parts.at(1).value());
+    LONGS_EQUAL(-5, crash.suspects.at(0).traits.request.value());
+    LONGS_EQUAL(2, crash.suspects.at(0).traits.parts.size());
+    LONGS_EQUAL(7, crash.suspects.at(0).traits.parts.at(1).value());
+    LONGS_EQUAL(37, base::toMilliseconds(crash.suspects.at(0).inFlight.value()));
+    CHECK_FALSE(crash.suspects.at(1).inFlight.has_value());
     LONGS_EQUAL(8, loadBack.crashes.cleared.at(0).value());
     LONGS_EQUAL(9, loadBack.crashes.refusals.at(0).trait.value());
     LONGS_EQUAL(3000, base::toMilliseconds(loadBack.crashes.refusals.at(0).remaining));
