--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -15,6 +15,8 @@
 // If no other trait explains as many crashes.
 constexpr int64_t minCrashesOfRequest = 2;
 constexpr int64_t minCrashesOfPart = 3;
+// Whatever else explains the crashes, but for a part of other calls' prompts.
+constexpr int64_t maxCrashesOfRequest = 3;
 // Different requests have to share a part, since one that is repeated is refused as a request.
 constexpr size_t minRequestsOfPart = 2;
 // Crashes that follow each other within this time may have a common cause other than a call.
@@ -244,6 +246,14 @@
         m_refusals.erase(std::min_element(m_refusals.begin(), m_refusals.end(), [](const auto& left, const auto& right) { return left.second.until < right.second.until; }));
 }
 
+void CrashAttribution::refuseForGood(CallTrait request, base::Instant now)
+{
+    m_withdrawn.erase(request);
+    refuse(request, now + refusalTime, std::nullopt, now);
+    if (auto refused = m_refusals.find(request); refused != m_refusals.end())
+        refused->second.judgedAt.reset();
+}
+
 bool CrashAttribution::isRevisable(const Refusal& refusal, base::Instant now)
 {
     return refusal.judgedAt && now < *refusal.judgedAt + crashMemory;
@@ -254,18 +264,41 @@
     return refusal.until > now && (!refusal.judgedAt || now >= *refusal.judgedAt + settlingTime);
 }
 
+bool CrashAttribution::isExplainedByPart(const Crash& crash, base::Instant now) const
+{
+    return std::any_of(crash.suspects.begin(), crash.suspects.end(), [&](const auto& suspect) {
+        const auto& parts = suspect.second.traits.parts;
+        return std::any_of(parts.begin(), parts.end(), [&](CallTrait part) { return isRefused(part, now); });
+    });
+}
+
+std::vector<CallTrait> CrashAttribution::repeatedlyCrashed(base::Instant now) const
+{
+    std::map<CallTrait, std::vector<Occurrence>> occurrences;
+    for (const auto& [id, crash] : m_crashes) {
+        if (isExplainedByPart(crash, now))
+            continue;
+        for (const auto& [request, suspect] : crash.suspects) {
+            if (!isCleared(request))
+                occurrences[request].push_back(occurrenceOf(crash, suspect));
+        }
+    }
+    std::vector<CallTrait> requests;
+    for (auto& [request, crashes] : occurrences) {
+        if (countIndependent(crashes) >= maxCrashesOfRequest)
+            requests.push_back(request);
+    }
+    return requests;
+}
+
 // A part that explains a crash also explains it for the calls that have the part. A request does not: one of its parts may be the cause.
 template <typename Visitor>
 void CrashAttribution::forEachPossibleCause(base::Instant now, Visitor visit) const
 {
-    auto hasRefusedPart = [&](const auto& suspect) {
-        const auto& parts = suspect.second.traits.parts;
-        return std::any_of(parts.begin(), parts.end(), [&](CallTrait part) { return isRefused(part, now); });
-    };
     auto isRefusedRequest = [&](const auto& suspect) { return isRefused(suspect.first, now); };
     for (const auto& [id, crash] : m_crashes) {
         const auto& suspects = crash.suspects;
-        if (std::any_of(suspects.begin(), suspects.end(), hasRefusedPart))
+        if (isExplainedByPart(crash, now))
             continue;
         bool explainedByRequest = std::any_of(suspects.begin(), suspects.end(), isRefusedRequest);
         for (const auto& suspect : suspects) {
@@ -373,6 +406,11 @@
             refuse(*trait, now + refusalTime, now, now);
         undecided = candidates(now);
     }
+    for (CallTrait request : repeatedlyCrashed(now)) {
+        if (auto known = revised.find(request); known != revised.end())
+            m_refusals.insert(revised.extract(known));
+        refuseForGood(request, now);
+    }
     for (const auto& [trait, refusal] : revised) {
         m_withdrawn[trait] = now + withdrawalMemory;
         base::LogLine("refusal_withdrawn").add("trait", trait);
