--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -109,6 +109,9 @@
         // Of this gateway's own calls.
         std::set<CallTrait> own;
         base::Instant toldUntil;
+        // Suspects that have been answered since.
+        std::set<CallTrait> clearedRequests;
+        bool knowsParts = false;
     };
     struct Refusal {
         base::Instant until;
@@ -140,6 +143,8 @@
     // Crashes that no common cause can explain: they lie apart in time, or the request was sent again after the crash before.
     static int64_t countIndependent(std::vector<Occurrence>&);
     void clear(CallTrait, base::Instant now);
+    void clearInCrashes(CallTrait request);
+    void forgetParts(Crash&);
     void remember(CallTrait, base::Instant now);
     void refuse(CallTrait, base::Instant until, std::optional<base::Instant> judgedAt, base::Instant now);
     // Whether the evidence for the refusal is still known, so that further crashes may show another cause.
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -23,7 +23,11 @@
 constexpr auto sameCauseTime = std::chrono::milliseconds(50);
 // What peers tell is rounded to milliseconds, and their reports take some time to arrive.
 constexpr auto toldTimeError = std::chrono::milliseconds(5);
-constexpr auto crashMemory = std::chrono::seconds(60);
+constexpr auto crashMemory = std::chrono::minutes(10);
+// Many calls share a part, so that old crashes say little about it.
+constexpr auto partMemory = std::chrono::seconds(60);
+// Further crashes may show another cause for this long.
+constexpr auto revisionTime = std::chrono::seconds(60);
 // After the last call that was refused.
 constexpr auto refusalTime = std::chrono::minutes(10);
 constexpr auto settlingTime = std::chrono::seconds(3);
@@ -99,9 +103,12 @@
             break;
         if (own)
             crash.own.insert(request);
+        if (isCleared(request))
+            crash.clearedRequests.insert(request);
         if (known == crash.suspects.end()) {
             crash.suspects.emplace(request, suspect);
             countStrikes(suspect.traits, 1);
+            crash.knowsParts |= !suspect.traits.parts.empty();
             changed = true;
         } else if (suspect.inFlight && (!known->second.inFlight || *suspect.inFlight < *known->second.inFlight)) {
             // Of several calls that are alike, the one that was sent last.
@@ -126,8 +133,10 @@
         remember(part, now);
     }
     // Requests are too many to remember all that have been answered.
-    if (isStruck(traits.request) || m_refusals.contains(traits.request))
+    if (isStruck(traits.request) || m_refusals.contains(traits.request)) {
         clear(traits.request, now);
+        clearInCrashes(traits.request);
+    }
 }
 
 // Peers may not know that the trait is harmless.
@@ -139,6 +148,25 @@
     m_clearingsTold.try_emplace(trait, now + tellingTime);
 }
 
+// Crashes are remembered for longer than what has been cleared.
+void CrashAttribution::clearInCrashes(CallTrait request)
+{
+    for (auto& [id, crash] : m_crashes) {
+        if (crash.suspects.contains(request))
+            crash.clearedRequests.insert(request);
+    }
+}
+
+void CrashAttribution::forgetParts(Crash& crash)
+{
+    for (auto& [request, suspect] : crash.suspects) {
+        countStrikes(suspect.traits, -1);
+        suspect.traits.parts.clear();
+        countStrikes(suspect.traits, 1);
+    }
+    crash.knowsParts = false;
+}
+
 void CrashAttribution::remember(CallTrait trait, base::Instant now)
 {
     if (m_cleared.size() >= maxClearedPerGeneration || now - m_generationBegan >= clearedGenerationTime) {
@@ -256,7 +284,7 @@
 
 bool CrashAttribution::isRevisable(const Refusal& refusal, base::Instant now)
 {
-    return refusal.judgedAt && now < *refusal.judgedAt + crashMemory;
+    return refusal.judgedAt && now < *refusal.judgedAt + revisionTime;
 }
 
 bool CrashAttribution::isSettled(const Refusal& refusal, base::Instant now)
@@ -279,7 +307,7 @@
         if (isExplainedByPart(crash, now))
             continue;
         for (const auto& [request, suspect] : crash.suspects) {
-            if (!isCleared(request))
+            if (!isCleared(request) && !crash.clearedRequests.contains(request))
                 occurrences[request].push_back(occurrenceOf(crash, suspect));
         }
     }
@@ -316,7 +344,8 @@
             if (!isCleared(trait) && !isRefused(trait, now))
                 occurrences[trait.value()].push_back(occurrence);
         };
-        add(suspect.traits.request, occurrenceOf(crash, suspect));
+        if (!crash.clearedRequests.contains(suspect.traits.request))
+            add(suspect.traits.request, occurrenceOf(crash, suspect));
         // Some call with a part that many calls share is always sent between two crashes.
         for (CallTrait part : suspect.traits.parts)
             add(part, { crash.crashedAt, std::nullopt });
@@ -431,17 +460,24 @@
 CrashNews CrashAttribution::news(bool everything, base::Instant now)
 {
     CrashNews news;
+    // The newest first.
+    std::multimap<base::Duration, const std::pair<const routing::CrashId, Crash>*> byAge;
+    for (const auto& entry : m_crashes) {
+        if (everything || entry.second.toldUntil > now)
+            byAge.emplace(now - entry.second.crashedAt, &entry);
+    }
     size_t traits = 0;
-    for (const auto& [id, crash] : m_crashes) {
-        if (!everything && crash.toldUntil <= now)
-            continue;
-        CrashReport report { id, now - crash.crashedAt, {} };
+    for (const auto& [age, entry] : byAge) {
+        const Crash& crash = entry->second;
+        CrashReport report { entry->first, age, {} };
         for (const auto& [request, suspect] : crash.suspects) {
             if (!everything && !crash.own.contains(request))
                 continue;
             CrashSuspect told { { request, {} }, suspect.inFlight };
             const auto& parts = suspect.traits.parts;
             std::copy_if(parts.begin(), parts.end(), std::back_inserter(told.traits.parts), [&](CallTrait part) { return !isCleared(part); });
+            if (told.traits.parts.empty() && crash.clearedRequests.contains(request))
+                continue;
             traits += 1 + told.traits.parts.size();
             if (traits > maxTraitsTold)
                 break;
@@ -466,7 +502,10 @@
 {
     bool changed = false;
     for (CallTrait trait : news.cleared) {
-        changed |= !isCleared(trait);
+        if (!isCleared(trait)) {
+            changed = true;
+            clearInCrashes(trait);
+        }
         remember(trait, now);
         if (m_refusals.erase(trait))
             base::LogLine("refusal_cleared").add("trait", trait).add("source", "peer");
@@ -517,8 +556,16 @@
 
 void CrashAttribution::expire(base::Instant now)
 {
-    for (auto crash = m_crashes.begin(); crash != m_crashes.end();)
-        crash = crash->second.crashedAt + crashMemory <= now ? forget(crash) : std::next(crash);
+    for (auto entry = m_crashes.begin(); entry != m_crashes.end();) {
+        auto current = entry++;
+        Crash& crash = current->second;
+        bool partsExpired = crash.knowsParts && crash.crashedAt + partMemory <= now;
+        // Without its parts, nothing would explain the crash for the other calls.
+        if (crash.crashedAt + crashMemory <= now || (partsExpired && isExplainedByPart(crash, now)))
+            forget(current);
+        else if (partsExpired)
+            forgetParts(crash);
+    }
     std::erase_if(m_refusals, [&](const auto& entry) { return entry.second.until <= now; });
     std::erase_if(m_withdrawn, [&](const auto& entry) { return entry.second <= now; });
 }
--- a/packages/direct/test/CrashAttributionTest.cpp
+++ b/packages/direct/test/CrashAttributionTest.cpp
@@ -117,6 +117,33 @@
     CHECK_TRUE(attribution.refuses(repeated, time));
 }
 
+// Guards against the refusal of such a request once the parts that explain the crashes are forgotten.
+TEST(CrashAttribution, ARequestThatRanBesideTheCauseIsNotRefusedLater)
+{
+    CallTraits neighbour = callWith(1, { document });
+    for (int number = 2; number <= 5; ++number)
+        crash({ neighbour, callWith(number, { crashing }) });
+    base::Instant later = now() + 61 * second;
+    attribution.expire(later);
+    attribution.onCrash(crashId(++crashes), later, asSuspects({ neighbour }), later);
+    CHECK_FALSE(attribution.refuses(neighbour, later));
+}
+
+// Guards against the refusal of a request that was answered after its crashes, once it is forgotten that it was.
+TEST(CrashAttribution, CrashesBeforeAnAnswerNoLongerCount)
+{
+    CallTraits answered = callWith(1, {});
+    for (int number = 1; number <= 2; ++number)
+        crash({ answered, callWith(100, {}) });
+    attribution.onCleared(answered, now());
+    base::Instant later = now() + std::chrono::minutes(9);
+    // Pushes out what is known to be harmless.
+    for (int64_t number = 0; number < 10'000; ++number)
+        attribution.onCleared(callWith(1000 + number, { CallTrait(10'000 + number) }), later);
+    attribution.onCrash(crashId(++crashes), later, asSuspects({ answered }), later);
+    CHECK_FALSE(attribution.refuses(answered, later));
+}
+
 // Guards against the refusal of a harmless part that calls have had at each crash by chance.
 TEST(CrashAttribution, AnAnswerClearsThePartsOfItsCall)
 {
@@ -520,3 +547,226 @@
     });
     CHECK_TRUE(refused * 1000 <= sound);
 }
+
+namespace {
+
+// Gateways before a few engines of a plain service. One request crashes each engine that runs it, and its callers send it again; sound
+// ones run beside it. A call that breaks off is sent on at once by its gateway, and once more by its caller.
+class CrashingRequestFleet {
+public:
+    struct Traffic {
+        size_t gateways = 4;
+        size_t engines = 3;
+        double soundPerSecond = 30;
+        // Sound calls that are alike, of all of them.
+        double alike = 0.2;
+        double lostReports = 0;
+        // Callers that send the crashing request, one after the other, and the pause before they do so again.
+        size_t callers = 2;
+        base::Duration pause {};
+    };
+
+    CrashingRequestFleet(Traffic traffic, uint64_t seed)
+        : m_traffic(traffic)
+        , m_random(seed)
+        , m_gateways(traffic.gateways)
+        , m_engines(traffic.engines)
+    {
+    }
+
+    void run(base::Duration duration)
+    {
+        base::Instant nextSeries = start + second;
+        for (base::Instant until = start + duration; m_now < until; m_now += step) {
+            for (int count = std::poisson_distribution<int>(m_traffic.soundPerSecond * base::toSeconds(step))(m_random); count > 0; --count) {
+                bool alike = chance(m_traffic.alike);
+                m_arrivals.emplace(m_now, Call { .traits = callWith(alike ? static_cast<int64_t>(below(20)) : 1000 + ++m_requests, {}) });
+            }
+            if (m_now >= nextSeries) {
+                for (size_t caller = 0; caller < m_traffic.callers; ++caller)
+                    m_arrivals.emplace(m_now + caller * (20 + below(400)) * millisecond, Call { .traits = callWith(-1, {}), .crashes = true });
+                nextSeries = m_now + m_traffic.pause;
+            }
+            while (!m_arrivals.empty() && m_arrivals.begin()->first <= m_now) {
+                Call call = m_arrivals.extract(m_arrivals.begin()).mapped();
+                arrive(std::move(call));
+            }
+            for (auto& engine : m_engines)
+                advance(engine);
+            confirm();
+            if (m_now >= m_nextReport)
+                report();
+        }
+    }
+
+    // Sendings of the crashing request later than so long after the third crash under it.
+    int64_t lateSendings(base::Duration after) const
+    {
+        if (!m_thirdCrash)
+            return 0;
+        return std::count_if(m_crashingSendings.begin(), m_crashingSendings.end(), [&](base::Instant at) { return at > *m_thirdCrash + after; });
+    }
+    int soundCalls() const { return m_soundCalls; }
+    int soundRefused() const { return m_soundRefused; }
+
+private:
+    static constexpr auto step = 5 * millisecond;
+
+    struct Call {
+        size_t gateway = 0;
+        CallTraits traits;
+        bool crashes = false;
+        int sends = 0;
+        int tries = 0;
+        base::Instant sentAt;
+        base::Instant endsAt;
+    };
+    struct Engine {
+        int starts = 0;
+        base::Instant upFrom;
+        std::vector<Call> calls;
+    };
+    struct Confirmation {
+        base::Instant due;
+        size_t gateway = 0;
+        routing::CrashId crash;
+        base::Instant at;
+        std::vector<CrashSuspect> suspects;
+    };
+
+    size_t below(size_t bound) { return std::uniform_int_distribution<size_t>(0, bound - 1)(m_random); }
+    bool chance(double probability) { return std::bernoulli_distribution(probability)(m_random); }
+
+    void arrive(Call call)
+    {
+        call.gateway = below(m_gateways.size());
+        m_soundCalls += call.crashes ? 0 : 1;
+        if (m_gateways[call.gateway].refuses(call.traits, m_now)) {
+            m_soundRefused += call.crashes ? 0 : 1;
+            return;
+        }
+        call.sends = 0;
+        ++call.tries;
+        send(std::move(call));
+    }
+    void send(Call call)
+    {
+        std::vector<Engine*> up;
+        for (auto& engine : m_engines) {
+            if (engine.upFrom <= m_now)
+                up.push_back(&engine);
+        }
+        if (up.empty()) {
+            sendAgain(std::move(call));
+            return;
+        }
+        ++call.sends;
+        call.sentAt = m_now;
+        call.endsAt = m_now + (20 + below(60)) * millisecond;
+        if (call.crashes)
+            m_crashingSendings.push_back(m_now);
+        up[below(up.size())]->calls.push_back(std::move(call));
+    }
+    // By the caller.
+    void sendAgain(Call call)
+    {
+        constexpr int maxTries = 2;
+        if (call.tries < maxTries)
+            m_arrivals.emplace(m_now + (50 + below(400)) * millisecond, std::move(call));
+    }
+
+    void advance(Engine& engine)
+    {
+        bool crashes = std::any_of(engine.calls.begin(), engine.calls.end(), [&](const Call& call) { return call.crashes && call.endsAt <= m_now; });
+        if (crashes) {
+            crash(engine);
+            return;
+        }
+        std::erase_if(engine.calls, [&](const Call& call) {
+            if (call.endsAt > m_now)
+                return false;
+            m_gateways[call.gateway].onCleared(call.traits, m_now);
+            return true;
+        });
+    }
+    void crash(Engine& engine)
+    {
+        routing::CrashId id("i-" + std::to_string(&engine - m_engines.data()) + "/" + std::to_string(++engine.starts));
+        std::map<size_t, std::vector<CrashSuspect>> suspects;
+        std::vector<Call> broken = std::exchange(engine.calls, {});
+        engine.upFrom = m_now + (2500 + below(2000)) * millisecond;
+        for (const Call& call : broken)
+            suspects[call.gateway].push_back({ call.traits, m_now - call.sentAt });
+        for (auto& [gateway, calls] : suspects)
+            m_confirmations.push_back({ m_now + (500 + below(150)) * millisecond, gateway, id, m_now, std::move(calls) });
+        if (++m_crashes == 3)
+            m_thirdCrash = m_now;
+        for (Call& call : broken) {
+            constexpr int maxSends = 2;
+            if (call.sends < maxSends && !m_gateways[call.gateway].isSuspected(call.traits))
+                send(std::move(call));
+            else
+                sendAgain(std::move(call));
+        }
+    }
+    void confirm()
+    {
+        for (const auto& confirmation : m_confirmations) {
+            if (confirmation.due <= m_now)
+                m_gateways[confirmation.gateway].onCrash(confirmation.crash, confirmation.at, confirmation.suspects, m_now);
+        }
+        std::erase_if(m_confirmations, [&](const auto& confirmation) { return confirmation.due <= m_now; });
+    }
+    void report()
+    {
+        m_nextReport = m_now + 100 * millisecond;
+        for (size_t from = 0; from < m_gateways.size(); ++from) {
+            m_gateways[from].expire(m_now);
+            CrashNews news = m_gateways[from].news(false, m_now);
+            for (size_t to = 0; to < m_gateways.size(); ++to) {
+                if (to != from && !chance(m_traffic.lostReports))
+                    m_gateways[to].onPeerNews(news, m_now);
+            }
+        }
+    }
+
+    Traffic m_traffic;
+    std::mt19937_64 m_random;
+    std::vector<CrashAttribution> m_gateways;
+    std::vector<Engine> m_engines;
+    std::multimap<base::Instant, Call> m_arrivals;
+    std::vector<Confirmation> m_confirmations;
+    base::Instant m_now = start;
+    base::Instant m_nextReport = start;
+    int64_t m_requests = 0;
+    int m_crashes = 0;
+    std::optional<base::Instant> m_thirdCrash;
+    std::vector<base::Instant> m_crashingSendings;
+    int m_soundCalls = 0;
+    int m_soundRefused = 0;
+};
+
+} // namespace
+
+// Guards against a request that is let through after three crashes, whatever runs beside it and however seldom it comes.
+TEST(CrashAttribution, ARequestThatCrashesUpstreamsIsSentAtMostThreeTimesMore)
+{
+    int64_t sound = 0;
+    int64_t refused = 0;
+    CHECK_PROPERTY_WITH((toucanstep::testing::PropertyOptions { .seed = 59, .maxSuccess = 200 }), [&] {
+        CrashingRequestFleet::Traffic traffic;
+        traffic.gateways = *rc::gen::elementOf(std::vector<size_t> { 1, 4, 6, 22 });
+        traffic.engines = *rc::gen::elementOf(std::vector<size_t> { 2, 3, 6 });
+        traffic.soundPerSecond = *rc::gen::inRange(0, 60);
+        traffic.alike = *rc::gen::inRange(0, 10) * 0.1;
+        traffic.lostReports = *rc::gen::inRange(0, 5) * 0.1;
+        traffic.callers = *rc::gen::inRange<size_t>(1, 4);
+        traffic.pause = *rc::gen::inRange(1, 80) * second;
+        CrashingRequestFleet fleet(traffic, *rc::gen::inRange<uint64_t>(0, 1'000'000));
+        fleet.run(std::chrono::minutes(4));
+        RC_ASSERT(fleet.lateSendings(3 * second) <= 3);
+        sound += fleet.soundCalls();
+        refused += fleet.soundRefused();
+    });
+    CHECK_TRUE(refused * 1000 <= sound);
+}
