--- a/packages/direct/include/toucanstep/direct/CrashDetector.h
+++ b/packages/direct/include/toucanstep/direct/CrashDetector.h
@@ -28,7 +28,8 @@
 class CrashDetector {
 public:
     void onConnectionLost(SuspectedCrash suspected) { m_suspected.push_back(std::move(suspected)); }
-    void onHeard(const base::UpstreamId&, base::Instant now);
+    // Of a request that was sent to the upstream at `sentAt`.
+    void onHeard(const base::UpstreamId&, base::Instant sentAt, base::Instant now);
     // Removes and returns the suspected crashes whose upstreams were not heard in time.
     std::vector<SuspectedCrash> takeConfirmed(base::Instant now);
 
--- a/packages/direct/src/CallDispatcher.cpp
+++ b/packages/direct/src/CallDispatcher.cpp
@@ -391,10 +391,10 @@
     return reserved;
 }
 
-void CallDispatcher::onUpstreamHeard(const base::UpstreamId& upstream)
+void CallDispatcher::onUpstreamHeard(const base::UpstreamId& upstream, base::Instant sentAt)
 {
     m_upstreams.onBytesReceived(upstream, now());
-    m_crashDetector.onHeard(upstream, now());
+    m_crashDetector.onHeard(upstream, sentAt, now());
 }
 
 void CallDispatcher::onUpstreamState(const base::UpstreamId& upstream, StartId start, const ResponseMetadata& answer, bool accepted)
--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -146,7 +146,8 @@
     bool tryReserveRetry(const ProxiedCall&, std::string_view reason);
     // When the planner expects the target's model to be loaded; nothing without an estimate. Adapters are not considered.
     std::optional<base::Instant> expectedLoad(const ModelTarget&) const;
-    void onUpstreamHeard(const base::UpstreamId&);
+    // Bytes of an answer to a request that was sent at `sentAt`.
+    void onUpstreamHeard(const base::UpstreamId&, base::Instant sentAt);
     // What the answer to a call says of the upstream itself. `accepted` if the answer is no rejection.
     void onUpstreamState(const base::UpstreamId&, StartId, const ResponseMetadata&, bool accepted);
     // What any answer, also to an order, says of when the upstream takes requests.
--- a/packages/direct/src/CrashDetector.cpp
+++ b/packages/direct/src/CrashDetector.cpp
@@ -8,19 +8,20 @@
 
 namespace {
 
-// Data that a process sent before it crashed may still arrive for this long.
-constexpr auto inTransitTime = std::chrono::milliseconds(50);
+// Data that a process sent before it crashed may still be read for this long: a gateway whose share of a processor is used up stands
+// still for the rest of a tenth of a second, between reading one connection and the next.
+constexpr auto inTransitTime = std::chrono::milliseconds(150);
 // An engine that runs calls sends an event every few milliseconds, and one that crashed needs seconds to restart.
 constexpr auto confirmationDelay = std::chrono::milliseconds(500);
 
 } // namespace
 
-void CrashDetector::onHeard(const base::UpstreamId& upstream, base::Instant now)
+void CrashDetector::onHeard(const base::UpstreamId& upstream, base::Instant sentAt, base::Instant now)
 {
     if (m_suspected.empty())
         return;
     std::erase_if(m_suspected, [&](const SuspectedCrash& suspected) {
-        bool alive = suspected.upstream == upstream && now - suspected.disconnectedAt > inTransitTime;
+        bool alive = suspected.upstream == upstream && (sentAt > suspected.disconnectedAt || now - suspected.disconnectedAt > inTransitTime);
         if (alive)
             base::LogLine("crash_disproved").add("upstream", upstream).add("request", suspected.call.request).add("after_ms", base::toMilliseconds(now - suspected.disconnectedAt));
         return alive;
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -592,7 +592,7 @@
 void ProxiedCall::onHead(http1::ResponseHead head)
 {
     stayAtUpstream();
-    m_dispatcher.onUpstreamHeard(m_upstream);
+    m_dispatcher.onUpstreamHeard(m_upstream, m_lastSent);
     if (!m_receivedHead) {
         m_dispatcher.upstreams().onAnswerBegun(m_upstream);
         m_dispatcher.demand().onAnswerBegun(m_call.target, m_dispatcher.now());
@@ -616,7 +616,7 @@
 void ProxiedCall::onBody(std::string_view piece)
 {
     stayAtUpstream();
-    m_dispatcher.onUpstreamHeard(m_upstream);
+    m_dispatcher.onUpstreamHeard(m_upstream, m_lastSent);
     auto self = shared_from_this();
     m_answerBytes += piece.size();
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
--- a/packages/direct/test/CrashDetectorTest.cpp
+++ b/packages/direct/test/CrashDetectorTest.cpp
@@ -27,17 +27,32 @@
 TEST(CrashDetector, AnUpstreamHeardAfterAResetHasNotCrashed)
 {
     detector.onConnectionLost(suspectedCrash());
-    detector.onHeard(engine, start + 200 * millisecond);
+    detector.onHeard(engine, start - 20 * millisecond, start + 200 * millisecond);
     CHECK_TRUE(detector.takeConfirmed(start + 600 * millisecond).empty());
 }
 
 TEST(CrashDetector, AnUpstreamThatStaysSilentHasCrashed)
 {
     detector.onConnectionLost(suspectedCrash());
-    detector.onHeard(base::UpstreamId("another"), start + 200 * millisecond);
+    detector.onHeard(base::UpstreamId("another"), start + 100 * millisecond, start + 200 * millisecond);
     // Sent before the crash and received after it.
-    detector.onHeard(engine, start + 10 * millisecond);
+    detector.onHeard(engine, start - 20 * millisecond, start + 10 * millisecond);
     CHECK_TRUE(detector.takeConfirmed(start + 400 * millisecond).empty());
     UNSIGNED_LONGS_EQUAL(1, detector.takeConfirmed(start + 600 * millisecond).size());
     CHECK_TRUE(detector.takeConfirmed(start + 700 * millisecond).empty());
 }
+
+// Guards against a crash that counts as a lost connection since the gateway stood still between reading one connection and the next.
+TEST(CrashDetector, WhatIsReadLateOfACallBeforeTheCrashProvesNothing)
+{
+    detector.onConnectionLost(suspectedCrash());
+    detector.onHeard(engine, start - 20 * millisecond, start + 95 * millisecond);
+    UNSIGNED_LONGS_EQUAL(1, detector.takeConfirmed(start + 600 * millisecond).size());
+}
+
+TEST(CrashDetector, AnAnswerToALaterRequestProvesThatTheUpstreamRuns)
+{
+    detector.onConnectionLost(suspectedCrash());
+    detector.onHeard(engine, start + 5 * millisecond, start + 20 * millisecond);
+    CHECK_TRUE(detector.takeConfirmed(start + 600 * millisecond).empty());
+}
