--- a/packages/direct/src/RefusalRecord.cpp
+++ b/packages/direct/src/RefusalRecord.cpp
@@ -59,13 +59,16 @@
             entries.push_back({ std::move(key), std::string(value), {} });
     };
     base::Instant now = m_loop.now();
+    const auto& known = m_fleet.entries();
     for (CallTrait trait : m_crashes.settledRefusals(now)) {
         std::string key = keyOf(trait);
         auto next = m_nextWrite.find(key);
-        if (next == m_nextWrite.end() || next->second <= now || !m_fleet.entries().contains(key))
+        auto stored = known.find(key);
+        // It may have been ended since.
+        bool isStored = stored != known.end() && stored->second.value == refusedValue;
+        if (next == m_nextWrite.end() || next->second <= now || !isStored)
             add(std::move(key), refusedValue);
     }
-    const auto& known = m_fleet.entries();
     for (auto entry = known.lower_bound(std::string(refusalPrefix)); entry != known.end() && entry->first.starts_with(refusalPrefix); ++entry) {
         auto trait = traitOf(entry->first);
         if (trait && entry->second.value == refusedValue && !m_crashes.isRefused(*trait, now))
