--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -40,6 +40,9 @@
 // Where urgent calls go first, the others wait for longer if their latency target leaves this time for the rest.
 constexpr double lessUrgentTokenWaitFraction = 0.6;
 constexpr auto timeAfterTokens = std::chrono::seconds(1);
+// How long a call of a service without history is taken to last, in latency targets of its route: usually, and at the most.
+constexpr int usualTargetsOfUnknownCall = 4;
+constexpr int mostTargetsOfUnknownCall = 8;
 // An upstream whose events go on for this long was not crashed by the call.
 constexpr auto provenAfter = std::chrono::milliseconds(1000);
 // Of longer prompts, only the first parts are compared with those of other calls.
@@ -253,6 +256,9 @@
     // A caller that is refused may be sent to another gateway that stops, so a small risk is taken during the intake.
     bool early = m_dispatcher.now() <= stop.earliestIntakeEnd();
     auto expected = early ? times.expected(queue(), m_call.maximumOutputTokens) : times.longestExpected(queue(), m_call.maximumOutputTokens);
+    // Nothing of the service has been answered here yet. The target of a stream is that of its first event only.
+    if (!expected && !m_route->streaming && m_route->latencyTarget > base::Duration::zero())
+        expected = m_route->latencyTarget * (early ? usualTargetsOfUnknownCall : mostTargetsOfUnknownCall);
     base::Instant begin = m_dispatcher.now();
     if (auto loaded = m_dispatcher.expectedLoad(m_call.target); loaded && m_blockReason == BlockReason::NotLoaded)
         begin = std::max(begin, *loaded);
