--- a/packages/direct/include/toucanstep/direct/CrashAttribution.h
+++ b/packages/direct/include/toucanstep/direct/CrashAttribution.h
@@ -10,8 +10,8 @@
 // as one, since a common cause, such as a lost network link, is more likely than several calls. That does not hold for a request that was
 // sent again after the first of them.
 //
-// Which of two requests that are always at the same upstreams is the cause cannot be told. Once a request was in three independent
-// crashes it is refused whatever else explains them, so that the number of crashes under one request has a bound.
+// Which of two requests that are always at the same upstreams is the cause cannot be told. Once a request was in three crashes
+// that cannot all have one common cause it is refused whatever else explains them, so that the crashes under one request have a bound.
 //
 // The verdict depends only on the crashes and clearings that a gateway has heard of. Their merging is commutative and idempotent, so
 // gateways that have heard the same refuse the same.
@@ -163,7 +163,7 @@
     static void logUndecided(const std::vector<Candidate>&);
     // Some call there has a refused part.
     bool isExplainedByPart(const Crash&, base::Instant now) const;
-    // The requests that were in so many independent crashes that they are refused although others were there too.
+    // The requests that were in so many crashes that they are refused although others were there too.
     std::vector<CallTrait> repeatedlyCrashed(base::Instant now) const;
     // The refusal is not withdrawn by further crashes, and told and stored at once.
     void refuseForGood(CallTrait request, base::Instant now);
--- a/packages/direct/src/CrashAttribution.cpp
+++ b/packages/direct/src/CrashAttribution.cpp
@@ -16,7 +16,7 @@
 constexpr int64_t minCrashesOfRequest = 2;
 constexpr int64_t minCrashesOfPart = 3;
 // Whatever else explains the crashes, but for a part of other calls' prompts.
-constexpr int64_t maxCrashesOfRequest = 3;
+constexpr size_t maxCrashesOfRequest = 3;
 // Different requests have to share a part, since one that is repeated is refused as a request.
 constexpr size_t minRequestsOfPart = 2;
 // Crashes that follow each other within this time may have a common cause other than a call.
@@ -313,7 +313,8 @@
     }
     std::vector<CallTrait> requests;
     for (auto& [request, crashes] : occurrences) {
-        if (countIndependent(crashes) >= maxCrashesOfRequest)
+        bool haveCommonCause = countIndependent(crashes) < minCrashesOfRequest;
+        if (crashes.size() >= maxCrashesOfRequest && !haveCommonCause)
             requests.push_back(request);
     }
     return requests;
--- a/packages/direct/test/CrashAttributionTest.cpp
+++ b/packages/direct/test/CrashAttributionTest.cpp
@@ -195,6 +195,16 @@
         CHECK_TRUE(gateway.refuses(repeated, start + 2 * second));
 }
 
+// Guards against a request that crashes an upstream more since two of its callers have crashed two at the same time before.
+TEST(CrashAttribution, CrashesAtTheSameTimeCountIfAnotherOneFollows)
+{
+    CallTraits repeated = callWith(1, {});
+    CallTraits neighbour = callWith(2, {});
+    for (auto crashedAt : { start, start + 20 * millisecond, start + second })
+        attribution.onCrash(crashId(++crashes), crashedAt, asSuspects({ repeated, neighbour }, 30 * millisecond), start + second);
+    CHECK_TRUE(attribution.refuses(repeated, start + 2 * second));
+}
+
 // Guards against a gateway that sends the next call to the next upstream, and so on, faster than crashes are told apart by time.
 TEST(CrashAttribution, CrashesOfCallsThatWereSentOneAfterTheOtherAreIndependent)
 {
