--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -190,6 +190,7 @@
     m_calls.fleetShare().setMembership(m_election.registered(), m_election.leaseEnd(), now);
     m_peerLoads.expire(reportLifetime(), now);
     applyPeerLoads();
+    logRateShares();
     sendLoadReport();
     m_calls.crashes().setMakesTrials(isPlanner());
     m_calls.tick();
@@ -214,6 +215,17 @@
     m_tickTimer = m_loop.at(now + tickInterval, [this] { tick(); });
 }
 
+void GatewayCore::logRateShares()
+{
+    AccountLimits::RateShares shares = m_calls.limits().rateShares(m_loop.now());
+    if (shares == m_loggedShares)
+        return;
+    m_loggedShares = shares;
+    base::LogLine("limit_shares_changed").add("gateways", shares.total).add("heard", shares.live).add("spendable", shares.spendable).add("registered", m_election.registered() ? "yes" : "no").add("list_synced", m_mirror.part(StorePart::Fleet).synced() ? "yes" : "no");
+    m_metrics.gauge("toucanstep_limit_gateways", "", static_cast<double>(shares.total));
+    m_metrics.gauge("toucanstep_limit_gateways_heard", "", static_cast<double>(shares.live));
+}
+
 void GatewayCore::scheduleCoalesced(io::EventLoop::TimerId& timer, void (GatewayCore::*task)(), base::Duration delay)
 {
     if (timer)
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -64,6 +64,8 @@
     void reportPlacement(const base::ServiceId&, const Placement&);
     // Takes over what peers have reported since the last time.
     void applyPeerLoads();
+    // Among how many gateways this one divides the limits of accounts.
+    void logRateShares();
     void setPlannerPeer(const base::InstanceId&);
     // Both depend on the size of the fleet.
     base::Duration reportInterval() const;
@@ -113,6 +115,7 @@
     bool m_peerAccountsChanged = false;
     base::Instant m_nextPeerAccounts;
     LoadReportChanges m_loadChanges;
+    AccountLimits::RateShares m_loggedShares;
     // The list of gateways has changed since updatePeers().
     bool m_listChanged = false;
     // Peers have been added since the last load report.
--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -121,6 +121,18 @@
     double ownRate(const base::ClientAccountId&, base::Instant now) const;
     LimitReport report(Incarnation, base::Instant now) const;
 
+    // The numbers of gateways among which the rate is divided, of those that are heard, and of those whose shares this
+    // gateway may spend. Each includes this gateway.
+    struct RateShares {
+        int64_t total = 1;
+        int64_t live = 1;
+        int64_t spendable = 1;
+        double burstFraction() const { return static_cast<double>(live) / static_cast<double>(total); }
+        double rateFraction() const { return static_cast<double>(spendable) / static_cast<double>(total); }
+        bool operator==(const RateShares&) const = default;
+    };
+    RateShares rateShares(base::Instant now) const;
+
 private:
     // Charges of the time in which they may be unknown to a gateway, and a decaying sum of the earlier ones.
     class RecentCharges {
@@ -185,16 +197,6 @@
         std::map<base::ClientAccountId, base::Tokens> chargedTotals;
     };
 
-    // The numbers of gateways among which the rate is divided, of those that are heard, and of those whose shares this
-    // gateway may spend. Each includes this gateway.
-    struct RateShares {
-        int64_t total = 1;
-        int64_t live = 1;
-        int64_t spendable = 1;
-        double burstFraction() const { return static_cast<double>(live) / static_cast<double>(total); }
-        double rateFraction() const { return static_cast<double>(spendable) / static_cast<double>(total); }
-    };
-    RateShares rateShares(base::Instant now) const;
     bool recentlyHeard(const Peer&, base::Instant now) const;
     bool isMember(const Peer&, base::Instant now) const;
     // The members that this gateway does not hear, and a digest of those that it hears, including itself.
