Account limits: a gateway spends only a share that all others leave to it

Cause: the limit was divided by the list of live gateways and by who was heard. A key leaves that list 1.5 s after the store stops answering its gateway, which lives on and spends; a process that starts then reads a list without it, does not know its address, and divides by fewer. Who is live and who may spend are two questions; the second had no answer.

Change: each gateway has a claim in the store under a lease of ten minutes. It spends one Nth of the limits while its claim lasts by its own clock and all others that may spend count it: they have acknowledged the claim, or have read a list with it. A process that starts again writes over its predecessor's claim in one transaction and goes on at once; a stop leaves the claim for the grace only. A gateway of a new name beside one that is dead or cut off spends what is left. Without a share it answers 503 and is not ready. The claim's value holds the address, so gateways reach each other while their short leases are gone. A store that grants a shorter lease than asked for is an error.

Proof: packages/scheduling/include/toucanstep/scheduling/ShareClaim.h. Properties: the shares add up to one at most, and the tokens of each 8 s stay within the limit, over drawn fleets with lists, cuts, restarts and new names. With shares as before (one Nth of who is listed or heard) both fail; so does the first with claims that are settled at once, without the excess, or not kept after acknowledgement, and both without the end of the lease. Three more mutations (an acknowledgement by digest taken at once, a list's age or revision ignored) are not caught by these 200 histories.

Unit tests of all libraries passed.

--- a/packages/direct/src/CallDispatcher.h
+++ b/packages/direct/src/CallDispatcher.h
@@ -87,6 +87,7 @@
     UpstreamTable& upstreams() { return m_upstreams; }
     const UpstreamTable& upstreams() const { return m_upstreams; }
     AccountLimits& limits() { return m_limits; }
+    const AccountLimits& limits() const { return m_limits; }
     DemandTracker& demand() { return m_demand; }
     CrashAttribution& crashes() { return m_crashes; }
     base::MetricsRegistry& metrics() { return m_metrics; }
--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -90,6 +90,15 @@
     return Json::array({ calls, tokens });
 }
 
+// Absent while all claims to shares of the limits are settled.
+Json encodeClaims(const LimitReport& limits)
+{
+    Json acknowledged = Json::array();
+    for (const auto& peer : limits.acknowledged)
+        acknowledged.push_back(peer.value());
+    return Json::array({ limits.joining, acknowledged });
+}
+
 Json encode(const LoadReport& report)
 {
     Json directories = Json::array();
@@ -136,8 +145,11 @@
     for (const auto& loan : report.partLoans)
         partLoans.push_back({ loan.resource, loan.borrower.value(), loan.sentAt.count(), loan.rank, loan.count });
     Json message = Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals, partRequests, partLoans });
-    if (!report.queuedAccounts.empty() || !report.waitingTokens.empty())
+    bool tellsOfClaims = report.limits.joining || !report.limits.acknowledged.empty();
+    if (tellsOfClaims || !report.queuedAccounts.empty() || !report.waitingTokens.empty())
         message.push_back(encodeWaitingAccounts(report));
+    if (tellsOfClaims)
+        message.push_back(encodeClaims(report.limits));
     return message;
 }
 
@@ -321,6 +333,12 @@
         for (const Json& entry : value.at(waitingAccountsIndex).at(1))
             report.waitingTokens[asText<base::ClientAccountId>(entry.at(0))] = asNumber<base::Tokens>(entry.at(1));
     }
+    constexpr size_t claimsIndex = 21;
+    if (value.size() > claimsIndex) {
+        report.limits.joining = value.at(claimsIndex).at(0).get<bool>();
+        for (const Json& entry : value.at(claimsIndex).at(1))
+            report.limits.acknowledged.push_back(asText<base::InstanceId>(entry));
+    }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
     return report;
--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -5,6 +5,7 @@
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace toucanstep::direct {
@@ -143,11 +144,13 @@
     , m_planner(PlacementSettings {})
     , m_mirror(loop, *m_store, m_client, mirrorSettings(m_settings, *m_format), *this)
     , m_election(loop, *m_store, m_mirror.part(StorePart::Fleet), m_settings, [this] { onElected(); })
+    , m_claimKeeper(loop, *m_store, m_mirror.part(StorePart::Fleet), m_settings)
     , m_refusalRecord(loop, *m_store, m_mirror.part(StorePart::Fleet), m_calls.crashes())
     , m_operatorHandler(std::make_unique<OperatorHandler>(*this))
     , m_incarnation(wallMilliseconds())
 {
     m_calls.limits().setSelf(m_settings.instance, m_loop.now());
+    m_calls.limits().setShare(m_claimKeeper.claim());
 }
 
 GatewayCore::~GatewayCore()
@@ -180,13 +183,14 @@
 {
     // The list of upstreams may be long, and is used as it arrives.
     bool known = m_mirror.part(StorePart::DesiredState).synced() && m_mirror.part(StorePart::Fleet).synced() && !m_calls.upstreams().all().empty();
-    return known && m_calls.desiredState() && !m_calls.stop().begun();
+    return known && m_calls.desiredState() && m_calls.limits().mayCharge(m_loop.now()) && !m_calls.stop().begun();
 }
 
 void GatewayCore::tick()
 {
     base::Instant now = m_loop.now();
     m_election.tick();
+    m_claimKeeper.tick();
     m_calls.fleetShare().setMembership(m_election.registered(), m_election.leaseEnd(), now);
     m_peerLoads.expire(reportLifetime(), now);
     applyPeerLoads();
@@ -221,7 +225,7 @@
     if (shares == m_loggedShares)
         return;
     m_loggedShares = shares;
-    base::LogLine("limit_shares_changed").add("gateways", shares.total).add("heard", shares.live).add("spendable", shares.spendable).add("registered", m_election.registered() ? "yes" : "no").add("list_synced", m_mirror.part(StorePart::Fleet).synced() ? "yes" : "no");
+    base::LogLine("limit_shares_changed").add("gateways", shares.total).add("heard", shares.live).add("spendable", shares.spendable).add("own_percent", std::lround(shares.own * 100)).add("claim", m_claimKeeper.claim().isSettled() ? "settled" : "joining").add("registered", m_election.registered() ? "yes" : "no").add("list_synced", m_mirror.part(StorePart::Fleet).synced() ? "yes" : "no");
     m_metrics.gauge("toucanstep_limit_gateways", "", static_cast<double>(shares.total));
     m_metrics.gauge("toucanstep_limit_gateways_heard", "", static_cast<double>(shares.live));
 }
@@ -269,6 +273,7 @@
     m_calls.beginStop(noticed);
     base::LogLine("leaving").add("running", running).add("waiting", waiting).add("refused", running - m_calls.running()).add("connections", m_callerServer->connections()).add("noticed_after_ms", base::toMilliseconds(noticed - stop.earliestSignal())).add("acted_after_ms", base::toMilliseconds(m_loop.now() - noticed));
     m_election.leave();
+    m_claimKeeper.leave();
 }
 
 void GatewayCore::drain()
@@ -296,7 +301,7 @@
         evacuate(base::FailureDomain(entry.key.substr(m_format->evacuationPrefix().size())));
     else if (entry.key.starts_with(m_format->upstreamPrefix()))
         setUpstream(entry);
-    else if (entry.key.starts_with(memberPrefix))
+    else if (entry.key.starts_with(memberPrefix) || entry.key.starts_with(claimPrefix))
         m_listChanged = true;
     else if (entry.key.starts_with(refusalPrefix))
         m_refusalRecord.onEntry(entry);
@@ -313,7 +318,7 @@
         m_client.forget(id.value());
     } else if (key.starts_with(m_format->evacuationPrefix())) {
         endEvacuation(base::FailureDomain(key.substr(m_format->evacuationPrefix().size())));
-    } else if (key.starts_with(memberPrefix)) {
+    } else if (key.starts_with(memberPrefix) || key.starts_with(claimPrefix)) {
         m_listChanged = true;
     }
 }
@@ -347,6 +352,7 @@
         m_lastListAnswer = answered;
         m_calls.fleetShare().onListAnswer(*answered);
     }
+    m_claimKeeper.onDirectoryUpdated();
     shareUpstreamList();
     if (auto planner = m_election.onDirectoryUpdated())
         setPlannerPeer(*planner);
@@ -404,7 +410,8 @@
 void GatewayCore::updatePeers()
 {
     std::map<base::InstanceId, base::Endpoint> peers;
-    std::set<base::InstanceId> ids;
+    std::set<base::InstanceId> members;
+    std::map<base::InstanceId, ListedClaim> claims;
     const auto& entries = m_mirror.part(StorePart::Fleet).entries();
     for (auto entry = entries.lower_bound(std::string(memberPrefix)); entry != entries.end() && entry->first.starts_with(memberPrefix); ++entry) {
         base::InstanceId id(entry->first.substr(memberPrefix.size()));
@@ -412,9 +419,19 @@
         if (id == m_settings.instance || !endpoint)
             continue;
         peers.emplace(id, *endpoint);
-        ids.insert(id);
+        members.insert(id);
+        claims.emplace(id, ListedClaim());
     }
-    m_calls.fleetShare().setListed(ids, m_loop.now());
+    for (auto entry = entries.lower_bound(std::string(claimPrefix)); entry != entries.end() && entry->first.starts_with(claimPrefix); ++entry) {
+        base::InstanceId id(entry->first.substr(claimPrefix.size()));
+        if (id == m_settings.instance)
+            continue;
+        auto claim = readClaim(entry->second.value);
+        claims[id] = { entry->second.modified, claim && claim->settled };
+        if (claim)
+            peers.emplace(id, claim->endpoint);
+    }
+    m_calls.fleetShare().setListed(members, m_loop.now());
     // A peer that has only lost contact with the store still sends reports although its key has expired with its lease.
     for (const auto& [id, peer] : m_peerLoads.peers()) {
         auto known = m_transport->peers().find(id);
@@ -423,7 +440,7 @@
     }
     m_hasNewPeers |= !std::includes(m_transport->peers().begin(), m_transport->peers().end(), peers.begin(), peers.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
     m_transport->setPeers(std::move(peers));
-    m_calls.limits().setPeers(ids, m_loop.now());
+    m_calls.limits().setPeers(claims, m_loop.now());
     m_relayedSending->updatePeers(reportInterval());
     m_calls.setReportInterval(m_relayedSending->relay().effectiveInterval());
     m_calls.setStaysInDomain(m_relayedSending->relay().isActive());
--- a/packages/direct/src/GatewayCore.h
+++ b/packages/direct/src/GatewayCore.h
@@ -8,6 +8,7 @@
 #include "LeaderElection.h"
 #include "RefusalRecord.h"
 #include "RelayedSending.h"
+#include "ShareClaimKeeper.h"
 #include "StoreMirror.h"
 #include "toucanstep/direct/DemandReportChanges.h"
 #include "toucanstep/direct/DirectGateway.h"
@@ -101,6 +102,7 @@
     PlacementPlanner m_planner;
     StoreMirror m_mirror;
     LeaderElection m_election;
+    ShareClaimKeeper m_claimKeeper;
     RefusalRecord m_refusalRecord;
     std::unique_ptr<OperatorHandler> m_operatorHandler;
     std::unique_ptr<FleetTransport> m_transport;
--- a/packages/direct/src/GatewayReports.cpp
+++ b/packages/direct/src/GatewayReports.cpp
@@ -60,7 +60,7 @@
         if (entry.own.inFlight)
             report.use.push_back({ id, entry.own });
     }
-    report.limits = m_calls.limits().report(m_incarnation, m_loop.now());
+    report.limits = m_calls.limits().report(m_incarnation, m_claimKeeper.claim().joiningSince().has_value(), m_loop.now());
     report.partRequests = m_calls.fleetShare().requests(now);
     report.partLoans = m_calls.fleetShare().takeLoans();
     report.crashes = m_calls.crashes().news(m_hasNewPeers, now);
@@ -192,6 +192,8 @@
     if (!m_peerLoads.apply(report, now))
         return;
     m_calls.limits().onReport(report.sender.instance, report.limits, now);
+    if (auto since = m_claimKeeper.claim().joiningSince(); since && m_calls.limits().isAcknowledgedBy(report.limits, *since, now))
+        m_claimKeeper.claim().onAcknowledged(report.sender.instance);
     m_calls.onPeerReport(report);
     m_calls.crashes().onPeerNews(report.crashes, now);
     m_calls.refuseCrashingCalls();
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -170,7 +170,13 @@
     }
     if (!selectService(*m_route) || refuseIfTooLarge() || refuseIfStopping())
         return false;
-    return !account || !account->limited() || acquireTokens(*account);
+    if (!account || !account->limited())
+        return true;
+    if (!m_dispatcher.limits().mayCharge(m_arrived)) {
+        refuse(statusUnavailable, "limits_unknown", Execution::NotRun, "the gateway does not know its share of the account's limits", defaultRetryAfter);
+        return false;
+    }
+    return acquireTokens(*account);
 }
 
 bool ProxiedCall::acquireTokens(const Account& account)
--- a/packages/direct/test/AccountLimitsTest.cpp
+++ b/packages/direct/test/AccountLimitsTest.cpp
@@ -91,7 +91,7 @@
         for (size_t from = 0; from < m_limits.size(); ++from) {
             LoadReport report;
             report.sender = { gateway(from), Incarnation(m_incarnations[from]), 1 };
-            report.limits = m_limits[from].report(Incarnation(m_incarnations[from]), m_now);
+            report.limits = m_limits[from].report(Incarnation(m_incarnations[from]), false, m_now);
             report = m_changes[from].next(std::move(report), false);
             for (size_t to = 0; to < m_limits.size(); ++to) {
                 bool heard = from != to && !m_isolated[from] && !m_isolated[to] && !isLost();
@@ -108,7 +108,7 @@
         for (size_t from = 0; from < m_limits.size(); ++from) {
             for (size_t to = 0; to < m_limits.size(); ++to) {
                 if (from != to && !m_isolated[from] && !m_isolated[to] && !m_cutLinks.contains({ from, to }))
-                    m_limits[to].onReport(gateway(from), m_limits[from].report(Incarnation(m_incarnations[from]), m_now), m_now);
+                    m_limits[to].onReport(gateway(from), m_limits[from].report(Incarnation(m_incarnations[from]), false, m_now), m_now);
             }
         }
     }
@@ -121,7 +121,7 @@
         for (size_t from = 0; from < m_limits.size(); ++from) {
             if ((m_shortSteps + from * 7) % 10)
                 continue;
-            auto report = std::make_shared<const LimitReport>(m_limits[from].report(Incarnation(m_incarnations[from]), m_now));
+            auto report = std::make_shared<const LimitReport>(m_limits[from].report(Incarnation(m_incarnations[from]), false, m_now));
             for (size_t to = 0; to < m_limits.size(); ++to) {
                 if (from != to && !m_isolated[from] && !m_isolated[to])
                     m_onTheirWay.emplace(m_now + std::chrono::milliseconds(10) * delay(), std::tuple(from, to, report));
@@ -164,10 +164,10 @@
     {
         m_limits[number].setSelf(gateway(number), m_now);
         m_limits[number].setAccounts(m_desiredState, m_now);
-        std::set<base::InstanceId> peers;
+        std::map<base::InstanceId, ListedClaim> peers;
         for (size_t other = 0; other < m_limits.size(); ++other) {
             if (other != number && other != unknown)
-                peers.insert(gateway(other));
+                peers.emplace(gateway(other), ListedClaim());
         }
         m_limits[number].setPeers(peers, m_now);
     }
@@ -381,11 +381,11 @@
 {
     AccountLimits limits({});
     limits.setSelf(base::InstanceId("edge-0"), base::Instant());
-    std::set<base::InstanceId> listed;
+    std::map<base::InstanceId, ListedClaim> listed;
     for (int number = 1; number <= 300; ++number)
-        listed.insert(base::InstanceId("edge-" + std::to_string(number)));
+        listed.emplace(base::InstanceId("edge-" + std::to_string(number)), ListedClaim());
     limits.setPeers(listed, base::Instant());
-    LimitReport report = limits.report(Incarnation(1), base::Instant());
+    LimitReport report = limits.report(Incarnation(1), false, base::Instant());
     CHECK_TRUE(report.silentPeersLeftOut);
     LONGS_EQUAL(0, report.silentPeers.size());
 }
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -154,6 +154,14 @@
     LONGS_EQUAL(4, loadBack.queued.begin()->second.at(1).inTime);
     LONGS_EQUAL(5, loadBack.queued.begin()->second.at(1).late);
 
+    load.limits.joining = true;
+    load.limits.acknowledged = { base::InstanceId("k") };
+    loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
+    CHECK_TRUE(loadBack.limits.joining);
+    STRCMP_EQUAL("k", loadBack.limits.acknowledged.at(0).value().c_str());
+    load.limits.joining = false;
+    load.limits.acknowledged.clear();
+
     size_t withoutAccounts = encodeReport(load).size();
     load.queuedAccounts = { { { base::ServiceId("s"), base::ModelId("m") }, { { 1, { { base::ClientAccountId("a"), 4 } } } } } };
     load.waitingTokens = { { base::ClientAccountId("a"), base::Tokens(900) } };
--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -3,8 +3,8 @@
 // Every gateway keeps a token bucket for each account. It charges its own calls at once, and its peers' calls as their
 // reports arrive. A report carries the total that a peer has charged since its start, so a lost report does no harm; between
 // two complete reports it names only the accounts that were charged, twice, and what is lost of that is deducted with the next
-// complete one. A peer is heard only from a complete report on. Each gateway has an equal share of the rate. A bucket is
-// refilled with its own gateway's share as time passes, and with a peer's share when the peer is heard: for the time since its
+// complete one. A peer is heard only from a complete report on. Each gateway has an equal share of the rate, and none while the others
+// may not count it (see ShareClaim). A bucket is refilled with its own gateway's share as time passes, and with a peer's share when the peer is heard: for the time since its
 // last report, together with what it charged in that time. So the shares of a partitioned fleet add up to the whole rate from
 // the start of the partition, even before it is detected. A gateway that hears only part of the fleet caps its buckets at that
 // part of the burst. A bucket starts empty, so a fleet that is killed and restarted grants nobody a second burst; a gateway
@@ -30,6 +30,7 @@
 #include "toucanstep/base/StrongTypes.h"
 #include "toucanstep/base/Time.h"
 #include "toucanstep/scheduling/Imports.h"
+#include "toucanstep/scheduling/ShareClaim.h"
 #include "toucanstep/serving/DesiredState.h"
 
 #include <deque>
@@ -55,6 +56,8 @@
     double silentIntervals = 3.5;
     // A peer that left the gateway list counts for this long, since its calls may still be within a window of the limits.
     base::Duration departedPeerRetention = std::chrono::seconds(10);
+    // A peer whose claim is not settled counts for this long after it was heard, though no list may name it.
+    base::Duration joiningPeerRetention = ShareClaimSettings().lease;
     // A gateway that was first heard less than this many intervals ago is sent the balances, and adopts them if it started less
     // than this many intervals ago.
     double startupIntervals = 6;
@@ -93,6 +96,10 @@
     // A long list of silent peers is left out: while a fleet starts, lists of all other gateways would fill the links on which
     // these are waiting to be heard.
     bool silentPeersLeftOut = false;
+    // The sender's claim is not settled, see ShareClaim.
+    bool joining = false;
+    // Peers whose reports with `joining` the sender has heard lately. A long list is left out; the digests tell in time.
+    std::vector<base::InstanceId> acknowledged;
 };
 
 class AccountLimits {
@@ -103,8 +110,14 @@
     void setReportInterval(base::Duration);
     // Lowered limits apply to the balances at once.
     void setAccounts(const DesiredState&, base::Instant now);
-    // The other gateways of the gateway list.
-    void setPeers(const std::set<base::InstanceId>&, base::Instant now);
+    // The other gateways of the gateway list, with their claims.
+    void setPeers(const std::map<base::InstanceId, ListedClaim>&, base::Instant now);
+    // This gateway's own share; without it, an equal one. Must outlive this.
+    void setShare(const LimitShare& share) { m_share = &share; }
+    // Whether the sender of the report has heard the claim that this gateway has had since `joiningSince`, and so counts this gateway.
+    bool isAcknowledgedBy(const LimitReport&, base::Instant joiningSince, base::Instant now) const;
+    // Whether this gateway has a share of its own to spend.
+    bool mayCharge(base::Instant now) const { return rateShares(now).own > 0; }
     // `now`: the time of this gateway's start.
     void setSelf(base::InstanceId, base::Instant now);
     void onReport(const base::InstanceId& peer, const LimitReport&, base::Instant now);
@@ -119,7 +132,7 @@
     bool isShort(const base::ClientAccountId&, base::Instant now) const;
     // The tokens per second that this gateway may spend of an account that is short of them.
     double ownRate(const base::ClientAccountId&, base::Instant now) const;
-    LimitReport report(Incarnation, base::Instant now) const;
+    LimitReport report(Incarnation, bool joining, base::Instant now) const;
 
     // The numbers of gateways among which the rate is divided, of those that are heard, and of those whose shares this
     // gateway may spend. Each includes this gateway.
@@ -127,6 +140,8 @@
         int64_t total = 1;
         int64_t live = 1;
         int64_t spendable = 1;
+        // The part of the rate with which this gateway refills its buckets itself.
+        double own = 1;
         double burstFraction() const { return static_cast<double>(live) / static_cast<double>(total); }
         double rateFraction() const { return static_cast<double>(spendable) / static_cast<double>(total); }
         bool operator==(const RateShares&) const = default;
@@ -186,7 +201,11 @@
         Incarnation incarnation;
         std::optional<base::Instant> lastHeard;
         base::Instant memberUntil;
-        bool listed = false;
+        std::optional<ListedClaim> listed;
+        bool joining = false;
+        base::Instant joiningUntil;
+        // The revision of its listed claim when it was last heard joining.
+        base::Revision joiningAfter;
         std::set<base::InstanceId> silentPeers;
         bool silentPeersLeftOut = false;
         int64_t liveSetDigest = 0;
@@ -219,6 +238,7 @@
     Peer& peerOf(const base::InstanceId&);
 
     AccountLimitsSettings m_settings;
+    const LimitShare* m_share = nullptr;
     base::Duration m_peerSilence {};
     base::Duration m_unheardTime {};
     base::Duration m_startupWindow {};
--- a/packages/scheduling/src/AccountLimits.cpp
+++ b/packages/scheduling/src/AccountLimits.cpp
@@ -14,6 +14,7 @@
 constexpr int64_t digestMask = (int64_t(1) << 53) - 1;
 
 constexpr size_t maxReportedSilentPeers = 16;
+constexpr size_t maxReportedAcknowledgements = 32;
 
 // FNV-1a.
 int64_t digestOf(const base::InstanceId& id)
@@ -109,7 +110,7 @@
 
 bool AccountLimits::isMember(const Peer& peer, base::Instant now) const
 {
-    return recentlyHeard(peer, now) || peer.listed || now < peer.memberUntil;
+    return recentlyHeard(peer, now) || peer.listed || now < peer.memberUntil || now < peer.joiningUntil;
 }
 
 void AccountLimits::setSelf(base::InstanceId self, base::Instant now)
@@ -155,13 +156,14 @@
         ++shares.live;
         shares.spendable += maySpendShareOf(peer, own) ? 1 : 0;
     }
+    shares.own = m_share ? m_share->share(shares.total, now) : 1 / static_cast<double>(shares.total);
     return shares;
 }
 
 void AccountLimits::refill(Bucket& bucket, const RateShares& shares, base::Instant now) const
 {
     base::Duration elapsed = std::max<base::Duration>(now - bucket.updated, base::Duration::zero());
-    bucket.balance += bucket.rate / static_cast<double>(shares.total) * base::toSeconds(elapsed);
+    bucket.balance += bucket.rate * shares.own * base::toSeconds(elapsed);
     bucket.balance = std::min(bucket.balance, bucket.burst * shares.burstFraction());
     bucket.updated = std::max(bucket.updated, now);
     bucket.room.add(bucket.burst * shares.burstFraction() - bucket.balance, now, now - m_settings.refundTime);
@@ -250,21 +252,34 @@
     m_buckets = std::move(kept);
 }
 
-void AccountLimits::setPeers(const std::set<base::InstanceId>& listed, base::Instant now)
+void AccountLimits::setPeers(const std::map<base::InstanceId, ListedClaim>& listed, base::Instant now)
 {
     for (auto& [id, peer] : m_peers) {
-        if (peer.listed && !listed.contains(id))
+        auto found = listed.find(id);
+        if (peer.listed && found == listed.end()) {
             peer.memberUntil = now + m_settings.departedPeerRetention;
-        peer.listed = listed.contains(id);
+            // The claim with which it was joining has been settled and has ended.
+            if (peer.listed->settled && peer.listed->written > peer.joiningAfter)
+                peer.joiningUntil = {};
+        }
+        peer.listed.reset();
     }
-    for (const auto& id : listed)
-        peerOf(id).listed = true;
+    for (const auto& [id, claim] : listed)
+        peerOf(id).listed = claim;
     std::erase_if(m_peers, [&](const auto& entry) {
         const Peer& peer = entry.second;
-        return !peer.listed && now >= peer.memberUntil && (!peer.lastHeard || now - *peer.lastHeard > m_settings.departedPeerRetention);
+        return !isMember(peer, now) && (!peer.lastHeard || now - *peer.lastHeard > m_settings.departedPeerRetention);
     });
 }
 
+bool AccountLimits::isAcknowledgedBy(const LimitReport& report, base::Instant joiningSince, base::Instant now) const
+{
+    if (std::find(report.acknowledged.begin(), report.acknowledged.end(), m_self) != report.acknowledged.end())
+        return true;
+    // What the sender has heard by then was sent after the claim had been written.
+    return now - joiningSince > m_peerSilence * 2 && report.liveSetDigest == liveSet(now).digest;
+}
+
 void AccountLimits::onReport(const base::InstanceId& id, const LimitReport& report, base::Instant now)
 {
     Peer& peer = peerOf(id);
@@ -286,6 +301,11 @@
     peer.silentPeers = { report.silentPeers.begin(), report.silentPeers.end() };
     peer.silentPeersLeftOut = report.silentPeersLeftOut;
     peer.liveSetDigest = report.liveSetDigest;
+    peer.joining = report.joining;
+    if (report.joining) {
+        peer.joiningUntil = now + m_settings.joiningPeerRetention;
+        peer.joiningAfter = peer.listed ? peer.listed->written : base::Revision();
+    }
     // During a longer silence other gateways may have spent its share.
     bool maySpend = heardFor <= m_peerSilence && maySpendShareOf(peer, liveSet(now));
     RateShares shares = rateShares(now);
@@ -333,6 +353,8 @@
     Bucket& bucket = found->second;
     RateShares shares = rateShares(now);
     refill(bucket, shares, now);
+    if (shares.own <= 0)
+        return now + m_peerSilence;
     double amount = static_cast<double>(cost.value());
     // A call larger than the whole burst is admitted by a full bucket, whose balance then becomes negative.
     double needed = std::min(amount, bucket.burst * shares.burstFraction());
@@ -370,10 +392,15 @@
     found->second.charged -= returned;
 }
 
-LimitReport AccountLimits::report(Incarnation incarnation, base::Instant now) const
+LimitReport AccountLimits::report(Incarnation incarnation, bool joining, base::Instant now) const
 {
     LiveSet own = liveSet(now);
     LimitReport report;
+    report.joining = joining;
+    for (const auto& [id, peer] : m_peers) {
+        if (peer.joining && recentlyHeard(peer, now) && report.acknowledged.size() < maxReportedAcknowledgements)
+            report.acknowledged.push_back(id);
+    }
     report.incarnation = incarnation;
     report.liveSetDigest = own.digest;
     report.silentPeersLeftOut = own.silentPeers.size() > maxReportedSilentPeers;
