Account limits: an account that leaves the desired state and comes back has no second burst

Cause: its bucket was dropped and made anew, so the total of charges in the reports began at zero, and peers read the fall as a refund.

Change: a bucket is kept for ten minutes after its account has lost its limit; the totals go on, and it neither limits nor starts anew.

Measured: AnAccountThatLeavesAndComesBackGetsNoMoreThanItsLimit fails with buckets dropped as before and passes now.

--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -71,6 +71,8 @@
     // The part of rate x window + burst by which an account may exceed it in a window.
     double overshoot = 0;
     base::Duration window {};
+    // An account that has left the desired state is remembered for this long.
+    base::Duration removedAccountRetention = std::chrono::minutes(10);
     // Refunds of older charges return nothing.
     base::Duration refundTime = std::chrono::seconds(30);
 };
@@ -189,6 +191,8 @@
         double burst = 0;
         double balance = 0;
         base::Instant updated;
+        // Since when the desired state has no limit for the account. Peers would read a total that begins anew as a refund.
+        std::optional<base::Instant> removed;
         base::Tokens charged;
         RecentCharges own;
         RecentCharges peers;
@@ -235,6 +239,8 @@
     // Adds the gateway's own share for the time since the last refill, and applies the cap.
     void refill(Bucket&, const RateShares&, base::Instant now) const;
 
+    // Nothing for an account without a limit.
+    const Bucket* limitedBucket(const base::ClientAccountId&) const;
     Peer& peerOf(const base::InstanceId&);
 
     AccountLimitsSettings m_settings;
--- a/packages/scheduling/src/AccountLimits.cpp
+++ b/packages/scheduling/src/AccountLimits.cpp
@@ -214,20 +214,26 @@
     return false;
 }
 
+const AccountLimits::Bucket* AccountLimits::limitedBucket(const base::ClientAccountId& account) const
+{
+    auto found = m_buckets.find(account);
+    return found == m_buckets.end() || found->second.removed ? nullptr : &found->second;
+}
+
 bool AccountLimits::isShort(const base::ClientAccountId& account, base::Instant now) const
 {
     constexpr double halfOfBurst = 0.5;
-    auto found = m_buckets.find(account);
-    return found != m_buckets.end() && found->second.balance < found->second.burst * rateShares(now).burstFraction() * halfOfBurst;
+    const Bucket* bucket = limitedBucket(account);
+    return bucket && bucket->balance < bucket->burst * rateShares(now).burstFraction() * halfOfBurst;
 }
 
 double AccountLimits::ownRate(const base::ClientAccountId& account, base::Instant now) const
 {
-    auto found = m_buckets.find(account);
-    if (found == m_buckets.end())
+    const Bucket* bucket = limitedBucket(account);
+    if (!bucket)
         return 0;
     RateShares shares = rateShares(now);
-    return found->second.rate * shares.rateFraction() * partOf(found->second, shares, now);
+    return bucket->rate * shares.rateFraction() * partOf(*bucket, shares, now);
 }
 
 void AccountLimits::setAccounts(const DesiredState& state, base::Instant now)
@@ -243,12 +249,21 @@
         if (known != m_buckets.end()) {
             refill(known->second, shares, now);
             bucket = known->second;
+            bucket.removed.reset();
         }
         bucket.rate = static_cast<double>(account.limits.tokensPerSecond.value());
         bucket.burst = static_cast<double>(account.limits.burst.value());
         bucket.balance = std::min(bucket.balance, bucket.burst);
         kept.emplace(account.limits.id, bucket);
     }
+    for (auto& [account, bucket] : m_buckets) {
+        if (kept.contains(account))
+            continue;
+        refill(bucket, shares, now);
+        bucket.removed = bucket.removed.value_or(now);
+        if (now - *bucket.removed < m_settings.removedAccountRetention)
+            kept.emplace(account, bucket);
+    }
     m_buckets = std::move(kept);
 }
 
@@ -348,7 +363,7 @@
 std::optional<base::Instant> AccountLimits::charge(const base::ClientAccountId& account, base::Tokens cost, base::Instant now)
 {
     auto found = m_buckets.find(account);
-    if (found == m_buckets.end())
+    if (found == m_buckets.end() || found->second.removed)
         return std::nullopt;
     Bucket& bucket = found->second;
     RateShares shares = rateShares(now);
@@ -377,8 +392,8 @@
 
 base::Instant AccountLimits::expected(const base::ClientAccountId& account, base::Tokens cost, base::Instant now) const
 {
-    auto found = m_buckets.find(account);
-    return found == m_buckets.end() ? now : availableAt(found->second, rateShares(now), static_cast<double>(cost.value()), now);
+    const Bucket* bucket = limitedBucket(account);
+    return bucket ? availableAt(*bucket, rateShares(now), static_cast<double>(cost.value()), now) : now;
 }
 
 void AccountLimits::refund(const base::ClientAccountId& account, base::Tokens cost, base::Instant chargedAt, base::Instant now)
--- a/packages/scheduling/test/ClaimFleet.h
+++ b/packages/scheduling/test/ClaimFleet.h
@@ -91,13 +91,12 @@
             setCut(other, number, isolated);
         }
     }
+    // Without the account, the gateway rejects its calls.
     void setAccount(size_t number, const DesiredState& state)
     {
-        if (isAlive(number))
-            m_gateways[number].limits->setAccounts(state, m_now);
+        m_gateways[number].knowsAccount = !state.accounts.empty();
+        m_gateways[number].limits->setAccounts(state, m_now);
     }
-    // The claim leaves the store although its lease lasts, as it does when an operator removes it.
-    void removeClaim(size_t number) { m_store.erase(m_gateways[number].id); }
 
     void step()
     {
@@ -123,7 +122,7 @@
     }
     bool call(size_t number, int64_t cost)
     {
-        if (!isAlive(number) || m_gateways[number].limits->charge(farm, base::Tokens(cost), m_now))
+        if (!isAlive(number) || !m_gateways[number].knowsAccount || m_gateways[number].limits->charge(farm, base::Tokens(cost), m_now))
             return false;
         m_admitted.emplace_back(m_now, cost);
         return true;
@@ -176,6 +175,7 @@
         base::InstanceId id;
         Incarnation incarnation;
         bool reachesStore = true;
+        bool knowsAccount = true;
         std::unique_ptr<ShareClaim> claim;
         std::unique_ptr<AccountLimits> limits;
         std::map<base::InstanceId, Stored> list;
--- a/packages/scheduling/test/ShareClaimTest.cpp
+++ b/packages/scheduling/test/ShareClaimTest.cpp
@@ -175,3 +175,28 @@
         RC_ASSERT(fleet.maxAdmittedWithin(window) <= allowed);
     });
 }
+
+// Guards against a second burst for an account that leaves the desired state and comes back: its totals began anew, and peers took
+// what they fell by for a refund.
+TEST(ShareClaim, AnAccountThatLeavesAndComesBackGetsNoMoreThanItsLimit)
+{
+    constexpr int64_t largeBurst = 8000;
+    for (bool inTurn : { false, true }) {
+        ClaimFleet fleet(4, rate, largeBurst, longLease);
+        runFlooded(fleet, std::chrono::seconds(20));
+        for (size_t round = 0; round < 8; ++round) {
+            auto changes = [&](size_t number) { return !inTurn || number == round % 4; };
+            for (size_t number = 0; number < 4; ++number) {
+                if (changes(number))
+                    fleet.setAccount(number, stateWith(0, 0));
+            }
+            runFlooded(fleet, ClaimFleet::interval * 3);
+            for (size_t number = 0; number < 4; ++number) {
+                if (changes(number))
+                    fleet.setAccount(number, stateWith(rate, largeBurst));
+            }
+            runFlooded(fleet, std::chrono::seconds(4));
+        }
+        CHECK_TRUE(fleet.maxAdmittedWithin(window) <= (8 * rate + largeBurst) * 11 / 10);
+    }
+}
