Account limits: a process that hangs at its first start does not hold the other claims up

Cause: a claim asked for acknowledgements of all others. But a gateway whose claim is newer has read a list with the older ones.

Change: only gateways with older claims acknowledge.

--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -427,7 +427,7 @@
         if (id == m_settings.instance)
             continue;
         auto claim = readClaim(entry->second.value);
-        claims[id] = { entry->second.modified, claim && claim->settled };
+        claims[id] = { entry->second.created, entry->second.modified, claim && claim->settled };
         if (claim)
             peers.emplace(id, claim->endpoint);
     }
--- a/packages/direct/src/ShareClaimKeeper.cpp
+++ b/packages/direct/src/ShareClaimKeeper.cpp
@@ -55,15 +55,16 @@
 void ShareClaimKeeper::tick()
 {
     base::Instant now = m_loop.now();
-    m_claim.tick(now);
     if (m_pending || m_leaving || now < m_nextAttempt)
         return;
     if (!m_lease)
         grantLease();
     else if (!m_written && m_fleet.synced())
         write();
-    else if (m_claim.isSettled() && !m_wroteSettled)
+    else if (m_claim.canSettle(now))
         writeSettled();
+    else if (auto unsettled = m_claim.removable(now))
+        removeClaim(*unsettled);
     else if (m_written && now >= m_nextRenewal)
         renewLease();
 }
@@ -111,17 +112,17 @@
     const base::KeyValue* known = entry();
     auto claim = known ? readClaim(known->value) : std::nullopt;
     bool continued = claim && claim->settled;
+    std::optional<base::Revision> created = known ? std::optional(known->created) : std::nullopt;
     base::Transaction transaction;
     transaction.comparisons.push_back({ claimKey(), known ? known->modified : base::Revision() });
     transaction.operations.emplace_back(base::PutOperation { claimKey(), value(continued), m_lease });
-    m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this, continued](base::Outcome<base::TransactionReply> outcome) {
+    m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this, continued, created](base::Outcome<base::TransactionReply> outcome) {
         m_pending = false;
         const auto* reply = std::get_if<base::TransactionReply>(&outcome);
         if (reply && reply->committed) {
             base::LogLine("limit_claim_written").add("revision", reply->revision).add("continued", continued ? "yes" : "no");
             m_written = reply->revision;
-            m_wroteSettled = continued;
-            m_claim.onWritten(reply->revision, leaseEnd(m_leaseSent), continued, m_loop.now());
+            m_claim.onWritten(reply->revision, created.value_or(reply->revision), leaseEnd(m_leaseSent), continued, m_loop.now());
             return;
         }
         base::LogLine("limit_claim_failed").add("reason", reply ? "the claim has changed" : std::get<base::Error>(outcome).message);
@@ -146,11 +147,26 @@
         } else if (reply) {
             base::LogLine("limit_claim_settled").add("revision", reply->revision);
             m_written = reply->revision;
-            m_wroteSettled = true;
+            m_claim.onSettled(reply->revision);
         }
     });
 }
 
+// The gateway with that claim cannot settle it any more, since its own write compares the revision.
+void ShareClaimKeeper::removeClaim(const base::InstanceId& id)
+{
+    auto known = m_fleet.entries().find(base::concat(claimPrefix, id));
+    if (known == m_fleet.entries().end())
+        return;
+    m_pending = true;
+    m_nextAttempt = m_loop.now() + retryDelay;
+    base::LogLine("limit_claim_removed").add("gateway", id).add("written", known->second.modified);
+    base::Transaction transaction;
+    transaction.comparisons.push_back({ known->first, known->second.modified });
+    transaction.operations.emplace_back(base::DeleteOperation { known->first });
+    m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [this](base::Outcome<base::TransactionReply>) { m_pending = false; });
+}
+
 void ShareClaimKeeper::lose(std::string_view why)
 {
     base::LogLine("limit_claim_lost").add("reason", why);
@@ -167,7 +183,7 @@
         base::InstanceId id(entry->first.substr(claimPrefix.size()));
         auto claim = readClaim(entry->second.value);
         if (id != m_settings.instance)
-            others.emplace(id, scheduling::ListedClaim { entry->second.modified, claim && claim->settled });
+            others.emplace(id, scheduling::ListedClaim { entry->second.created, entry->second.modified, claim && claim->settled });
     }
     if (m_fleet.synced() && m_fleet.lastAnswer())
         m_claim.setOthers(std::move(others), m_fleet.revision(), *m_fleet.lastAnswer());
@@ -192,7 +208,7 @@
         m_claim.onRenewed(std::min(leaseEnd(m_leaseSent), sent + rest + m_claimSettings.margin));
         base::Transaction transaction;
         transaction.comparisons.push_back({ claimKey(), *m_written });
-        transaction.operations.emplace_back(base::PutOperation { claimKey(), value(m_wroteSettled), *lease });
+        transaction.operations.emplace_back(base::PutOperation { claimKey(), value(m_claim.isSettled()), *lease });
         m_store.commit(std::move(transaction), m_loop.now() + storeCallTimeout, [](base::Outcome<base::TransactionReply>) {});
     });
 }
--- a/packages/direct/src/ShareClaimKeeper.h
+++ b/packages/direct/src/ShareClaimKeeper.h
@@ -48,6 +48,8 @@
     void renewLease();
     void write();
     void writeSettled();
+    // Of another gateway.
+    void removeClaim(const base::InstanceId&);
     void lose(std::string_view why);
 
     io::EventLoop& m_loop;
@@ -60,7 +62,6 @@
     base::Instant m_leaseSent;
     // The revision at which this process last wrote its claim.
     std::optional<base::Revision> m_written;
-    bool m_wroteSettled = false;
     bool m_pending = false;
     bool m_leaving = false;
     base::Instant m_nextAttempt;
--- a/packages/scheduling/src/ShareClaim.cpp
+++ b/packages/scheduling/src/ShareClaim.cpp
@@ -5,9 +5,10 @@
 
 namespace toucanstep::scheduling {
 
-void ShareClaim::onWritten(base::Revision written, base::Instant leaseEnd, bool continued, base::Instant now)
+void ShareClaim::onWritten(base::Revision written, base::Revision created, base::Instant leaseEnd, bool continued, base::Instant now)
 {
     m_written = written;
+    m_created = created;
     m_writtenAt = now;
     m_leaseEnd = leaseEnd;
     m_settled = continued;
@@ -35,16 +36,37 @@
         m_acknowledged.insert(peer);
 }
 
-int64_t ShareClaim::unacknowledged() const
+bool ShareClaim::isUnacknowledged(const base::InstanceId& id, const ListedClaim& claim) const
 {
-    return std::count_if(m_others.begin(), m_others.end(), [this](const auto& other) { return !m_acknowledged.contains(other.first); });
+    return claim.created < m_created && !m_acknowledged.contains(id);
 }
 
-void ShareClaim::tick(base::Instant now)
+bool ShareClaim::canSettle(base::Instant now) const
 {
     if (m_settled || !isListNewer())
-        return;
-    m_settled = !unacknowledged() || now - *m_writtenAt >= m_settings.lease;
+        return false;
+    bool allCount = std::none_of(m_others.begin(), m_others.end(), [this](const auto& other) { return isUnacknowledged(other.first, other.second); });
+    return allCount || now - *m_writtenAt >= m_settings.lease;
+}
+
+void ShareClaim::onSettled(base::Revision written)
+{
+    m_written = written;
+    m_settled = true;
+}
+
+std::optional<base::InstanceId> ShareClaim::removable(base::Instant now) const
+{
+    if (m_settled || !isListNewer() || now - *m_writtenAt < m_settings.removalAfter)
+        return std::nullopt;
+    auto found = std::find_if(m_others.begin(), m_others.end(), [this](const auto& other) { return !other.second.settled && isUnacknowledged(other.first, other.second); });
+    return found == m_others.end() ? std::nullopt : std::optional(found->first);
+}
+
+int64_t ShareClaim::countedBy(const base::InstanceId& id, const ListedClaim& claim) const
+{
+    auto counts = [&](const auto& other) { return other.first != id && (other.second.settled || other.second.created < claim.created); };
+    return 1 + std::count_if(m_others.begin(), m_others.end(), counts);
 }
 
 double ShareClaim::share(int64_t gateways, base::Instant now) const
@@ -56,10 +78,12 @@
         return even;
     if (!isListNewer() || now - *m_listAnswered > m_settings.maxListAge)
         return 0;
-    auto settled = std::count_if(m_others.begin(), m_others.end(), [](const auto& other) { return other.second.settled; });
-    double others = 1 / static_cast<double>(std::max<int64_t>(settled, 1));
-    double excess = std::max(others - even, 0.0) * static_cast<double>(unacknowledged());
-    return std::max(even - excess, 0.0);
+    double left = even;
+    for (const auto& [id, claim] : m_others) {
+        if (isUnacknowledged(id, claim))
+            left -= std::max(1 / static_cast<double>(countedBy(id, claim)) - even, 0.0);
+    }
+    return std::max(left, 0.0);
 }
 
 } // namespace toucanstep::scheduling
--- a/packages/scheduling/test/ClaimFleet.h
+++ b/packages/scheduling/test/ClaimFleet.h
@@ -40,6 +40,7 @@
         m_claims.lease = lease;
         m_claims.margin = std::chrono::milliseconds(200);
         m_claims.maxListAge = std::chrono::seconds(1);
+        m_claims.removalAfter = std::chrono::milliseconds(2500);
         m_limits.joiningPeerRetention = lease;
         m_limits.departedPeerRetention = std::chrono::seconds(1);
         for (size_t number = 0; number < size; ++number)
@@ -105,8 +106,6 @@
         for (Gateway& gateway : m_gateways) {
             if (gateway.limits && gateway.reachesStore)
                 callStore(gateway);
-            if (gateway.limits)
-                gateway.claim->tick(m_now);
         }
         for (size_t from = 0; from < size(); ++from) {
             for (size_t to = 0; to < size(); ++to) {
@@ -183,19 +182,24 @@
         base::Instant nextList;
         base::Instant nextRenewal;
         std::optional<base::Revision> written;
-        bool wroteSettled = false;
     };
 
     void callStore(Gateway& gateway)
     {
         if (m_now >= gateway.nextList)
             readList(gateway);
-        if (!gateway.written)
+        if (!gateway.written) {
             write(gateway);
-        else if (gateway.claim->isSettled() && !gateway.wroteSettled)
+        } else if (gateway.claim->canSettle(m_now)) {
             writeSettled(gateway);
-        else if (m_now >= gateway.nextRenewal)
+        } else if (auto unsettled = gateway.claim->removable(m_now)) {
+            auto known = gateway.list.find(*unsettled);
+            auto stored = m_store.find(*unsettled);
+            if (stored != m_store.end() && stored->second.claim.written == known->second.claim.written)
+                remove(stored);
+        } else if (m_now >= gateway.nextRenewal) {
             renew(gateway);
+        }
     }
     void readList(Gateway& gateway)
     {
@@ -224,23 +228,31 @@
             return;
         bool continued = stored != m_store.end() && stored->second.claim.settled;
         put(gateway, continued);
-        gateway.claim->onWritten(*gateway.written, m_now + m_claims.lease, continued, m_now);
+        gateway.claim->onWritten(*gateway.written, m_store[gateway.id].claim.created, m_now + m_claims.lease, continued, m_now);
     }
     void writeSettled(Gateway& gateway)
     {
         auto stored = m_store.find(gateway.id);
-        if (stored != m_store.end() && stored->second.claim.written == *gateway.written)
-            put(gateway, true);
+        if (stored == m_store.end() || stored->second.claim.written != *gateway.written)
+            return;
+        put(gateway, true);
+        gateway.claim->onSettled(*gateway.written);
     }
     void put(Gateway& gateway, bool settled)
     {
         m_revision = base::Revision(m_revision.value() + 1);
-        m_store[gateway.id] = { { m_revision, settled }, m_now + m_claims.lease };
+        auto [stored, isNew] = m_store.try_emplace(gateway.id);
+        base::Revision created = isNew ? m_revision : stored->second.claim.created;
+        stored->second = { { created, m_revision, settled }, m_now + m_claims.lease };
         gateway.written = m_revision;
-        gateway.wroteSettled = settled;
         gateway.nextRenewal = m_now + m_claims.lease / 4;
         gateway.claim->onRenewed(m_now + m_claims.lease);
     }
+    void remove(std::map<base::InstanceId, Stored>::iterator stored)
+    {
+        m_revision = base::Revision(m_revision.value() + 1);
+        m_store.erase(stored);
+    }
     void renew(Gateway& gateway)
     {
         auto stored = m_store.find(gateway.id);
--- a/packages/scheduling/test/ShareClaimTest.cpp
+++ b/packages/scheduling/test/ShareClaimTest.cpp
@@ -84,6 +84,20 @@
         DOUBLES_EQUAL(0.25, fleet.share(number), roundingError);
 }
 
+// Guards against a fleet that starts and gets nothing for the length of a lease because one process hangs before it is heard.
+TEST(ShareClaim, AGatewayThatHangsAtTheFirstStartHoldsTheOthersUpForSeconds)
+{
+    ClaimFleet fleet(4, rate, burst, longLease);
+    fleet.setIsolated(0, true);
+    fleet.step();
+    fleet.kill(0);
+    fleet.run(std::chrono::seconds(5));
+    CHECK_TRUE(fleet.sharesTogether() >= 0.75 - roundingError);
+    fleet.start(0);
+    fleet.run(std::chrono::seconds(5));
+    CHECK_TRUE(fleet.sharesTogether() <= 1 + roundingError);
+}
+
 // Guards against shares of gateways whose keys have left the list being spent twice while they go on serving.
 TEST(ShareClaim, GatewaysThatLoseTheStoreAndTheirPeersAreStillCounted)
 {
