Account limits: readiness without a claim where no account has a limit; a claim outlives a restart

Cause, found by reading: a gateway that gets no claim, for example from a store that grants no lease of ten minutes, was never ready, also where no account has a limit. And a claim that a stop leaves ended one second after the termination grace: a process that takes longer to start would have had to ask for acknowledgements.

Change: readiness asks for a share only if an account has a limit; the claim of a process that stops lasts for the grace and five seconds. Whether there is a share is asked without the digest over all peers, since each limited call asks.

--- a/packages/direct/src/GatewayCore.cpp
+++ b/packages/direct/src/GatewayCore.cpp
@@ -183,7 +183,7 @@
 {
     // The list of upstreams may be long, and is used as it arrives.
     bool known = m_mirror.part(StorePart::DesiredState).synced() && m_mirror.part(StorePart::Fleet).synced() && !m_calls.upstreams().all().empty();
-    return known && m_calls.desiredState() && m_calls.limits().mayCharge(m_loop.now()) && !m_calls.stop().begun();
+    return known && m_calls.desiredState() && m_calls.limits().mayChargeAll(m_loop.now()) && !m_calls.stop().begun();
 }
 
 void GatewayCore::tick()
--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -172,7 +172,7 @@
         return false;
     if (!account || !account->limited())
         return true;
-    if (!m_dispatcher.limits().mayCharge(m_arrived)) {
+    if (!m_dispatcher.limits().hasShare(m_arrived)) {
         refuse(statusUnavailable, "limits_unknown", Execution::NotRun, "the gateway does not know its share of the account's limits", defaultRetryAfter);
         return false;
     }
--- a/packages/direct/src/ShareClaimKeeper.cpp
+++ b/packages/direct/src/ShareClaimKeeper.cpp
@@ -5,6 +5,7 @@
 #include "toucanstep/base/Text.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace toucanstep::direct {
 
@@ -13,8 +14,8 @@
 constexpr std::string_view settledMark = " settled";
 constexpr int renewalsPerLease = 4;
 constexpr auto retryDelay = std::chrono::milliseconds(300);
-// The key outlives the process a little.
-constexpr auto leavingMargin = std::chrono::seconds(1);
+// The claim outlives the process until the next one on its machine has started.
+constexpr auto restartTime = std::chrono::seconds(5);
 
 } // namespace
 
@@ -199,7 +200,7 @@
     if (std::exchange(m_leaving, true) || !m_written)
         return;
     base::Instant sent = m_loop.now();
-    base::Duration rest = m_settings.terminationGrace + leavingMargin;
+    base::Duration rest = m_settings.terminationGrace + restartTime;
     m_store.grantLease(rest, sent + storeCallTimeout, [this, sent, rest](base::Outcome<base::LeaseId> outcome) {
         const auto* lease = std::get_if<base::LeaseId>(&outcome);
         if (!lease || !m_written)
--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -119,7 +119,9 @@
     // Whether the sender of the report has heard the claim that this gateway has had since `joiningSince`, and so counts this gateway.
     bool isAcknowledgedBy(const LimitReport&, base::Instant joiningSince, base::Instant now) const;
     // Whether this gateway has a share of its own to spend.
-    bool mayCharge(base::Instant now) const { return rateShares(now).own > 0; }
+    bool hasShare(base::Instant now) const;
+    // Whether it may charge every account: it has a share, or no account has a limit.
+    bool mayChargeAll(base::Instant now) const;
     // `now`: the time of this gateway's start.
     void setSelf(base::InstanceId, base::Instant now);
     void onReport(const base::InstanceId& peer, const LimitReport&, base::Instant now);
--- a/packages/scheduling/src/AccountLimits.cpp
+++ b/packages/scheduling/src/AccountLimits.cpp
@@ -160,6 +160,18 @@
     return shares;
 }
 
+bool AccountLimits::hasShare(base::Instant now) const
+{
+    auto others = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto& entry) { return isMember(entry.second, now); });
+    return !m_share || m_share->share(others + 1, now) > 0;
+}
+
+bool AccountLimits::mayChargeAll(base::Instant now) const
+{
+    bool anyLimit = std::any_of(m_buckets.begin(), m_buckets.end(), [](const auto& entry) { return !entry.second.removed; });
+    return !anyLimit || hasShare(now);
+}
+
 void AccountLimits::refill(Bucket& bucket, const RateShares& shares, base::Instant now) const
 {
     base::Duration elapsed = std::max<base::Duration>(now - bucket.updated, base::Duration::zero());
