Account limits: a peer without a share has none to spend for others

What callers would see: more than their limit while gateways whose claims have ended are heard by some of the others.

Cause: a gateway spends the shares of the peers that it hears, one Nth each, also of those that have no share because their claims have ended or are not settled. Others that do not hear these do not count them either, and divide by fewer: three of four shares at one gateway and one half at another.

Change: a report states the sender's own share where it is less than an equal one, and no more than that is credited for it.

Measured: APeerWithoutAShareHasNoneToSpendForOthers fails without the rule.

--- a/packages/direct/src/FleetReports.cpp
+++ b/packages/direct/src/FleetReports.cpp
@@ -96,7 +96,7 @@
     Json acknowledged = Json::array();
     for (const auto& peer : limits.acknowledged)
         acknowledged.push_back(peer.value());
-    return Json::array({ limits.joining, acknowledged });
+    return Json::array({ limits.joining, acknowledged, limits.share });
 }
 
 Json encode(const LoadReport& report)
@@ -145,7 +145,7 @@
     for (const auto& loan : report.partLoans)
         partLoans.push_back({ loan.resource, loan.borrower.value(), loan.sentAt.count(), loan.rank, loan.count });
     Json message = Json::array({ encodeHeader(report.complete ? ReportKind::Load : ReportKind::LoadChange, report.sender), report.configuration.value(), directories, report.leaving, use, charges, strikes, silentPeers, report.limits.liveSetDigest, balances, queued, report.domain.value(), report.limits.silentPeersLeftOut, callLimits, availability, crashes, cleared, refusals, partRequests, partLoans });
-    bool tellsOfClaims = report.limits.joining || !report.limits.acknowledged.empty();
+    bool tellsOfClaims = report.limits.joining || report.limits.share < 1 || !report.limits.acknowledged.empty();
     if (tellsOfClaims || !report.queuedAccounts.empty() || !report.waitingTokens.empty())
         message.push_back(encodeWaitingAccounts(report));
     if (tellsOfClaims)
@@ -233,6 +233,14 @@
     return count;
 }
 
+double asShare(const Json& value)
+{
+    auto share = value.get<double>();
+    if (!(share >= 0 && share <= 1))
+        throw std::invalid_argument("not a share");
+    return share;
+}
+
 std::optional<double> asLimit(const Json& value)
 {
     int64_t limit = asInteger(value);
@@ -338,6 +346,7 @@
         report.limits.joining = value.at(claimsIndex).at(0).get<bool>();
         for (const Json& entry : value.at(claimsIndex).at(1))
             report.limits.acknowledged.push_back(asText<base::InstanceId>(entry));
+        report.limits.share = asShare(value.at(claimsIndex).at(2));
     }
     for (const Json& entry : value.at(queuedIndex))
         report.queued[{ asText<base::ServiceId>(entry.at(0)), asText<base::ModelId>(entry.at(1)) }][asInteger(entry.at(2))] = { asCount(entry.at(3)), asCount(entry.at(4)) };
--- a/packages/direct/test/DecisionTest.cpp
+++ b/packages/direct/test/DecisionTest.cpp
@@ -155,10 +155,13 @@
     LONGS_EQUAL(5, loadBack.queued.begin()->second.at(1).late);
 
     load.limits.joining = true;
+    load.limits.share = 0.125;
     load.limits.acknowledged = { base::InstanceId("k") };
     loadBack = std::get<LoadReport>(*decodeReport(encodeReport(load)));
     CHECK_TRUE(loadBack.limits.joining);
     STRCMP_EQUAL("k", loadBack.limits.acknowledged.at(0).value().c_str());
+    DOUBLES_EQUAL(0.125, loadBack.limits.share, 1e-9);
+    load.limits.share = 1;
     load.limits.joining = false;
     load.limits.acknowledged.clear();
 
--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -13,7 +13,7 @@
 // Two gateways that do not hear each other may both hear a third, and must not both spend its share. So a gateway spends a
 // peer's share only if it hears every gateway that the peer hears, and the peer hears it: all gateways that spend a share
 // then hear each other and deduct what the others have spent. From any other peer it credits only what that peer has spent
-// itself, up to its share.
+// itself, up to its share. A peer that has no share has none to spend for others either: some may not count it.
 //
 // Load pattern: an account floods all gateways. Each of them sees the balance become positive in the same reports, and if each
 // spent all of it, they would together spend it many times. So within the time in which a peer may not know a charge, a gateway
@@ -98,7 +98,9 @@
     // A long list of silent peers is left out: while a fleet starts, lists of all other gateways would fill the links on which
     // these are waiting to be heard.
     bool silentPeersLeftOut = false;
-    // The sender's claim is not settled, see ShareClaim.
+    // The sender's own share of the limits where that is less than an equal one, see ShareClaim.
+    double share = 1;
+    // The sender's claim is not settled.
     bool joining = false;
     // Peers whose reports with `joining` the sender has heard lately. A long list is left out; the digests tell in time.
     std::vector<base::InstanceId> acknowledged;
--- a/packages/scheduling/src/AccountLimits.cpp
+++ b/packages/scheduling/src/AccountLimits.cpp
@@ -351,7 +351,7 @@
         if (found == m_buckets.end())
             continue;
         Bucket& bucket = found->second;
-        double share = bucket.rate / static_cast<double>(shares.total) * base::toSeconds(heardFor);
+        double share = bucket.rate * std::min(1 / static_cast<double>(shares.total), report.share) * base::toSeconds(heardFor);
         bucket.peers.add(spent, now);
         bucket.balance += (maySpend ? share : std::min(share, std::max(spent, 0.0))) - spent;
         refill(bucket, shares, now);
@@ -424,6 +424,10 @@
     LiveSet own = liveSet(now);
     LimitReport report;
     report.joining = joining;
+    constexpr double roundingError = 1e-9;
+    RateShares shares = rateShares(now);
+    if (shares.own * static_cast<double>(shares.total) < 1 - roundingError)
+        report.share = shares.own;
     for (const auto& [id, peer] : m_peers) {
         if (peer.joining && recentlyHeard(peer, now) && report.acknowledged.size() < maxReportedAcknowledgements)
             report.acknowledged.push_back(id);
--- a/packages/scheduling/test/ShareClaimTest.cpp
+++ b/packages/scheduling/test/ShareClaimTest.cpp
@@ -113,6 +113,20 @@
     CHECK_TRUE(fleet.maxAdmittedWithin(window) >= 7 * rate);
 }
 
+// Guards against the share of a gateway whose claim has ended being spent by one that hears it and by those that do not count it.
+TEST(ShareClaim, APeerWithoutAShareHasNoneToSpendForOthers)
+{
+    ClaimFleet fleet(5, rate, burst, shortLease);
+    runFlooded(fleet, std::chrono::seconds(10));
+    fleet.setIsolated(0, true);
+    for (size_t number : { 1, 2, 3 })
+        fleet.setReachesStore(number, false);
+    runFlooded(fleet, std::chrono::seconds(40));
+    DOUBLES_EQUAL(0, fleet.share(1), roundingError);
+    DOUBLES_EQUAL(0.5, fleet.share(0), roundingError);
+    CHECK_TRUE(fleet.maxAdmittedWithin(window) <= allowed);
+}
+
 // Guards against a process that spends the whole rate because it knows the accounts before the other gateways.
 TEST(ShareClaim, AGatewayThatStartsWithoutTheStoreSpendsNothing)
 {
