Tests of three rules of the claims that the drawn histories do not reach

Without the rule that a list has to be newer than the claim, the bound on a list's age, or the wait before a digest acknowledges, the 200 drawn histories still pass; each of the three new tests fails without its rule and passes with it.

--- a/packages/scheduling/test/ShareClaimTest.cpp
+++ b/packages/scheduling/test/ShareClaimTest.cpp
@@ -84,6 +84,50 @@
         DOUBLES_EQUAL(0.25, fleet.share(number), roundingError);
 }
 
+// Guards against a share beside gateways that a list from before the claim does not show.
+TEST(ShareClaim, AListThatIsOlderThanTheClaimGivesNoShare)
+{
+    base::Instant now { std::chrono::hours(1) };
+    ShareClaim claim({});
+    claim.onWritten(base::Revision(5), base::Revision(5), now + longLease, false, now);
+    claim.setOthers({}, base::Revision(4), now);
+    CHECK_FALSE(claim.canSettle(now));
+    DOUBLES_EQUAL(0, claim.share(1, now), roundingError);
+    claim.setOthers({}, base::Revision(5), now);
+    CHECK_TRUE(claim.canSettle(now));
+    DOUBLES_EQUAL(1, claim.share(1, now), roundingError);
+}
+
+// Guards against a gateway that spends after its unsettled claim was removed, since it has not read the list.
+TEST(ShareClaim, AnUnsettledClaimCountsOnlyBesideAListThatWasConfirmedLately)
+{
+    base::Instant now { std::chrono::hours(1) };
+    ShareClaimSettings settings;
+    ShareClaim claim(settings);
+    claim.onWritten(base::Revision(5), base::Revision(5), now + longLease, false, now);
+    claim.setOthers({}, base::Revision(5), now);
+    DOUBLES_EQUAL(1, claim.share(1, now + settings.maxListAge), roundingError);
+    DOUBLES_EQUAL(0, claim.share(1, now + settings.maxListAge + ClaimFleet::interval), roundingError);
+    claim.onSettled(base::Revision(6));
+    DOUBLES_EQUAL(1, claim.share(1, now + settings.maxListAge + ClaimFleet::interval), roundingError);
+}
+
+// Guards against an acknowledgement by a digest of what was heard before the claim was written.
+TEST(ShareClaim, ADigestAcknowledgesAClaimOnlyOnceOlderReportsAreForgotten)
+{
+    base::Instant now { std::chrono::hours(1) };
+    AccountLimits limits({});
+    limits.setSelf(base::InstanceId("edge-1"), now);
+    LimitReport report;
+    report.liveSetDigest = limits.report(Incarnation(1), true, now).liveSetDigest;
+    CHECK_FALSE(limits.isAcknowledgedBy(report, now, now + ClaimFleet::interval));
+    CHECK_TRUE(limits.isAcknowledgedBy(report, now, now + std::chrono::seconds(5)));
+    report.liveSetDigest = 0;
+    CHECK_FALSE(limits.isAcknowledgedBy(report, now, now + std::chrono::seconds(5)));
+    report.acknowledged = { base::InstanceId("edge-1") };
+    CHECK_TRUE(limits.isAcknowledgedBy(report, now, now + ClaimFleet::interval));
+}
+
 // Guards against a fleet that starts and gets nothing for the length of a lease because one process hangs before it is heard.
 TEST(ShareClaim, AGatewayThatHangsAtTheFirstStartHoldsTheOthersUpForSeconds)
 {
