--- a/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
+++ b/packages/scheduling/include/toucanstep/scheduling/AccountLimits.h
@@ -102,7 +102,7 @@
     double share = 1;
     // The sender's claim is not settled.
     bool joining = false;
-    // Peers whose reports with `joining` the sender has heard lately. A long list is left out; the digests tell in time.
+    // Peers whose reports with `joining` the sender has heard lately. Of many only some are named; the digests tell in time.
     std::vector<base::InstanceId> acknowledged;
 };
 
