Answers: a status line that is none is not passed on

What callers saw: an engine in trouble answered "HTTP/1.1 000", and its caller got "HTTP/1.1 0 ..." with the engine's signature and body. The same with 099, 20, 600, 999, 0200, "2 0 0", two blanks before the status, HTTP/0.9, 2.0 and 9.9, control characters in the reason phrase and a carriage return within it.

Cause: Debian's http_parser is built without its strict mode. It takes any number as a status, any bytes as a reason phrase, and any byte after the carriage return that ends a line, and ResponseParser passed on what it yields.

Change: the head of a response is collected whole and checked by RFC 9112 before http_parser reads it, so that a listener never hears of a head that is none. The status is three digits from 100 to 599, the version HTTP/1. 101 is none either, since no protocol switch is ever asked for; it was waited for until the deadline. All readers of http1::Client get it: calls, orders, reports, the store, copies from peers, streams that go on elsewhere, interim answers. The client logs answer_unreadable with the peer and what is wrong.

--- a/packages/http1/include/toucanstep/http1/Parser.h
+++ b/packages/http1/include/toucanstep/http1/Parser.h
@@ -25,6 +25,8 @@
 struct ParseStep {
     ParseProgress progress = ParseProgress::NeedsMore;
     size_t taken = 0;
+    // What is wrong with a malformed response, for the log; empty otherwise.
+    std::string_view fault;
 };
 
 class RequestListener {
@@ -37,7 +39,7 @@
 class ResponseListener {
 public:
     virtual ~ResponseListener() = default;
-    // Interim answers (1xx) are left out.
+    // Interim answers (1xx) are left out. The head is one by RFC 9112: a status from 200 to 599, and names that are tokens.
     virtual void onResponseHead(ResponseHead) = 0;
     virtual void onResponseBody(std::string_view) = 0;
 };
@@ -68,6 +70,9 @@
     ParseProgress parseEnd();
 
 private:
+    void readHead();
+    size_t readBody(std::string_view bytes);
+
     struct State;
     std::unique_ptr<State> m_state;
 };
--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -1,5 +1,6 @@
 #include "toucanstep/http1/Client.h"
 
+#include "toucanstep/base/LogLine.h"
 #include "toucanstep/base/Text.h"
 #include "toucanstep/http1/Parser.h"
 #include "toucanstep/io/Connection.h"
@@ -111,6 +112,11 @@
     }
     void noteIdleTime(const HeaderList& headers);
     void finishWhole(bool extraBytes);
+    void breakOffUnreadable(std::string_view fault)
+    {
+        base::LogLine("answer_unreadable").add("peer", m_peer.name).add("endpoint", m_peer.endpoint.text()).add("reason", fault);
+        breakOff(Breakage::Malformed);
+    }
     void breakOff(Breakage breakage)
     {
         auto self = shared_from_this();
@@ -234,7 +240,7 @@
     if (step.progress == ParseProgress::Whole)
         finishWhole(step.taken < bytes.size());
     else if (step.progress != ParseProgress::NeedsMore)
-        breakOff(Breakage::Malformed);
+        breakOffUnreadable(step.fault);
 }
 
 void Client::ClientConnection::onPeerClosed(io::CloseCause cause)
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -1,6 +1,10 @@
 #include "toucanstep/http1/Parser.h"
 
+#include "ResponseHeadReader.h"
+
+#include <algorithm>
 #include <http_parser.h>
+#include <utility>
 
 namespace toucanstep::http1 {
 
@@ -176,64 +180,79 @@
 struct ResponseParser::State {
     explicit State(ResponseListener* responseListener)
         : listener(responseListener)
+        , headReader(maximumResponseHeadBytes)
     {
         reset();
     }
 
     void reset()
+    {
+        headReader.reset();
+        whole = false;
+        beginHead();
+    }
+    void beginHead()
     {
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
         head.clear();
         headDone = false;
-        whole = false;
+        framing = BodyFraming::None;
+        fault = {};
     }
     bool isInterim() const { return parser.status_code >= 100 && parser.status_code < 200; }
-    int take(void (HeadCollector::*add)(const char*, size_t), const char* at, size_t size)
+    int fail(std::string_view what)
     {
-        if (headDone)
-            return 0;
-        (head.*add)(at, size);
-        return head.bytes > maximumResponseHeadBytes ? 1 : 0;
+        fault = what;
+        return -1;
     }
-    int onName(const char* at, size_t size) { return take(&HeadCollector::addName, at, size); }
-    int onValue(const char* at, size_t size) { return take(&HeadCollector::addValue, at, size); }
-    int onStatus(const char* at, size_t size) { return take(&HeadCollector::addText, at, size); }
-    // Interim answers count towards the size of the head, so that their number has a bound.
-    int onBegin()
+    int onName(const char* at, size_t size)
     {
-        constexpr size_t statusLineBytes = 16;
-        size_t bytesBefore = head.bytes;
-        head.clear();
-        head.bytes = bytesBefore + statusLineBytes;
-        headDone = false;
-        return head.bytes > maximumResponseHeadBytes ? 1 : 0;
+        if (!headDone)
+            head.addName(at, size);
+        return 0;
+    }
+    int onValue(const char* at, size_t size)
+    {
+        if (!headDone)
+            head.addValue(at, size);
+        return 0;
+    }
+    int onStatus(const char* at, size_t size)
+    {
+        head.addText(at, size);
+        return 0;
+    }
+    int onBegin() { return 0; }
+    bool hasBody() const
+    {
+        return !answersHead && !isInterim();
     }
-    BodyFraming framing() const
+    BodyFraming bodyFraming() const
     {
+        if (!hasBody() || parser.status_code == 204 || parser.status_code == 304)
+            return BodyFraming::None;
         if (parser.flags & F_CHUNKED)
             return BodyFraming::Chunked;
-        if (answersHead || parser.status_code == 204 || parser.status_code == 304)
-            return BodyFraming::None;
-        if (!(parser.flags & F_CONTENTLENGTH))
-            return BodyFraming::ToEnd;
-        return BodyFraming::Length;
+        return parser.flags & F_CONTENTLENGTH ? BodyFraming::Length : BodyFraming::ToEnd;
     }
     int onHead()
     {
+        // 1 tells http_parser that no body follows.
+        constexpr int noBody = 1;
         head.finishHeader();
         headDone = true;
         if (isInterim())
-            return 0;
+            return noBody;
+        framing = bodyFraming();
         ResponseHead response;
         response.status = parser.status_code;
         response.reason = std::move(head.text);
         response.headers = std::move(head.headers);
-        response.framing = framing();
+        response.framing = framing;
         response.keepAlive = http_should_keep_alive(&parser) != 0;
         listener->onResponseHead(std::move(response));
-        // 1 tells http_parser that no body follows.
-        return answersHead ? 1 : 0;
+        return hasBody() ? 0 : noBody;
     }
     int onBody(std::string_view piece)
     {
@@ -248,13 +267,16 @@
         http_parser_pause(&parser, 1);
         return 0;
     }
-
     http_parser parser {};
     ResponseListener* listener;
+    internal::ResponseHeadReader headReader;
     HeadCollector head;
     bool headDone = false;
     bool answersHead = false;
     bool whole = false;
+    BodyFraming framing = BodyFraming::None;
+    // Empty if nothing is wrong.
+    std::string_view fault;
 };
 
 ResponseParser::ResponseParser(ResponseListener* listener)
@@ -283,24 +305,66 @@
     return settings;
 }
 
+// Reads on after a pause. Returns how many bytes were taken.
+template <typename State>
+size_t execute(State& state, std::string_view bytes)
+{
+    if (HTTP_PARSER_ERRNO(&state.parser) == HPE_PAUSED)
+        http_parser_pause(&state.parser, 0);
+    size_t taken = http_parser_execute(&state.parser, &responseSettings<State>(), bytes.data(), bytes.size());
+    http_errno error = HTTP_PARSER_ERRNO(&state.parser);
+    if (error != HPE_OK && error != HPE_PAUSED && state.fault.empty())
+        state.fault = http_errno_description(error);
+    return taken;
+}
+
 } // namespace
 
+// Has the complete head read by http_parser, and prepares for the next one if it was that of an interim answer.
+void ResponseParser::readHead()
+{
+    State& state = *m_state;
+    std::string_view text = state.headReader.text();
+    size_t taken = execute(state, text);
+    if (state.fault.empty() && (taken != text.size() || !state.headDone))
+        state.fault = "the end of the head is not clear";
+    state.headReader.beginNext();
+    if (state.fault.empty() && state.isInterim())
+        state.beginHead();
+}
+
+size_t ResponseParser::readBody(std::string_view bytes)
+{
+    State& state = *m_state;
+    size_t taken = execute(state, bytes);
+    return taken;
+}
+
 ParseStep ResponseParser::parse(std::string_view bytes)
 {
-    size_t taken = http_parser_execute(&m_state->parser, &responseSettings<State>(), bytes.data(), bytes.size());
-    if (m_state->whole)
-        return { ParseProgress::Whole, taken };
-    if (m_state->parser.upgrade || HTTP_PARSER_ERRNO(&m_state->parser) != HPE_OK)
-        return { ParseProgress::Malformed, taken };
-    return { ParseProgress::NeedsMore, taken };
+    State& state = *m_state;
+    size_t taken = 0;
+    while (taken < bytes.size() && !state.whole && state.fault.empty()) {
+        if (state.headDone) {
+            taken += readBody(bytes.substr(taken));
+            continue;
+        }
+        taken += state.headReader.take(bytes.substr(taken));
+        state.fault = state.headReader.fault();
+        if (state.headReader.complete())
+            readHead();
+    }
+    if (!state.fault.empty())
+        return { ParseProgress::Malformed, taken, state.fault };
+    return { state.whole ? ParseProgress::Whole : ParseProgress::NeedsMore, taken, {} };
 }
 
 ParseProgress ResponseParser::parseEnd()
 {
-    if (HTTP_PARSER_ERRNO(&m_state->parser) != HPE_OK)
+    if (!m_state->headDone || !m_state->fault.empty())
         return ParseProgress::Malformed;
-    http_parser_execute(&m_state->parser, &responseSettings<State>(), nullptr, 0);
-    return m_state->whole ? ParseProgress::Whole : ParseProgress::Malformed;
+    execute(*m_state, {});
+    return m_state->whole && m_state->fault.empty() ? ParseProgress::Whole : ParseProgress::Malformed;
 }
 
 } // namespace toucanstep::http1
