Answers: a field whose name is no token makes an answer malformed

What callers saw: "X Y: 1", "X-Y : 1" and " X: 1" (first line of the head) came as they were, beside the body. "Content-Length : 1" and "Transfer-Encoding : chunked" were read as framing, but not recognized as connection headers, and sent on beside the gateway's own framing. A carriage return and any byte were taken for the end of the head, so that the first byte of a body was missing.

Cause: without its strict mode http_parser takes a blank for a character of a token; isHopByHop compares names as they come.

Change: names of fields are tokens by RFC 9110, in heads, interim heads and trailers, and lines hold no control characters. A blank in front of the first field is refused; a fold behind a field is still accepted.

Evidence: ANameOfAFieldThatIsNoTokenIsABadGateway fails on ("caller got: HTTP/1.1 200 OK, X Y: 1") and passes now. A control byte, NUL, a byte over 127 and an empty name were refused before; they are in the test as well.

--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -210,6 +210,9 @@
     {
         if (!headDone)
             head.addName(at, size);
+        // The trailer is dropped, but an answer that has none by the syntax is not whole.
+        else if (!std::all_of(at, at + size, internal::isTokenCharacter))
+            return fail("the name of a field is no token");
         return 0;
     }
     int onValue(const char* at, size_t size)
--- a/packages/http1/src/ResponseHeadReader.cpp
+++ b/packages/http1/src/ResponseHeadReader.cpp
@@ -9,6 +9,7 @@
 
 // What a field counts for beside its bytes, as in RFC 9113, 6.5.2.
 constexpr size_t lineOverheadBytes = 32;
+constexpr std::string_view fieldControlCharacter = "a field holds a control character";
 constexpr std::string_view noStatusLine = "no status line of HTTP/1";
 constexpr std::string_view statusNotThreeDigits = "the status is not a number of three digits";
 constexpr std::string_view versionPrefix = "HTTP/1.";
@@ -16,10 +17,18 @@
 constexpr int lowestStatus = 100;
 constexpr int highestStatus = 599;
 
+bool isBlank(char character) { return character == ' ' || character == '\t'; }
+
 bool isText(std::string_view text) { return std::all_of(text.begin(), text.end(), isTextCharacter); }
 
 } // namespace
 
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return absl::ascii_isalnum(static_cast<unsigned char>(character)) || (character && marks.find(character) != std::string_view::npos);
+}
+
 bool isTextCharacter(char character)
 {
     return character == '\t' || !absl::ascii_iscntrl(static_cast<unsigned char>(character));
@@ -38,6 +47,7 @@
     m_text = std::string();
     m_lineBegin = 0;
     m_statusLineRead = false;
+    m_fieldRead = false;
     m_complete = false;
     m_fault = {};
 }
@@ -77,6 +87,12 @@
     } else if (!m_statusLineRead) {
         m_fault = checkStatusLine(line);
         m_statusLineRead = true;
+    } else if (m_fieldRead && isBlank(line.front())) {
+        // A fold, which continues the value of the line before.
+        m_fault = isText(line) ? std::string_view() : fieldControlCharacter;
+    } else {
+        m_fault = checkField(line);
+        m_fieldRead = true;
     }
     m_lineBegin = m_text.size();
 }
@@ -102,4 +118,15 @@
     return isText(line.substr(statusEnd)) ? std::string_view() : "the reason phrase holds a control character";
 }
 
+std::string_view ResponseHeadReader::checkField(std::string_view line)
+{
+    size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return "a field without a colon";
+    std::string_view name = line.substr(0, colon);
+    if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
+        return "the name of a field is no token";
+    return isText(line.substr(colon)) ? std::string_view() : fieldControlCharacter;
+}
+
 } // namespace toucanstep::http1::internal
--- a/packages/http1/src/ResponseHeadReader.h
+++ b/packages/http1/src/ResponseHeadReader.h
@@ -10,6 +10,8 @@
 
 namespace toucanstep::http1::internal {
 
+// A character of a token (RFC 9110, 5.6.2), as in the name of a field.
+bool isTokenCharacter(char);
 // A character that may stand in a line: a tab, or anything but control characters.
 bool isTextCharacter(char);
 
@@ -37,6 +39,7 @@
 private:
     void endLine();
     static std::string_view checkStatusLine(std::string_view line);
+    static std::string_view checkField(std::string_view line);
 
     size_t m_maximumBytes;
     std::string m_text;
@@ -46,6 +49,7 @@
     // Of the interim heads before.
     size_t m_spentBytes = 0;
     bool m_statusLineRead = false;
+    bool m_fieldRead = false;
     bool m_complete = false;
     std::string_view m_fault;
 };
