Answers: unknown transfer codings and chunks of another size are malformed

What callers saw: with "Transfer-Encoding: gzip", or chunked that is not last, a 200 whose body was not the upstream's content, with the header dropped. A chunk that is longer than its size says gave a 200 as well.

Cause: for such a coding http_parser reads until the connection ends, and the gateway dropped the header with the other connection headers. Without its strict mode it does not look at the two bytes behind a chunk, at the byte behind the carriage return of a size line or of a trailer's end, nor into extensions.

Change: a body has the coding chunked, once, or none (identity). http_parser is paused behind each line of the chunked framing and the bytes are checked.

Lengths that are no number, two lengths, and a length beside chunks were refused before and stay in the test.

--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -178,6 +178,13 @@
 }
 
 struct ResponseParser::State {
+    // What of a chunked body comes next.
+    enum class ChunkPart {
+        SizeLine,
+        Data,
+        Trailer,
+    };
+
     explicit State(ResponseListener* responseListener)
         : listener(responseListener)
         , headReader(maximumResponseHeadBytes)
@@ -231,6 +238,23 @@
     {
         return !answersHead && !isInterim();
     }
+    // A coding that is not undone here, or chunks within another coding.
+    bool hasUnknownCoding() const
+    {
+        size_t chunked = 0;
+        size_t others = 0;
+        for (const Header& header : head.headers.all()) {
+            if (!equalsIgnoringCase(header.name, "transfer-encoding"))
+                continue;
+            forEachElement(header.value, [&](std::string_view coding) {
+                if (equalsIgnoringCase(coding, "chunked"))
+                    ++chunked;
+                else if (!equalsIgnoringCase(coding, "identity"))
+                    ++others;
+            });
+        }
+        return others || chunked > 1 || (chunked == 1) != ((parser.flags & F_CHUNKED) != 0);
+    }
     BodyFraming bodyFraming() const
     {
         if (!hasBody() || parser.status_code == 204 || parser.status_code == 304)
@@ -247,7 +271,10 @@
         headDone = true;
         if (isInterim())
             return noBody;
+        if (hasBody() && hasUnknownCoding())
+            return fail("a transfer coding that is not known");
         framing = bodyFraming();
+        chunkPart = ChunkPart::SizeLine;
         ResponseHead response;
         response.status = parser.status_code;
         response.reason = std::move(head.text);
@@ -270,6 +297,40 @@
         http_parser_pause(&parser, 1);
         return 0;
     }
+    // http_parser does not look at the last bytes of a line of the chunked framing, so it is paused behind each.
+    int onChunkLine()
+    {
+        chunkLineEnded = true;
+        http_parser_pause(&parser, 1);
+        return 0;
+    }
+    int onChunkEnd() { return chunkPart == ChunkPart::Trailer ? 0 : onChunkLine(); }
+    // `bytes` were read since the last pause or call.
+    bool checkChunkFraming(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return true;
+        char before = bytes.size() > 1 ? bytes[bytes.size() - 2] : lastByte;
+        lastByte = bytes.back();
+        bool ended = std::exchange(chunkLineEnded, false) || (chunkPart == ChunkPart::Trailer && whole);
+        switch (chunkPart) {
+        case ChunkPart::SizeLine: {
+            auto isFramingCharacter = [](char character) { return character == '\r' || internal::isTextCharacter(character); };
+            std::string_view line = ended ? bytes.substr(0, bytes.size() - 1) : bytes;
+            if (ended)
+                chunkPart = parser.content_length ? ChunkPart::Data : ChunkPart::Trailer;
+            return std::all_of(line.begin(), line.end(), isFramingCharacter) && (!ended || lastByte == '\n');
+        }
+        case ChunkPart::Data:
+            if (ended)
+                chunkPart = ChunkPart::SizeLine;
+            return !ended || (before == '\r' && lastByte == '\n');
+        case ChunkPart::Trailer:
+            break;
+        }
+        return !ended || lastByte == '\n';
+    }
+
     http_parser parser {};
     ResponseListener* listener;
     internal::ResponseHeadReader headReader;
@@ -278,6 +339,10 @@
     bool answersHead = false;
     bool whole = false;
     BodyFraming framing = BodyFraming::None;
+    ChunkPart chunkPart = ChunkPart::SizeLine;
+    bool chunkLineEnded = false;
+    // Of what was read before.
+    char lastByte = 0;
     // Empty if nothing is wrong.
     std::string_view fault;
 };
@@ -303,6 +368,8 @@
     static const http_parser_settings settings = [] {
         auto made = makeSettings<State>();
         made.on_status = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onStatus(at, size); };
+        made.on_chunk_header = [](http_parser* parser) { return stateOf<State>(parser).onChunkLine(); };
+        made.on_chunk_complete = [](http_parser* parser) { return stateOf<State>(parser).onChunkEnd(); };
         return made;
     }();
     return settings;
@@ -340,6 +407,8 @@
 {
     State& state = *m_state;
     size_t taken = execute(state, bytes);
+    if (state.fault.empty() && state.framing == BodyFraming::Chunked && !state.checkChunkFraming(bytes.substr(0, taken)))
+        state.fault = "a chunk does not end where its size says";
     return taken;
 }
 
