Answers: 204 and 304 end with their head

What callers saw: bytes behind a 204 or 304 whose upstream sent a body, and no answer at all for a 304 that has a Content-Length and, rightly, no body: the body was waited for until the deadline.

Cause: only an answer to HEAD told http_parser that no body follows. Towards the caller such an answer was framed with "Content-Length: 0".

Change: answers with 204, 304 and interim ones have no body, whatever their headers say; bytes behind them belong to no request and end the connection. The server sends such an answer without framing headers and body.

--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -236,7 +236,9 @@
     int onBegin() { return 0; }
     bool hasBody() const
     {
-        return !answersHead && !isInterim();
+        constexpr unsigned noContent = 204;
+        constexpr unsigned notModified = 304;
+        return !answersHead && !isInterim() && parser.status_code != noContent && parser.status_code != notModified;
     }
     // A coding that is not undone here, or chunks within another coding.
     bool hasUnknownCoding() const
@@ -257,7 +259,7 @@
     }
     BodyFraming bodyFraming() const
     {
-        if (!hasBody() || parser.status_code == 204 || parser.status_code == 304)
+        if (!hasBody())
             return BodyFraming::None;
         if (parser.flags & F_CHUNKED)
             return BodyFraming::Chunked;
--- a/packages/http1/src/Server.cpp
+++ b/packages/http1/src/Server.cpp
@@ -75,7 +75,7 @@
     std::shared_ptr<io::Connection> m_draining;
     bool m_gone = false;
     BodyFraming m_framing = BodyFraming::None;
-    // The answer to HEAD has no body, whatever its headers say.
+    // The answer to HEAD has no body, whatever its headers say, and neither has one whose status is 204 or 304.
     bool m_bodiless = false;
     bool m_ended = false;
 };
@@ -292,13 +292,18 @@
     auto connection = m_connection.lock();
     if (!connection || m_gone)
         return;
-    if (head.untilClose || (!head.length && !m_head.acceptsChunks))
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    bool statusHasNoBody = head.status == noContent || head.status == notModified;
+    if (statusHasNoBody)
+        m_framing = BodyFraming::None;
+    else if (head.untilClose || (!head.length && !m_head.acceptsChunks))
         m_framing = BodyFraming::ToEnd;
     else
         m_framing = head.length ? BodyFraming::Length : BodyFraming::Chunked;
     if (m_framing == BodyFraming::ToEnd)
         connection->closeAfterAnswer();
-    m_bodiless = m_head.method == "HEAD";
+    m_bodiless = statusHasNoBody || m_head.method == "HEAD";
     std::string out = base::concat("HTTP/1.1 ", head.status, " ");
     out += head.reason.empty() ? std::string(reasonPhrase(head.status)) : head.reason;
     out += "\r\n";
