Connections: a reset that a write has met is no orderly end

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as a whole answer.

Cause: the system reports the error of a socket once. Connection::write and flush dropped the error of a failed send, after which recv returns 0 and EPOLLERR is gone: readOnce took that for the peer's orderly end. An answer that its connection ends was whole by that.

Change: a send that fails for another reason than missing room is remembered, and the connection's end is then told as broken, also where it is noticed without reading.

An answer that is whole by its own length stays one.

--- a/packages/io/include/toucanstep/io/Connection.h
+++ b/packages/io/include/toucanstep/io/Connection.h
@@ -14,7 +14,7 @@
 enum class CloseCause {
     // The peer ended its side in order: all that it sent has been heard.
     Orderly,
-    // Reset, timed out or not reached: bytes may be missing.
+    // Reset, timed out or not reached, or a write has failed: bytes may be missing.
     Broken,
 };
 
@@ -79,6 +79,7 @@
     void finishConnecting();
     void readOnce(size_t most);
     void flush();
+    void noteSendFailure();
     void peerGone(CloseCause);
     void endSending();
     void closeOnceAcknowledged();
@@ -93,6 +94,8 @@
     bool m_reading = true;
     bool m_heldBack = false;
     bool m_closing = false;
+    // The peer has reset the connection, or it has timed out.
+    bool m_sendFailed = false;
     uint32_t m_events = 0;
     EventLoop::TimerId m_acknowledgementTimer = 0;
 };
--- a/packages/io/src/Connection.cpp
+++ b/packages/io/src/Connection.cpp
@@ -26,6 +26,12 @@
     return ioctl(socket.descriptor(), SIOCOUTQ, &bytes) || bytes <= endBytes;
 }
 
+// After a failed send: whether the connection still stands.
+bool isTransient(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
+
 } // namespace
 
 std::shared_ptr<Connection> Connection::start(EventLoop& loop, Socket socket, Origin origin, ConnectionListener* listener)
@@ -167,12 +173,20 @@
         ssize_t sent = send(m_socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
         if (sent > 0)
             bytes.remove_prefix(static_cast<size_t>(sent));
-        // A broken connection is noticed by the loop's next event, so that no listener is called from within a write.
+        else if (sent < 0)
+            noteSendFailure();
     }
     m_unsent.append(bytes);
     updateEvents();
 }
 
+// The loop's next event tells the listener, so that it is not called from within a write. The system reports the error of a socket only
+// once: from then on a reset connection looks like one that has ended in order.
+void Connection::noteSendFailure()
+{
+    m_sendFailed = m_sendFailed || !isTransient(errno);
+}
+
 void Connection::onEvents(uint32_t events)
 {
     if (!m_connected) {
@@ -235,6 +249,8 @@
                 m_listener->onTaken();
             if (!m_socket)
                 return;
+        } else if (sent < 0) {
+            noteSendFailure();
         }
     }
     if (!m_unsent.empty()) {
@@ -253,6 +269,8 @@
 void Connection::peerGone(CloseCause cause)
 {
     ConnectionListener* listener = m_listener;
+    if (m_sendFailed)
+        cause = CloseCause::Broken;
     close();
     if (listener)
         listener->onPeerClosed(cause);
