HTTP client on libcurl: statuses and names of fields that are none

What callers could see, in the product's own mode: a status from 600 on, as one of three digits, was an answer, and so was one with a blank in the name of a field, with that name as it came. A blank in front of a colon hid the field. A fold was taken for a field of its own, or dropped.

Cause: libcurl checks neither; it refuses statuses below 100 and a blank line in front of the first field.

A fold continues the field before.

Handled already, the tests stay: AnAnswerThatIsResetDuringAnUploadIsNotWhole and AHeadWithoutEndIsGivenUp pass on, since libcurl reports a failed send and bounds heads.

--- a/packages/formats/src/HttpClient.cpp
+++ b/packages/formats/src/HttpClient.cpp
@@ -1,6 +1,8 @@
 #include "toucanstep/formats/HttpClient.h"
 
 #include "toucanstep/base/Text.h"
+#include "toucanstep/http1/Message.h"
+#include "toucanstep/http1/ResponseSyntax.h"
 
 #include <algorithm>
 #include <atomic>
@@ -189,8 +191,8 @@
 
     static size_t onHeaderLine(char* data, size_t, size_t size, void* context)
     {
-        static_cast<Transfer*>(context)->takeHeaderLine(std::string_view(data, size));
-        return size;
+        // Another size than that of the line ends the transfer.
+        return static_cast<Transfer*>(context)->takeHeaderLine(std::string_view(data, size)) ? size : 0;
     }
 
     static size_t onBody(char* data, size_t, size_t size, void* context)
@@ -201,29 +203,36 @@
         return size;
     }
 
-    void takeHeaderLine(std::string_view line)
+    // libcurl accepts statuses and names of fields that are none, so both are checked. Returns false for a line that makes the answer
+    // malformed.
+    bool takeHeaderLine(std::string_view line)
     {
         m_lastByte = now();
         // What comes after the body are trailers, which nothing here uses.
         if (m_statusTold)
-            return;
-        while (!line.empty() && (line.back() == '\r' || line.back() == '\n'))
+            return true;
+        if (line.ends_with('\n'))
+            line.remove_suffix(1);
+        if (line.ends_with('\r'))
             line.remove_suffix(1);
-        if (line.rfind("HTTP/", 0) == 0)
+        if (line.starts_with("HTTP/"))
             takeStatusLine(line);
         else if (line.empty())
             tellStatus();
+        else if (line.front() == ' ' || line.front() == '\t')
+            takeFold(line);
         else
             takeField(line);
+        return m_fault.empty();
     }
 
     void takeStatusLine(std::string_view line)
     {
         m_headers.clear();
-        m_status = 0;
-        auto space = line.find(' ');
-        if (space != std::string_view::npos)
-            std::from_chars(line.data() + space + 1, line.data() + line.size(), m_status);
+        m_fault = http1::faultOfStatusLine(line);
+        constexpr size_t statusBegin = std::string_view("HTTP/1.1 ").size();
+        if (m_fault.empty())
+            std::from_chars(line.data() + statusBegin, line.data() + line.size(), m_status);
     }
 
     void tellStatus()
@@ -237,13 +246,22 @@
 
     void takeField(std::string_view line)
     {
-        auto colon = line.find(':');
-        if (colon == std::string_view::npos)
+        m_fault = http1::faultOfField(line);
+        if (!m_fault.empty())
             return;
-        auto value = line.substr(colon + 1);
-        while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
-            value.remove_prefix(1);
-        m_headers.push_back({ std::string(line.substr(0, colon)), std::string(value) });
+        auto colon = line.find(':');
+        m_headers.push_back({ std::string(line.substr(0, colon)), std::string(http1::trimmed(line.substr(colon + 1))) });
+    }
+
+    // Continues the value of the field before.
+    void takeFold(std::string_view line)
+    {
+        if (m_headers.empty())
+            m_fault = "a blank in front of the first field";
+        else if (!http1::isText(line))
+            m_fault = "a fold holds a control character";
+        else
+            m_headers.back().value += base::concat(" ", http1::trimmed(line));
     }
 
     base::ErrorKind kindOfCutCall() const
@@ -253,6 +271,8 @@
 
     base::Error classify(CURLcode result) const
     {
+        if (!m_fault.empty())
+            return error(base::ErrorKind::Malformed, base::concat(m_call.method, " ", m_call.url, ": ", m_fault));
         std::string message = base::concat(m_call.method, " ", m_call.url, ": ", curl_easy_strerror(result));
         bool unreadable = result == CURLE_URL_MALFORMAT || result == CURLE_WEIRD_SERVER_REPLY || result == CURLE_UNSUPPORTED_PROTOCOL
             || result == CURLE_BAD_CONTENT_ENCODING;
@@ -270,6 +290,8 @@
     bool m_statusTold = false;
     int m_status = 0;
     HttpHeaders m_headers;
+    // What is wrong with the head of the answer.
+    std::string_view m_fault;
     base::Instant m_lastByte;
 };
 
--- a/packages/formats/test/HttpTest.cpp
+++ b/packages/formats/test/HttpTest.cpp
@@ -394,3 +394,124 @@
     CHECK_TRUE(listener->ends.take()->has_value());
     exchange->respond(200, {}, "too late");
 }
+
+namespace {
+
+// A server that answers each connection with bytes, once a head has come, and ends it.
+class RawServer {
+public:
+    explicit RawServer(std::string answer, bool resets = false, std::string repeated = "")
+        : m_answer(std::move(answer))
+        , m_repeated(std::move(repeated))
+        , m_resets(resets)
+        , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        CHECK_EQUAL(0, ::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size));
+        CHECK_EQUAL(0, ::listen(m_socket, 8));
+        CHECK_EQUAL(0, ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size));
+        m_port = ntohs(address.sin_port);
+        m_thread = std::thread([this] { run(); });
+    }
+    ~RawServer()
+    {
+        ::shutdown(m_socket, SHUT_RDWR);
+        m_thread.join();
+        ::close(m_socket);
+    }
+    RawServer(const RawServer&) = delete;
+    RawServer& operator=(const RawServer&) = delete;
+
+    std::string url() const { return base::concat("http://127.0.0.1:", m_port, "/x"); }
+    // Of what is repeated until the caller closes.
+    size_t sentBytes() const { return m_sentBytes.load(); }
+
+private:
+    void run()
+    {
+        for (int caller = 0; (caller = ::accept(m_socket, nullptr, nullptr)) >= 0; ::close(caller))
+            answer(caller);
+    }
+    void answer(int caller)
+    {
+        std::string head;
+        char buffer[4096];
+        while (head.find("\r\n\r\n") == std::string::npos) {
+            ssize_t size = ::recv(caller, buffer, sizeof(buffer), 0);
+            if (size <= 0)
+                return;
+            head.append(buffer, static_cast<size_t>(size));
+        }
+        ::send(caller, m_answer.data(), m_answer.size(), MSG_NOSIGNAL);
+        for (ssize_t sent = 0; !m_repeated.empty() && (sent = ::send(caller, m_repeated.data(), m_repeated.size(), MSG_NOSIGNAL)) > 0;)
+            m_sentBytes += static_cast<size_t>(sent);
+        if (!m_resets)
+            return;
+        // The answer arrives before the reset.
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        linger hard { 1, 0 };
+        ::setsockopt(caller, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+
+    std::string m_answer;
+    std::string m_repeated;
+    bool m_resets;
+    int m_socket;
+    uint16_t m_port = 0;
+    std::atomic<size_t> m_sentBytes = 0;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against an answer that is none being taken for one: its status or the name of a field is not what the protocol allows.
+TEST(Http, AnAnswerThatIsNoneIsAnErrorThatLeavesOpenWhetherTheCallRan)
+{
+    std::vector<std::string> heads;
+    for (const char* status : { "000", "099", "20", "600", "999", "0200" })
+        heads.push_back(base::concat("HTTP/1.1 ", status, " Trouble\r\n"));
+    for (const char* field : { "X Y: 1", "X-Y : 1", " X: 1", "X\x01Y: 1", "no colon", "Content-Length : 4", "X: \x01" })
+        heads.push_back(base::concat("HTTP/1.1 200 OK\r\n", field, "\r\n"));
+    for (const std::string& head : heads) {
+        RawServer raw(base::concat(head, "Content-Length: 4\r\n\r\ngood"));
+        auto reply = client.fetch({ .method = "POST", .url = raw.url(), .body = "x", .deadline = soon() });
+        std::string seen = base::concat(head, reply.error ? reply.error->message : base::concat("taken as ", reply.status));
+        CHECK_TRUE_TEXT(reply.error && reply.error->kind != base::ErrorKind::Unavailable, seen.c_str());
+    }
+    RawServer sound("HTTP/1.1 200\r\nX: a\r\n b\r\nContent-Length: 4\r\n\r\ngood");
+    auto reply = client.fetch({ .url = sound.url(), .deadline = soon() });
+    CHECK_FALSE(reply.error.has_value());
+    STRCMP_EQUAL("a b", std::string(findHeader(reply.headers, "X")).c_str());
+    STRCMP_EQUAL("good", reply.body.c_str());
+}
+
+// Guards against a part of an answer that looks whole: its connection was reset while the request was still being written.
+TEST(Http, AnAnswerThatIsResetDuringAnUploadIsNotWhole)
+{
+    std::string body(4 * 1024 * 1024, 'x');
+    for (const char* rest : { "\r\ngood", "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n", "Content-Length: 5\r\n\r\ngood" }) {
+        RawServer raw(base::concat("HTTP/1.1 200 OK\r\n", rest), true);
+        CHECK_TRUE_TEXT(client.fetch({ .method = "POST", .url = raw.url(), .body = body, .deadline = soon() }).error.has_value(), rest);
+    }
+}
+
+// Guards against a process that runs out of memory because of a head without end.
+TEST(Http, AHeadWithoutEndIsGivenUp)
+{
+    // What the system's buffers hold on both sides comes on top of what is read.
+    constexpr size_t mostBytes = 16 * 1024 * 1024;
+    for (const char* begin : { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 100 Continue\r\n" }) {
+        for (const char* repeated : { "X: a\r\n", "X", "HTTP/1.1 103 Early Hints\r\nX: a\r\n\r\n" }) {
+            std::string many;
+            for (int count = 0; count < 1000; ++count)
+                many += repeated;
+            RawServer raw(std::string(begin) == "HTTP/1.1 100 Continue\r\n" ? base::concat(begin, "\r\n") : std::string(begin), false, many);
+            auto reply = client.fetch({ .url = raw.url(), .deadline = soon() });
+            CHECK_TRUE_TEXT(reply.error.has_value(), repeated);
+            CHECK_TRUE_TEXT(raw.sentBytes() < mostBytes, repeated);
+        }
+    }
+}
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -1,6 +1,7 @@
 #include "toucanstep/http1/Parser.h"
 
 #include "ResponseHeadReader.h"
+#include "toucanstep/http1/ResponseSyntax.h"
 
 #include <algorithm>
 #include <http_parser.h>
@@ -56,9 +57,6 @@
     }
 };
 
-// An answer's head of an upstream; far above what any sends.
-constexpr size_t maximumResponseHeadBytes = 64 * 1024;
-
 // http_parser calls back into C functions; what they share is reached through the parser's data pointer.
 template <typename State>
 State& stateOf(http_parser* parser) { return *static_cast<State*>(parser->data); }
@@ -218,7 +216,7 @@
         if (!headDone)
             head.addName(at, size);
         // The trailer is dropped, but an answer that has none by the syntax is not whole.
-        else if (!std::all_of(at, at + size, internal::isTokenCharacter))
+        else if (!std::all_of(at, at + size, isTokenCharacter))
             return fail("the name of a field is no token");
         return 0;
     }
@@ -317,7 +315,7 @@
         bool ended = std::exchange(chunkLineEnded, false) || (chunkPart == ChunkPart::Trailer && whole);
         switch (chunkPart) {
         case ChunkPart::SizeLine: {
-            auto isFramingCharacter = [](char character) { return character == '\r' || internal::isTextCharacter(character); };
+            auto isFramingCharacter = [](char character) { return character == '\r' || isTextCharacter(character); };
             std::string_view line = ended ? bytes.substr(0, bytes.size() - 1) : bytes;
             if (ended)
                 chunkPart = parser.content_length ? ChunkPart::Data : ChunkPart::Trailer;
--- a/packages/http1/src/ResponseHeadReader.h
+++ b/packages/http1/src/ResponseHeadReader.h
@@ -10,11 +10,6 @@
 
 namespace toucanstep::http1::internal {
 
-// A character of a token (RFC 9110, 5.6.2), as in the name of a field.
-bool isTokenCharacter(char);
-// A character that may stand in a line: a tab, or anything but control characters.
-bool isTextCharacter(char);
-
 class ResponseHeadReader {
 public:
     // `maximumBytes` bounds all heads up to the next reset(), interim ones included. A line counts for more than its bytes, as a
@@ -38,8 +33,6 @@
 
 private:
     void endLine();
-    static std::string_view checkStatusLine(std::string_view line);
-    static std::string_view checkField(std::string_view line);
 
     size_t m_maximumBytes;
     std::string m_text;
--- /dev/null
+++ b/packages/http1/src/ResponseSyntax.cpp
@@ -0,0 +1,64 @@
+#include "toucanstep/http1/ResponseSyntax.h"
+
+#include <absl/strings/ascii.h>
+#include <algorithm>
+
+namespace toucanstep::http1 {
+
+namespace {
+
+constexpr std::string_view noStatusLine = "no status line of HTTP/1";
+constexpr std::string_view statusNotThreeDigits = "the status is not a number of three digits";
+constexpr std::string_view versionPrefix = "HTTP/1.";
+constexpr int statusSwitchingProtocols = 101;
+constexpr int lowestStatus = 100;
+constexpr int highestStatus = 599;
+
+} // namespace
+
+bool isTokenCharacter(char character)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return absl::ascii_isalnum(static_cast<unsigned char>(character)) || (character && marks.find(character) != std::string_view::npos);
+}
+
+bool isTextCharacter(char character)
+{
+    return character == '\t' || !absl::ascii_iscntrl(static_cast<unsigned char>(character));
+}
+
+bool isText(std::string_view text) { return std::all_of(text.begin(), text.end(), isTextCharacter); }
+
+std::string_view faultOfStatusLine(std::string_view line)
+{
+    constexpr size_t statusBegin = versionPrefix.size() + 2;
+    constexpr size_t statusEnd = statusBegin + 3;
+    if (line.size() < statusEnd || !line.starts_with(versionPrefix) || !absl::ascii_isdigit(static_cast<unsigned char>(line[versionPrefix.size()])) || line[statusBegin - 1] != ' ')
+        return noStatusLine;
+    int status = 0;
+    for (char digit : line.substr(statusBegin, statusEnd - statusBegin)) {
+        if (!absl::ascii_isdigit(static_cast<unsigned char>(digit)))
+            return statusNotThreeDigits;
+        status = status * 10 + (digit - '0');
+    }
+    if (line.size() > statusEnd && line[statusEnd] != ' ')
+        return statusNotThreeDigits;
+    if (status < lowestStatus || status > highestStatus)
+        return "the status is outside 100 to 599";
+    if (status == statusSwitchingProtocols)
+        return "a switch of protocols that was not asked for";
+    return isText(line.substr(statusEnd)) ? std::string_view() : "the reason phrase holds a control character";
+}
+
+std::string_view faultOfField(std::string_view line)
+{
+    size_t colon = line.find(':');
+    if (colon == std::string_view::npos)
+        return "a field without a colon";
+    std::string_view name = line.substr(0, colon);
+    if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
+        return "the name of a field is no token";
+    return isText(line.substr(colon)) ? std::string_view() : "a field holds a control character";
+}
+
+} // namespace toucanstep::http1
