Planned stop: a request that comes after the intake has to end before the stop

What callers saw: a request whose last bytes came late in the grace period was taken and passed on, and cut at the end of the grace period, also one that may not be repeated.

Cause: whether a call fits into what is left was estimated from how long such calls have lasted. Requests that were still being read when the intake ended were judged in the same way, by the longest call so far.

Change: a request that is whole only after the intake is taken only if its time limit ends before the stop, and is refused otherwise (503, not run): another gateway takes it without that risk.

Evidence: ALateRequestThatMayOutlastTheStopIsRefusedAtOnce fails on: the order and the stream, both like calls that have been short, got "200 OK" and were passed on. It passes now.

--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -268,7 +268,9 @@
     base::Instant begin = m_dispatcher.now();
     if (auto loaded = m_dispatcher.expectedLoad(m_call.target); loaded && m_blockReason == BlockReason::NotLoaded)
         begin = std::max(begin, *loaded);
-    if (expected && begin + *expected <= stop.earliestEnd())
+    // How long calls have lasted does not bound this one. Another gateway takes a request that comes after the intake without that risk.
+    bool late = m_arrived > stop.earliestIntakeEnd();
+    if (!late && expected && begin + *expected <= stop.earliestEnd())
         return false;
     // Another gateway takes the call at once.
     refuse(statusUnavailable, "leaving", Execution::NotRun, "the gateway stops and may end before the call", base::Duration::zero());
