HTTP client on libcurl: a length that is no number, or stated twice, is malformed

What callers could see, in the product's own mode: "Content-Length: 4x", and two different lengths, gave an answer whose length readers take differently.

Cause: libcurl reads the digits in front of what else stands there, and lets the later of two lengths count.

Change: the rule is in faultOfField, where http_parser's own one is not needed for it; the client on libcurl takes one length only.

Evidence: Http, ABodyThatCannotBeDecodedIsAnError fails on ("Content-Length: 4x came as good") and passes now. Its other cases (transfer codings, chunks that do not end where they say, a body that is too short) were refused before.

--- a/packages/formats/src/HttpClient.cpp
+++ b/packages/formats/src/HttpClient.cpp
@@ -250,6 +250,10 @@
         if (!m_fault.empty())
             return;
         auto colon = line.find(':');
+        if (http1::equalsIgnoringCase(line.substr(0, colon), "content-length") && !findHeader(m_headers, "Content-Length").empty()) {
+            m_fault = "more than one length";
+            return;
+        }
         m_headers.push_back({ std::string(line.substr(0, colon)), std::string(http1::trimmed(line.substr(colon + 1))) });
     }
 
--- a/packages/formats/test/HttpTest.cpp
+++ b/packages/formats/test/HttpTest.cpp
@@ -498,6 +498,17 @@
     }
 }
 
+// Guards against a body that is not the server's: it has a coding that is not undone, or chunks that do not end where they say.
+TEST(Http, ABodyThatCannotBeDecodedIsAnError)
+{
+    for (const char* rest : { "Transfer-Encoding: gzip\r\n\r\ngood", "Transfer-Encoding: chunked\r\n\r\n4\r\ngoods\r\n0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\ngoodXX0\r\n\r\n", "Transfer-Encoding: chunked, gzip\r\n\r\n4\r\ngood\r\n0\r\n\r\n", "Transfer-Encoding: x\r\n\r\ngood", "Content-Length: 4x\r\n\r\ngood", "Content-Length: 5\r\n\r\ngood", "Content-Length: 2\r\nContent-Length: 4\r\n\r\ngood", "Content-Length: 4\r\nContent-Length: 2\r\n\r\ngood" }) {
+        RawServer raw(base::concat("HTTP/1.1 200 OK\r\n", rest));
+        auto reply = client.fetch({ .url = raw.url(), .deadline = soon() });
+        std::string seen = base::concat(rest, " came as ", reply.body);
+        CHECK_TRUE_TEXT(reply.error.has_value(), seen.c_str());
+    }
+}
+
 // Guards against a process that runs out of memory because of a head without end.
 TEST(Http, AHeadWithoutEndIsGivenUp)
 {
--- a/packages/http1/src/ResponseSyntax.cpp
+++ b/packages/http1/src/ResponseSyntax.cpp
@@ -1,5 +1,7 @@
 #include "toucanstep/http1/ResponseSyntax.h"
 
+#include "toucanstep/http1/Message.h"
+
 #include <absl/strings/ascii.h>
 #include <algorithm>
 
@@ -58,6 +60,8 @@
     std::string_view name = line.substr(0, colon);
     if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
         return "the name of a field is no token";
+    if (equalsIgnoringCase(name, "content-length") && !parseNumber(trimmed(line.substr(colon + 1))))
+        return "the length is no number";
     return isText(line.substr(colon)) ? std::string_view() : "a field holds a control character";
 }
 
