HTTP client: an idle time that no server keeps does not overflow

What is seen: "Keep-Alive: timeout=" overflowed the arithmetic of durations, which is undefined, and the connection was not kept.

Change: the stated time counts for an hour at most.

Evidence: AConnectionIsKeptThoughTheServersIdleTimeoutIsAbsurd fails on (two connections for two requests) and passes now. Found while reading what else of an answer's head is used.

--- a/packages/http1/src/Client.cpp
+++ b/packages/http1/src/Client.cpp
@@ -5,6 +5,7 @@
 #include "toucanstep/http1/Parser.h"
 #include "toucanstep/io/Connection.h"
 
+#include <algorithm>
 #include <list>
 #include <optional>
 
@@ -215,10 +216,11 @@
         return;
     forEachElement(*keepAlive, [&](std::string_view element) {
         constexpr std::string_view parameter = "timeout=";
+        constexpr int64_t longestIdleSeconds = 3600;
         if (!element.starts_with(parameter))
             return;
         if (auto seconds = parseNumber(element.substr(parameter.size())))
-            m_serverIdle = std::chrono::seconds(*seconds);
+            m_serverIdle = std::chrono::seconds(std::min(*seconds, longestIdleSeconds));
     });
 }
 
--- a/packages/http1/test/ClientTest.cpp
+++ b/packages/http1/test/ClientTest.cpp
@@ -168,6 +168,15 @@
     CHECK_EQUAL(2, server.connections());
 }
 
+// Guards against arithmetic that overflows, and a connection that is not kept, because of a time that no server keeps.
+TEST(Client, AConnectionIsKeptThoughTheServersIdleTimeoutIsAbsurd)
+{
+    RawServer server(loop, [](const ScriptedRequest&) { return ScriptedAnswer { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\nContent-Length: 2\r\n\r\nok", Then::Keep }; });
+    CHECK_EQUAL(200, post(server.endpoint()).status);
+    CHECK_EQUAL(200, post(server.endpoint()).status);
+    CHECK_EQUAL(1, server.connections());
+}
+
 TEST(Client, ACancelledExchangeEndsItsConnection)
 {
     // An engine would go on for a caller who has left: only the end of the connection tells it.
