Planned stop: late is what comes after the intake as it was noticed

After a hold-up the earliest signal lies before the notice, and new connections still come for 2.6 s from the notice. These keep the rule that was weighed for them (the slowest calls so far have to fit); only a request that is whole after the intake has ended is bound to its time limit.

--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -269,7 +269,7 @@
     if (auto loaded = m_dispatcher.expectedLoad(m_call.target); loaded && m_blockReason == BlockReason::NotLoaded)
         begin = std::max(begin, *loaded);
     // How long calls have lasted does not bound this one. Another gateway takes a request that comes after the intake without that risk.
-    bool late = m_arrived > stop.earliestIntakeEnd();
+    bool late = m_arrived > stop.intakeEnd();
     if (!late && expected && begin + *expected <= stop.earliestEnd())
         return false;
     // Another gateway takes the call at once.
