--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -1,11 +1,11 @@
 #include "toucanstep/http1/Parser.h"
 
+#include "ChunkFraming.h"
 #include "ResponseHeadReader.h"
 #include "toucanstep/http1/ResponseSyntax.h"
 
 #include <algorithm>
 #include <http_parser.h>
-#include <utility>
 
 namespace toucanstep::http1 {
 
@@ -175,14 +175,29 @@
     return { ParseProgress::NeedsMore, taken };
 }
 
-struct ResponseParser::State {
-    // What of a chunked body comes next.
-    enum class ChunkPart {
-        SizeLine,
-        Data,
-        Trailer,
-    };
+namespace {
+
+// Whether the transfer codings are none, or chunked alone, as http_parser reads them. Others are not undone here.
+bool isCodingKnown(const HeaderList& headers, bool readAsChunked)
+{
+    size_t chunked = 0;
+    size_t others = 0;
+    for (const Header& header : headers.all()) {
+        if (!equalsIgnoringCase(header.name, "transfer-encoding"))
+            continue;
+        forEachElement(header.value, [&](std::string_view coding) {
+            if (equalsIgnoringCase(coding, "chunked"))
+                ++chunked;
+            else if (!equalsIgnoringCase(coding, "identity"))
+                ++others;
+        });
+    }
+    return !others && chunked == (readAsChunked ? 1 : 0);
+}
+
+} // namespace
 
+struct ResponseParser::State {
     explicit State(ResponseListener* responseListener)
         : listener(responseListener)
         , headReader(maximumResponseHeadBytes)
@@ -215,7 +230,7 @@
     {
         if (!headDone)
             head.addName(at, size);
-        // The trailer is dropped, but an answer that has none by the syntax is not whole.
+        // The trailer is dropped, but has to follow the syntax.
         else if (!std::all_of(at, at + size, isTokenCharacter))
             return fail("the name of a field is no token");
         return 0;
@@ -238,23 +253,6 @@
         constexpr unsigned notModified = 304;
         return !answersHead && !isInterim() && parser.status_code != noContent && parser.status_code != notModified;
     }
-    // A coding that is not undone here, or chunks within another coding.
-    bool hasUnknownCoding() const
-    {
-        size_t chunked = 0;
-        size_t others = 0;
-        for (const Header& header : head.headers.all()) {
-            if (!equalsIgnoringCase(header.name, "transfer-encoding"))
-                continue;
-            forEachElement(header.value, [&](std::string_view coding) {
-                if (equalsIgnoringCase(coding, "chunked"))
-                    ++chunked;
-                else if (!equalsIgnoringCase(coding, "identity"))
-                    ++others;
-            });
-        }
-        return others || chunked > 1 || (chunked == 1) != ((parser.flags & F_CHUNKED) != 0);
-    }
     BodyFraming bodyFraming() const
     {
         if (!hasBody())
@@ -271,10 +269,10 @@
         headDone = true;
         if (isInterim())
             return noBody;
-        if (hasBody() && hasUnknownCoding())
+        if (hasBody() && !isCodingKnown(head.headers, (parser.flags & F_CHUNKED) != 0))
             return fail("a transfer coding that is not known");
         framing = bodyFraming();
-        chunkPart = ChunkPart::SizeLine;
+        chunks.begin();
         ResponseHead response;
         response.status = parser.status_code;
         response.reason = std::move(head.text);
@@ -297,39 +295,13 @@
         http_parser_pause(&parser, 1);
         return 0;
     }
-    // http_parser does not look at the last bytes of a line of the chunked framing, so it is paused behind each.
-    int onChunkLine()
+    int onChunkLineEnd()
     {
-        chunkLineEnded = true;
+        chunks.onLineEnd();
         http_parser_pause(&parser, 1);
         return 0;
     }
-    int onChunkEnd() { return chunkPart == ChunkPart::Trailer ? 0 : onChunkLine(); }
-    // `bytes` were read since the last pause or call.
-    bool checkChunkFraming(std::string_view bytes)
-    {
-        if (bytes.empty())
-            return true;
-        char before = bytes.size() > 1 ? bytes[bytes.size() - 2] : lastByte;
-        lastByte = bytes.back();
-        bool ended = std::exchange(chunkLineEnded, false) || (chunkPart == ChunkPart::Trailer && whole);
-        switch (chunkPart) {
-        case ChunkPart::SizeLine: {
-            auto isFramingCharacter = [](char character) { return character == '\r' || isTextCharacter(character); };
-            std::string_view line = ended ? bytes.substr(0, bytes.size() - 1) : bytes;
-            if (ended)
-                chunkPart = parser.content_length ? ChunkPart::Data : ChunkPart::Trailer;
-            return std::all_of(line.begin(), line.end(), isFramingCharacter) && (!ended || lastByte == '\n');
-        }
-        case ChunkPart::Data:
-            if (ended)
-                chunkPart = ChunkPart::SizeLine;
-            return !ended || (before == '\r' && lastByte == '\n');
-        case ChunkPart::Trailer:
-            break;
-        }
-        return !ended || lastByte == '\n';
-    }
+    int onChunkEnd() { return chunks.inTrailer() ? 0 : onChunkLineEnd(); }
 
     http_parser parser {};
     ResponseListener* listener;
@@ -339,10 +311,7 @@
     bool answersHead = false;
     bool whole = false;
     BodyFraming framing = BodyFraming::None;
-    ChunkPart chunkPart = ChunkPart::SizeLine;
-    bool chunkLineEnded = false;
-    // Of what was read before.
-    char lastByte = 0;
+    internal::ChunkFraming chunks;
     // Empty if nothing is wrong.
     std::string_view fault;
 };
@@ -368,7 +337,7 @@
     static const http_parser_settings settings = [] {
         auto made = makeSettings<State>();
         made.on_status = [](http_parser* parser, const char* at, size_t size) { return stateOf<State>(parser).onStatus(at, size); };
-        made.on_chunk_header = [](http_parser* parser) { return stateOf<State>(parser).onChunkLine(); };
+        made.on_chunk_header = [](http_parser* parser) { return stateOf<State>(parser).onChunkLineEnd(); };
         made.on_chunk_complete = [](http_parser* parser) { return stateOf<State>(parser).onChunkEnd(); };
         return made;
     }();
@@ -407,7 +376,7 @@
 {
     State& state = *m_state;
     size_t taken = execute(state, bytes);
-    if (state.fault.empty() && state.framing == BodyFraming::Chunked && !state.checkChunkFraming(bytes.substr(0, taken)))
+    if (state.fault.empty() && state.framing == BodyFraming::Chunked && !state.chunks.check(bytes.substr(0, taken), state.parser.content_length, state.whole))
         state.fault = "a chunk does not end where its size says";
     return taken;
 }
