--- a/packages/formats/src/HttpClient.cpp
+++ b/packages/formats/src/HttpClient.cpp
@@ -203,8 +203,7 @@
         return size;
     }
 
-    // libcurl accepts statuses and names of fields that are none, so both are checked. Returns false for a line that makes the answer
-    // malformed.
+    // libcurl accepts invalid statuses and field names, so both are checked here. Returns false for a line that makes the answer malformed.
     bool takeHeaderLine(std::string_view line)
     {
         m_lastByte = now();
@@ -251,7 +250,7 @@
             return;
         auto colon = line.find(':');
         if (http1::equalsIgnoringCase(line.substr(0, colon), "content-length") && !findHeader(m_headers, "Content-Length").empty()) {
-            m_fault = "more than one length";
+            m_fault = "more than one Content-Length";
             return;
         }
         m_headers.push_back({ std::string(line.substr(0, colon)), std::string(http1::trimmed(line.substr(colon + 1))) });
--- a/packages/formats/test/HttpTest.cpp
+++ b/packages/formats/test/HttpTest.cpp
@@ -467,8 +467,8 @@
 
 } // namespace
 
-// Guards against an answer that is none being taken for one: its status or the name of a field is not what the protocol allows.
-TEST(Http, AnAnswerThatIsNoneIsAnErrorThatLeavesOpenWhetherTheCallRan)
+// Guards against an answer with an invalid status or field name that is taken for a valid one.
+TEST(Http, AnInvalidHeadIsAnErrorThatLeavesOpenWhetherTheCallRan)
 {
     std::vector<std::string> heads;
     for (const char* status : { "000", "099", "20", "600", "999", "0200" })
--- a/packages/http1/include/toucanstep/http1/Parser.h
+++ b/packages/http1/include/toucanstep/http1/Parser.h
@@ -39,7 +39,7 @@
 class ResponseListener {
 public:
     virtual ~ResponseListener() = default;
-    // Interim answers (1xx) are left out. The head is one by RFC 9112: a status from 200 to 599, and names that are tokens.
+    // Interim answers (1xx) are left out. The head is one by RFC 9112: a status from 200 to 599, and field names that are tokens.
     virtual void onResponseHead(ResponseHead) = 0;
     virtual void onResponseBody(std::string_view) = 0;
 };
--- a/packages/http1/src/Parser.cpp
+++ b/packages/http1/src/Parser.cpp
@@ -232,7 +232,7 @@
             head.addName(at, size);
         // The trailer is dropped, but has to follow the syntax.
         else if (!std::all_of(at, at + size, isTokenCharacter))
-            return fail("the name of a field is no token");
+            return fail("a field name is not a token");
         return 0;
     }
     int onValue(const char* at, size_t size)
@@ -270,7 +270,7 @@
         if (isInterim())
             return noBody;
         if (hasBody() && !isCodingKnown(head.headers, (parser.flags & F_CHUNKED) != 0))
-            return fail("a transfer coding that is not known");
+            return fail("an unknown transfer coding");
         framing = bodyFraming();
         chunks.begin();
         ResponseHead response;
--- a/packages/http1/src/ResponseHeadReader.cpp
+++ b/packages/http1/src/ResponseHeadReader.cpp
@@ -46,10 +46,10 @@
         if (lineEnd != std::string_view::npos)
             endLine();
     }
-    // Bytes that are no answer are told at once, though no line may ever end.
+    // Other bytes are refused at once: their first line may never end.
     std::string_view begin = std::string_view(m_text).substr(m_lineBegin, versionPrefix.size());
     if (m_fault.empty() && !m_statusLineRead && begin != "\r" && !versionPrefix.starts_with(begin))
-        m_fault = "no status line of HTTP/1";
+        m_fault = "not an HTTP/1 status line";
     return taken;
 }
 
--- a/packages/http1/src/ResponseSyntax.cpp
+++ b/packages/http1/src/ResponseSyntax.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::string_view noStatusLine = "no status line of HTTP/1";
+constexpr std::string_view notAStatusLine = "not an HTTP/1 status line";
 constexpr std::string_view statusNotThreeDigits = "the status is not a number of three digits";
 constexpr std::string_view versionPrefix = "HTTP/1.";
 constexpr int statusSwitchingProtocols = 101;
@@ -36,7 +36,7 @@
     constexpr size_t statusBegin = versionPrefix.size() + 2;
     constexpr size_t statusEnd = statusBegin + 3;
     if (line.size() < statusEnd || !line.starts_with(versionPrefix) || !absl::ascii_isdigit(static_cast<unsigned char>(line[versionPrefix.size()])) || line[statusBegin - 1] != ' ')
-        return noStatusLine;
+        return notAStatusLine;
     int status = 0;
     for (char digit : line.substr(statusBegin, statusEnd - statusBegin)) {
         if (!absl::ascii_isdigit(static_cast<unsigned char>(digit)))
@@ -48,7 +48,7 @@
     if (status < lowestStatus || status > highestStatus)
         return "the status is outside 100 to 599";
     if (status == statusSwitchingProtocols)
-        return "a switch of protocols that was not asked for";
+        return "a protocol switch that was not requested";
     return isText(line.substr(statusEnd)) ? std::string_view() : "the reason phrase holds a control character";
 }
 
@@ -59,9 +59,9 @@
         return "a field without a colon";
     std::string_view name = line.substr(0, colon);
     if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenCharacter))
-        return "the name of a field is no token";
+        return "a field name is not a token";
     if (equalsIgnoringCase(name, "content-length") && !parseNumber(trimmed(line.substr(colon + 1))))
-        return "the length is no number";
+        return "Content-Length is not a number";
     return isText(line.substr(colon)) ? std::string_view() : "a field holds a control character";
 }
 
