Answers: a signature that is declared hop-by-hop does not vouch for a success

What callers saw: an answer with "Connection: close, response-signature" came as a 200 without the upstream's signature.

Cause: whether an answer may be used was decided by all fields of its head; those that its Connection field names were dropped after that.

Change: the fields of the connection are dropped where the head is received, and the signature has to be among what is left. All else is still read from the head as it came, so that an Attempt-Id named there is still compared. The filter runs once for each answer instead of at its delivery.

--- a/packages/direct/src/ProxiedCall.cpp
+++ b/packages/direct/src/ProxiedCall.cpp
@@ -67,6 +67,17 @@
     return traits;
 }
 
+http1::HeaderList endToEndHeaders(const http1::ResponseHead& head)
+{
+    http1::HeaderList kept;
+    auto options = http1::connectionOptionsOf(head.headers);
+    for (const auto& header : head.headers.all()) {
+        if (!http1::isHopByHop(header.name, options))
+            kept.add(header.name, header.value);
+    }
+    return kept;
+}
+
 double jitterOf(const base::RequestId& id)
 {
     constexpr size_t steps = 1024;
@@ -613,6 +624,9 @@
         m_dispatcher.callTimes().onAnswerStarted(queue(), m_dispatcher.now() - m_lastSent);
     }
     m_responseMetadata = m_dispatcher.format().readVerdict(head);
+    head.headers = endToEndHeaders(head);
+    // A signature that the upstream declares hop-by-hop does not reach the caller.
+    m_responseMetadata.hasSignature = m_dispatcher.format().readVerdict(head).hasSignature;
     bool foreign = !m_responseMetadata.id.empty() && m_responseMetadata.id != m_call.id;
     if (!foreign) {
         m_dispatcher.onUpstreamState(m_upstream, m_upstreamStart, m_responseMetadata, !m_responseMetadata.notRun && head.status < firstServerErrorStatus);
@@ -677,32 +691,17 @@
     m_callerExchange->write(events);
 }
 
-namespace {
-
-http1::HeaderList endToEndHeaders(const http1::ResponseHead& head)
-{
-    http1::HeaderList kept;
-    auto options = http1::connectionOptionsOf(head.headers);
-    for (const auto& header : head.headers.all()) {
-        if (!http1::isHopByHop(header.name, options))
-            kept.add(header.name, header.value);
-    }
-    return kept;
-}
-
-} // namespace
-
 void ProxiedCall::startStreaming()
 {
     m_firstByte = m_dispatcher.now();
     m_phase = Phase::Delivering;
-    m_callerExchange->begin({ m_responseHead.status, m_responseHead.reason, endToEndHeaders(m_responseHead), std::nullopt });
+    m_callerExchange->begin({ m_responseHead.status, m_responseHead.reason, std::move(m_responseHead.headers), std::nullopt });
 }
 
 void ProxiedCall::deliverBufferedAnswer()
 {
     m_firstByte = m_dispatcher.now();
-    http1::AnswerHead head { m_responseHead.status, m_responseHead.reason, endToEndHeaders(m_responseHead), std::nullopt };
+    http1::AnswerHead head { m_responseHead.status, m_responseHead.reason, std::move(m_responseHead.headers), std::nullopt };
     // A length would state that the body is complete, which the upstream has not.
     head.untilClose = m_responseHead.framing == http1::BodyFraming::ToEnd;
     m_callerExchange->answer(std::move(head), m_bufferedBody);
