--- a/review/standins-2/adapters.cpp
+++ b/review/standins-2/adapters.cpp
@@ -1,12 +1,12 @@
 // Demand moves to the adapters of a model whose engine has little memory left. Ends with 1 if the engine was ordered to load more than it
 // can hold, 0 if not, 2 if the case could not run.
 
-#include "../../platform/test/StandIns.h"
 #include "Caller.h"
 #include "Case.h"
 #include "Gateway.h"
 #include "ModelEngine.h"
 #include "Record.h"
+#include "Store.h"
 
 #include <atomic>
 #include <thread>
@@ -58,7 +58,7 @@
 int run(const std::string& folder, const std::string& recordPath, bool trouble)
 {
     review::Record record(recordPath);
-    platform::test::StandInStore store;
+    review::Store store;
     review::EngineMemory memory { engineMemory, { { "assistant", assistantMemory }, { "reporter", reporterMemory } }, adapterMemory, adapterCount };
     review::ModelEngine engine("i-7f3a91c2", memory, { "assistant", "reporter" }, [&](const std::string& line) { record.add(line); });
     store.put("op/config", desiredState());
--- a/review/standins-2/readers.cpp
+++ b/review/standins-2/readers.cpp
@@ -1,12 +1,12 @@
 // Callers read their answers slowly, but well within their time limits. Ends with 1 if the gateway closes more than three kept connections
 // before their answers, which a sound engine has given, are whole; 0 if not, 2 if the case could not run.
 
-#include "../../platform/test/StandIns.h"
 #include "Caller.h"
 #include "Case.h"
 #include "Gateway.h"
 #include "ModelEngine.h"
 #include "Record.h"
+#include "Store.h"
 
 #include <atomic>
 #include <thread>
@@ -70,7 +70,7 @@
 int run(const std::string& folder, const std::string& recordPath, bool trouble)
 {
     review::Record record(recordPath);
-    platform::test::StandInStore store;
+    review::Store store;
     review::ModelEngine engine(
         "i-7f3a91c2", { 200'000, { { "assistant", modelMemory } }, 66, 8 }, { "assistant" }, [&](const std::string& line) { record.add(line); }, longStream);
     store.put("op/config", desiredState());
--- a/review/standins-2/uploads.cpp
+++ b/review/standins-2/uploads.cpp
@@ -2,12 +2,12 @@
 // platform does. Ends with 1 if more than three requests to a sound upstream, sent on kept connections, end without an answer by that, 0 if
 // not, 2 if the case could not run.
 
-#include "../../platform/test/StandIns.h"
 #include "Caller.h"
 #include "Case.h"
 #include "Gateway.h"
 #include "Record.h"
 #include "SlowUpstream.h"
+#include "Store.h"
 
 #include <atomic>
 #include <memory>
@@ -138,7 +138,7 @@
 int run(const std::string& folder, const std::string& recordPath, bool trouble)
 {
     review::Record record(recordPath);
-    platform::test::StandInStore store;
+    review::Store store;
     Arrivals arrivals;
     auto note = [&](const std::string& line) { record.add(line); };
     std::vector<std::unique_ptr<review::SlowUpstream>> photos;
